--- /dev/null
+++ b/fescuehold-config/src/main/java/io/fescuehold/config/ConfigException.java
@@ -0,0 +1,32 @@
+package io.fescuehold.config;
+
+/**
+ * Reports a configuration that was refused. The message names the place, the value seen
+ * and the remedy.
+ */
+public class ConfigException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final String pointer;
+
+	/**
+	 * Creates the exception.
+	 * @param pointer the JSON pointer of the refused value, relative to the object that
+	 * holds it
+	 * @param message the value seen and the remedy
+	 */
+	public ConfigException(String pointer, String message) {
+		super(pointer + ": " + message);
+		this.pointer = pointer;
+	}
+
+	/**
+	 * Returns the JSON pointer of the refused value.
+	 * @return the pointer, relative to the object that holds it
+	 */
+	public String pointer() {
+		return this.pointer;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -0,0 +1,139 @@
+package io.fescuehold.core.error;
+
+/**
+ * Codes of all errors that callers, operators or logs see. Each code carries the HTTP
+ * status of the answer and a message template that names what was refused, the value seen
+ * and the remedy.
+ */
+public enum ErrorCode {
+
+	/** The request body or a header is not valid. Arguments: place, reason, remedy. */
+	BAD_REQUEST(400, "%s is not valid: %s; %s"),
+
+	/** The body is larger than allowed. Arguments: bytes seen, limit in bytes. */
+	BODY_TOO_LARGE(413, "The body has %s bytes but at most %s are allowed; send a smaller body"),
+
+	/** The team is not configured. Argument: team. */
+	UNKNOWN_TEAM(403, "Team \"%s\" is not configured; use a configured team in the Fescuehold-Team header"),
+
+	/** No server offers the model. Argument: model. */
+	UNKNOWN_MODEL(404, "Model \"%s\" is not offered to this team; use one of the configured models"),
+
+	/** The service is not configured. Argument: service. */
+	UNKNOWN_SERVICE(404, "Service \"%s\" is not offered to this team; use one of the configured services"),
+
+	/** The resource does not exist. Argument: path. */
+	NOT_FOUND(404, "Nothing is served at \"%s\"; see the API reference in docs/OPERATIONS.md"),
+
+	/** The bearer token is missing, unknown or not allowed. Argument: action. */
+	NOT_AUTHORISED(401, "%s needs a bearer token with the right role; send it in the Authorization header"),
+
+	/** The operation is not allowed for the token's share or role. Argument: action. */
+	FORBIDDEN(403, "%s is not allowed for this token; use a token of the owning share and role"),
+
+	/** The team is over its share while the pool is congested. Argument: team. */
+	TEAM_OVER_SHARE(429, "Team \"%s\" is over its share while servers are congested; come back after Retry-After"),
+
+	/** The router's queue is full or the wait would be too long. Argument: model. */
+	OVERLOADED(503, "All servers of \"%s\" are at their limit; come back after Retry-After"),
+
+	/** No usable server is left. Argument: model or service. */
+	NO_SERVER(503, "No server of \"%s\" can be reached; come back after Retry-After"),
+
+	/** The deadline has passed. Argument: deadline in milliseconds. */
+	DEADLINE_EXCEEDED(504, "The deadline of %s ms has passed; allow more time or ask again"),
+
+	/** The server failed while it ran the request. Arguments: server, reason. */
+	SERVER_FAILED(502, "Server \"%s\" failed: %s; ask again if the request is idempotent"),
+
+	/** The process is stopping. */
+	DRAINING(503, "This host is draining; ask an entry host for other addresses"),
+
+	/** The call must run at most once but has no key. Arguments: method, path. */
+	KEY_MISSING(400, "%s %s must run at most once; send an Idempotency-Key header"),
+
+	/** The key was used with another body. Argument: key. */
+	KEY_REUSED(422, "Idempotency-Key \"%s\" was used with another request; use a new key"),
+
+	/** A call with the key is running. Argument: key. */
+	CALL_IN_PROGRESS(409, "The call with Idempotency-Key \"%s\" is running; ask again after Retry-After"),
+
+	/** Whether the call ran is unknown. Argument: key. */
+	CALL_UNKNOWN(502,
+			"Whether the call with Idempotency-Key \"%s\" ran is unknown and it is never run again;"
+					+ " check with the service and use a new key if it did not run"),
+
+	/** The store of call records is full. Argument: limit. */
+	CALL_STORE_FULL(503, "The store holds its limit of %s call records; come back after Retry-After"),
+
+	/** The share does not own the team. Arguments: share, team. */
+	NOT_OWNER(409, "Share \"%s\" does not own team \"%s\"; ask again once the transfer is in force"),
+
+	/** No majority of replicas can be reached. Argument: share. */
+	NO_QUORUM(503, "No majority of the replicas of share \"%s\" can be reached; come back after Retry-After"),
+
+	/** This replica is not the leader. Argument: leader or "unknown". */
+	NOT_LEADER(503, "This replica is not the leader; the leader is %s"),
+
+	/** Whether a proposal was accepted is unknown. Argument: reason. */
+	OUTCOME_UNKNOWN(504, "Whether the change was accepted is unknown: %s; send the same change again"),
+
+	/** Another submission won the number. Arguments: number, winner digest, operator. */
+	SUBMISSION_CONFLICT(409,
+			"Number %s was won by content %s of operator \"%s\"; read the current configuration and"
+					+ " submit under the next number"),
+
+	/** The number is not the next one. Arguments: number, expected number. */
+	SUBMISSION_NUMBER(409, "Number %s is not the next number %s; read the current configuration and submit again"),
+
+	/**
+	 * The digest of the number is no longer kept. Arguments: number, oldest number kept.
+	 */
+	SUBMISSION_TOO_OLD(410,
+			"Number %s is older than %s, the oldest whose outcome is kept; read the current" + " configuration"),
+
+	/** The content breaks a rule. Arguments: JSON pointer, reason and remedy. */
+	SUBMISSION_INVALID(422, "%s: %s"),
+
+	/** A setting is wrong. Arguments: file, JSON pointer, value and remedy. */
+	BAD_SETTING(500, "%s: %s: %s"),
+
+	/** The data folder is damaged. Arguments: file, offset, remedy. */
+	STORAGE_DAMAGED(500, "%s is damaged at byte %s; %s"),
+
+	/** A write or sync failed. Arguments: file, reason. */
+	STORAGE_FAILED(500, "Writing %s failed: %s; free or replace the disk and restart the process"),
+
+	/** The disk has no room. Argument: folder. */
+	STORAGE_FULL(507, "The disk of %s is full; free space, nothing was lost"),
+
+	/** A membership change is not possible now. Arguments: change, reason. */
+	MEMBERSHIP_REFUSED(409, "Membership change %s was refused: %s");
+
+	private final int httpStatus;
+
+	private final String template;
+
+	ErrorCode(int httpStatus, String template) {
+		this.httpStatus = httpStatus;
+		this.template = template;
+	}
+
+	/**
+	 * Returns the HTTP status of an answer with this code.
+	 * @return the status
+	 */
+	public int httpStatus() {
+		return this.httpStatus;
+	}
+
+	/**
+	 * Formats the message.
+	 * @param arguments the values that the code's description lists, in its order
+	 * @return the message
+	 */
+	public String message(Object... arguments) {
+		return String.format(this.template, arguments);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
@@ -0,0 +1,65 @@
+package io.fescuehold.core.error;
+
+/**
+ * The exception of every expected failure. It carries a code, whether the request was run
+ * and when coming back helps.
+ */
+public class FescueholdException extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final ErrorCode code;
+
+	private final RunStatus run;
+
+	private final long retryAfterMs;
+
+	/**
+	 * Creates an exception for a request that was not run and that is not helped by
+	 * coming back.
+	 * @param code the code
+	 * @param arguments the arguments of the code's message
+	 */
+	public FescueholdException(ErrorCode code, Object... arguments) {
+		this(code, RunStatus.NO, 0, arguments);
+	}
+
+	/**
+	 * Creates an exception.
+	 * @param code the code
+	 * @param run whether the request was run
+	 * @param retryAfterMs the time in milliseconds after which coming back helps, or 0
+	 * @param arguments the arguments of the code's message
+	 */
+	public FescueholdException(ErrorCode code, RunStatus run, long retryAfterMs, Object... arguments) {
+		super(code.message(arguments));
+		this.code = code;
+		this.run = run;
+		this.retryAfterMs = retryAfterMs;
+	}
+
+	/**
+	 * Returns the code.
+	 * @return the code
+	 */
+	public ErrorCode code() {
+		return this.code;
+	}
+
+	/**
+	 * Returns whether the request was run.
+	 * @return the run status
+	 */
+	public RunStatus run() {
+		return this.run;
+	}
+
+	/**
+	 * Returns the time after which coming back helps.
+	 * @return the time in milliseconds, or 0 if coming back does not help
+	 */
+	public long retryAfterMs() {
+		return this.retryAfterMs;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The choice of a model server for a request.
+ */
+package io.fescuehold.core.placement;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/ReplicatedStateMachine.java
@@ -0,0 +1,29 @@
+package io.fescuehold.core.port;
+
+/**
+ * The state machine that an agreement group replicates. All methods are called by one
+ * thread, in log order.
+ */
+public interface ReplicatedStateMachine {
+
+	/**
+	 * Applies a committed command.
+	 * @param index the log index, which grows with every command
+	 * @param command the command
+	 * @return the outcome, which is given to the proposer
+	 */
+	byte[] apply(long index, byte[] command);
+
+	/**
+	 * Writes the whole state.
+	 * @return the snapshot
+	 */
+	byte[] snapshot();
+
+	/**
+	 * Replaces the whole state.
+	 * @param snapshot a snapshot written by {@link #snapshot()}
+	 */
+	void restore(byte[] snapshot);
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Interfaces between decision code and adapters.
+ */
+package io.fescuehold.core.port;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The replicated state machine of a share: configurations and call records.
+ */
+package io.fescuehold.core.state;
--- /dev/null
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/ArchitectureTests.java
@@ -0,0 +1,79 @@
+package io.fescuehold.it;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+/**
+ * Guards against dependencies that point the wrong way and against I/O, threads or clocks
+ * in decision code.
+ */
+@AnalyzeClasses(packages = "io.fescuehold", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTests {
+
+	@ArchTest
+	void modulesPointOneWay(JavaClasses classes) {
+		ArchRule rule = layeredArchitecture().consideringOnlyDependenciesInLayers()
+			.optionalLayer("config")
+			.definedBy("io.fescuehold.config..")
+			.optionalLayer("core")
+			.definedBy("io.fescuehold.core..")
+			.optionalLayer("runtime")
+			.definedBy("io.fescuehold.runtime..")
+			.optionalLayer("client")
+			.definedBy("io.fescuehold.client..")
+			.optionalLayer("standin")
+			.definedBy("io.fescuehold.standin..")
+			.optionalLayer("daemon")
+			.definedBy("io.fescuehold.daemon..")
+			.optionalLayer("bench")
+			.definedBy("io.fescuehold.bench..")
+			.whereLayer("daemon")
+			.mayOnlyBeAccessedByLayers("bench")
+			.whereLayer("runtime")
+			.mayOnlyBeAccessedByLayers("daemon", "bench")
+			.whereLayer("core")
+			.mayOnlyBeAccessedByLayers("runtime", "daemon", "bench")
+			.whereLayer("config")
+			.mayOnlyBeAccessedByLayers("core", "runtime", "daemon", "bench")
+			.whereLayer("client")
+			.mayOnlyBeAccessedByLayers("daemon", "bench")
+			.whereLayer("standin")
+			.mayOnlyBeAccessedByLayers("bench");
+		rule.check(classes);
+	}
+
+	@ArchTest
+	void decisionCodeIsPure(JavaClasses classes) {
+		ArchRule rule = noClasses().that()
+			.resideInAPackage("io.fescuehold.core..")
+			.and()
+			.resideOutsideOfPackage("io.fescuehold.core.port..")
+			.should()
+			.dependOnClassesThat()
+			.resideInAnyPackage("reactor..", "io.netty..", "java.net..", "java.nio.channels..", "java.nio.file..",
+					"java.util.concurrent..")
+			.because("decision code is driven by an injected clock, events and seed");
+		rule.check(classes);
+	}
+
+	@ArchTest
+	void decisionCodeReadsNoClock(JavaClasses classes) {
+		ArchRule rule = noClasses().that()
+			.resideInAPackage("io.fescuehold.core..")
+			.should()
+			.callMethod(System.class, "currentTimeMillis")
+			.orShould()
+			.callMethod(System.class, "nanoTime")
+			.orShould()
+			.callMethod(Math.class, "random")
+			.because("time and randomness are injected");
+		rule.check(classes);
+	}
+
+}
