--- a/fescuehold-it/src/test/java/io/fescuehold/it/ArchitectureTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/ArchitectureTests.java
@@ -5,9 +5,8 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
-
-import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
-import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.Architectures;
 
 /**
  * Guards against dependencies that point the wrong way and against I/O, threads or clocks
@@ -18,7 +17,8 @@
 
 	@ArchTest
 	void modulesPointOneWay(JavaClasses classes) {
-		ArchRule rule = layeredArchitecture().consideringOnlyDependenciesInLayers()
+		ArchRule rule = Architectures.layeredArchitecture()
+			.consideringOnlyDependenciesInLayers()
 			.optionalLayer("config")
 			.definedBy("io.fescuehold.config..")
 			.optionalLayer("core")
@@ -50,7 +50,8 @@
 
 	@ArchTest
 	void decisionCodeIsPure(JavaClasses classes) {
-		ArchRule rule = noClasses().that()
+		ArchRule rule = ArchRuleDefinition.noClasses()
+			.that()
 			.resideInAPackage("io.fescuehold.core..")
 			.and()
 			.resideOutsideOfPackage("io.fescuehold.core.port..")
@@ -64,7 +65,8 @@
 
 	@ArchTest
 	void decisionCodeReadsNoClock(JavaClasses classes) {
-		ArchRule rule = noClasses().that()
+		ArchRule rule = ArchRuleDefinition.noClasses()
+			.that()
 			.resideInAPackage("io.fescuehold.core..")
 			.should()
 			.callMethod(System.class, "currentTimeMillis")
