--- a/fescuehold-config/src/main/java/io/fescuehold/config/ConfigException.java
+++ b/fescuehold-config/src/main/java/io/fescuehold/config/ConfigException.java
@@ -10,6 +10,8 @@
 
 	private final String pointer;
 
+	private final String reason;
+
 	/**
 	 * Creates the exception.
 	 * @param pointer the JSON pointer of the refused value, relative to the object that
@@ -17,8 +19,9 @@
 	 * @param message the value seen and the remedy
 	 */
 	public ConfigException(String pointer, String message) {
-		super(pointer + ": " + message);
+		super((pointer.isEmpty() ? "the document" : pointer) + " " + message);
 		this.pointer = pointer;
+		this.reason = message;
 	}
 
 	/**
@@ -29,4 +32,12 @@
 		return this.pointer;
 	}
 
+	/**
+	 * Returns the value seen and the remedy, without the pointer.
+	 * @return the reason
+	 */
+	public String reason() {
+		return this.reason;
+	}
+
 }
