--- /dev/null
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the stand-ins.
+ */
+package io.fescuehold.standin;
--- /dev/null
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/service/ServiceOptions.java
@@ -0,0 +1,20 @@
+package io.fescuehold.standin.service;
+
+import java.nio.file.Path;
+
+/**
+ * The behaviour of a plain service.
+ *
+ * @param logFile the file that receives one JSON line per execution
+ * @param durationMs how long the execution of a request that changes something takes
+ * @param checkFencing whether outdated fencing numbers are rejected
+ */
+public record ServiceOptions(Path logFile, int durationMs, boolean checkFencing) {
+
+	public ServiceOptions {
+		if (logFile == null || durationMs < 0) {
+			throw new IllegalArgumentException("logFile is needed and durationMs must be at least 0");
+		}
+	}
+
+}
--- /dev/null
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a plain HTTP service that logs each execution.
+ */
+package io.fescuehold.standin.service;
--- /dev/null
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/weights/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for the rate-limited weight store.
+ */
+package io.fescuehold.standin.weights;
