Add the replicated log as a pure state machine

A group needs an agreed order of submissions and call records.

Vote requests wait for the sync of the candidate's own vote: a candidate that loses its vote in a crash could otherwise lead the same term twice. Only the initial host with the lowest id writes the first membership, which rules out two different ones when a store is lost while the group forms.

--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Bootstrap.java
@@ -0,0 +1,90 @@
+package io.fescuehold.core.agreement;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Forms a group from empty stores. Only the initial host with the lowest id writes the
+ * first membership, and only after every initial host has answered that its store is
+ * empty; the others adopt it if it lists their identity. So two different first
+ * memberships cannot arise from a store that is lost while the group forms.
+ */
+final class Bootstrap {
+
+	private final NodeContext context;
+
+	private final Map<String, AgreementMessage.ProbeReply> emptyHosts = new HashMap<>();
+
+	private long probedMs = Progress.NEVER;
+
+	Bootstrap(NodeContext context) {
+		this.context = context;
+	}
+
+	void tick() {
+		boolean initial = this.context.options.initialHostIds().contains(this.context.self.hostId());
+		if (!this.context.log.isEmpty() || !initial) {
+			return;
+		}
+		if (this.context.nowMs >= this.probedMs + this.context.timing().electionTimeoutMs()) {
+			this.probedMs = this.context.nowMs;
+			this.emptyHosts.clear();
+			for (String hostId : this.context.options.initialHostIds()) {
+				probe(hostId);
+			}
+			writeIfAllEmpty();
+		}
+	}
+
+	void onProbe(AgreementMessage.Probe probe) {
+		boolean durable = this.context.durable.durableIndex() > 0;
+		this.context.send(probe.from(),
+				new AgreementMessage.ProbeReply(this.context.group(), this.context.self, probe.from(),
+						this.context.options.failureDomain(this.context.self.hostId()), this.context.log.isEmpty(),
+						durable ? this.context.log.genesis() : null));
+	}
+
+	void onReply(AgreementMessage.ProbeReply reply) {
+		boolean initial = this.context.options.initialHostIds().contains(reply.from().hostId());
+		if (!this.context.log.isEmpty() || !initial) {
+			return;
+		}
+		if (reply.empty()) {
+			this.emptyHosts.put(reply.from().hostId(), reply);
+			writeIfAllEmpty();
+			return;
+		}
+		boolean listed = reply.genesis() != null
+				&& MembershipCodec.decode(reply.genesis()).find(this.context.self) != null;
+		if (listed) {
+			writeGenesis(reply.genesis());
+		}
+	}
+
+	private void probe(String hostId) {
+		if (!hostId.equals(this.context.self.hostId())) {
+			this.context
+				.emit(new Output.Send(hostId, new AgreementMessage.Probe(this.context.group(), this.context.self)));
+		}
+	}
+
+	private void writeIfAllEmpty() {
+		List<String> hosts = this.context.options.initialHostIds();
+		boolean writer = hosts.getFirst().equals(this.context.self.hostId());
+		if (!writer || this.emptyHosts.size() < hosts.size() - 1) {
+			return;
+		}
+		Membership membership = Membership.EMPTY
+			.withMember(new Member(this.context.self, this.context.options.failureDomain(hosts.getFirst()), true));
+		for (AgreementMessage.ProbeReply reply : this.emptyHosts.values()) {
+			membership = membership.withMember(new Member(reply.from(), reply.failureDomain(), true));
+		}
+		writeGenesis(MembershipCodec.encode(membership));
+	}
+
+	private void writeGenesis(byte[] membership) {
+		this.context.log.append(new LogEntry(1, 0, EntryKind.MEMBERSHIP, membership));
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
@@ -0,0 +1,212 @@
+package io.fescuehold.core.agreement;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Elections: election timer, pre-votes and votes. A replica that heard from a leader
+ * within the election timeout ignores candidates, which protects the leader's lease and
+ * keeps a member with a broken link from deposing it.
+ */
+final class Election {
+
+	private final NodeContext context;
+
+	private final Runnable onElected;
+
+	private final Runnable onSteppedDown;
+
+	private final Set<ReplicaId> granted = new HashSet<>();
+
+	private long leaderContactMs;
+
+	private long deadlineMs;
+
+	private long preVoteTerm;
+
+	Election(NodeContext context, Runnable onElected, Runnable onSteppedDown) {
+		this.context = context;
+		this.onElected = onElected;
+		this.onSteppedDown = onSteppedDown;
+		// A restarted replica may have acknowledged a leader's lease just before.
+		this.leaderContactMs = (context.term > 0) ? context.nowMs : Progress.NEVER;
+		resetTimer();
+	}
+
+	void tick() {
+		boolean waiting = this.context.isLeader() || !this.context.isVoter();
+		if (waiting || this.context.nowMs < this.deadlineMs) {
+			return;
+		}
+		startPreVote();
+	}
+
+	void leaderContact(ReplicaId leader) {
+		this.context.leader = leader;
+		this.leaderContactMs = this.context.nowMs;
+		resetTimer();
+	}
+
+	/**
+	 * Becomes a follower, in a new term if it is above the current one.
+	 * @param term the term
+	 * @param leader the leader, or null if unknown
+	 */
+	void becomeFollower(long term, ReplicaId leader) {
+		boolean wasLeader = this.context.isLeader();
+		if (term > this.context.term) {
+			this.context.setTermAndVote(term, null);
+		}
+		this.context.role = Role.FOLLOWER;
+		this.context.leader = leader;
+		this.granted.clear();
+		if (wasLeader) {
+			resetTimer();
+			this.onSteppedDown.run();
+		}
+	}
+
+	void onPreVoteRequest(AgreementMessage.PreVoteRequest request) {
+		if (!this.context.isMember()) {
+			return;
+		}
+		boolean grant = request.term() > this.context.term && !isLeaderAlive()
+				&& this.context.log.isAtLeastAsNew(request.lastIndex(), request.lastTerm());
+		long term = grant ? request.term() : this.context.term;
+		AgreementMessage reply = new AgreementMessage.PreVoteReply(this.context.group(), this.context.self,
+				request.from(), term, grant);
+		this.context.sendWhenVoteDurable(request.from(), reply);
+	}
+
+	void onPreVoteReply(AgreementMessage.PreVoteReply reply) {
+		if (!reply.granted()) {
+			if (reply.term() > this.context.term) {
+				becomeFollower(reply.term(), null);
+			}
+			return;
+		}
+		if (this.context.role == Role.PRE_CANDIDATE && reply.term() == this.preVoteTerm) {
+			this.granted.add(reply.from());
+			if (hasMajority()) {
+				startElection(false);
+			}
+		}
+	}
+
+	void onVoteRequest(AgreementMessage.VoteRequest request) {
+		if (!this.context.isMember() || (!request.handover() && isLeaderAlive())) {
+			return;
+		}
+		if (request.term() > this.context.term) {
+			becomeFollower(request.term(), null);
+		}
+		boolean free = this.context.votedFor == null || this.context.votedFor.equals(request.from());
+		boolean grant = request.term() == this.context.term && free
+				&& this.context.log.isAtLeastAsNew(request.lastIndex(), request.lastTerm());
+		if (grant) {
+			this.context.role = Role.FOLLOWER;
+			if (this.context.votedFor == null) {
+				this.context.setTermAndVote(this.context.term, request.from());
+			}
+			resetTimer();
+		}
+		AgreementMessage reply = new AgreementMessage.VoteReply(this.context.group(), this.context.self, request.from(),
+				this.context.term, grant);
+		this.context.sendWhenVoteDurable(request.from(), reply);
+	}
+
+	void onVoteReply(AgreementMessage.VoteReply reply) {
+		if (reply.term() > this.context.term) {
+			becomeFollower(reply.term(), null);
+			return;
+		}
+		if (this.context.role == Role.CANDIDATE && reply.term() == this.context.term && reply.granted()) {
+			this.granted.add(reply.from());
+			winIfMajority();
+		}
+	}
+
+	void onHandover(AgreementMessage.Handover message) {
+		if (message.term() == this.context.term && this.context.role != Role.LEADER && this.context.isVoter()) {
+			startElection(true);
+		}
+	}
+
+	/**
+	 * Counts the own vote once it is durable.
+	 */
+	void onSynced() {
+		boolean durable = this.context.durable.isSynced(this.context.durable.voteSequence());
+		if (this.context.role == Role.CANDIDATE && durable) {
+			this.granted.add(this.context.self);
+			winIfMajority();
+		}
+	}
+
+	private void startPreVote() {
+		this.context.role = Role.PRE_CANDIDATE;
+		this.context.leader = null;
+		this.granted.clear();
+		this.granted.add(this.context.self);
+		this.preVoteTerm = this.context.term + 1;
+		resetTimer();
+		if (hasMajority()) {
+			startElection(false);
+			return;
+		}
+		for (Member voter : this.context.membership().voters()) {
+			if (!voter.id().equals(this.context.self)) {
+				this.context.send(voter.id(),
+						new AgreementMessage.PreVoteRequest(this.context.group(), this.context.self, voter.id(),
+								this.preVoteTerm, this.context.log.lastIndex(), this.context.log.lastTerm()));
+			}
+		}
+	}
+
+	private void startElection(boolean byHandover) {
+		this.context.role = Role.CANDIDATE;
+		this.context.leader = null;
+		this.granted.clear();
+		this.context.setTermAndVote(this.context.term + 1, this.context.self);
+		resetTimer();
+		// Requests wait for the sync too: a candidate that lost its own vote in a crash
+		// could otherwise lead the same term twice.
+		for (Member voter : this.context.membership().voters()) {
+			if (!voter.id().equals(this.context.self)) {
+				AgreementMessage request = new AgreementMessage.VoteRequest(this.context.group(), this.context.self,
+						voter.id(), this.context.term, this.context.log.lastIndex(), this.context.log.lastTerm(),
+						byHandover);
+				this.context.sendWhenVoteDurable(voter.id(), request);
+			}
+		}
+	}
+
+	private void winIfMajority() {
+		if (hasMajority()) {
+			this.context.role = Role.LEADER;
+			this.context.leader = this.context.self;
+			this.granted.clear();
+			this.onElected.run();
+		}
+	}
+
+	private boolean hasMajority() {
+		long votes = this.context.membership()
+			.voters()
+			.stream()
+			.filter((voter) -> this.granted.contains(voter.id()))
+			.count();
+		return votes >= this.context.membership().majority();
+	}
+
+	private boolean isLeaderAlive() {
+		return this.context.isLeader()
+				|| this.context.nowMs < this.leaderContactMs + this.context.timing().electionTimeoutMs();
+	}
+
+	private void resetTimer() {
+		long timeoutMs = this.context.timing().electionTimeoutMs();
+		this.deadlineMs = this.context.nowMs + timeoutMs + this.context.random.nextLong(timeoutMs);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Handover.java
@@ -0,0 +1,63 @@
+package io.fescuehold.core.agreement;
+
+/**
+ * Planned hand-over of the leadership. The leader accepts nothing new, waits until a
+ * voter has its whole log, asks it to start an election and steps down. It never leads
+ * the same term again, because the successor's election ignores the lease.
+ */
+final class Handover {
+
+	private final NodeContext context;
+
+	private final Leadership leadership;
+
+	private final Election election;
+
+	private boolean active;
+
+	private long deadlineMs;
+
+	Handover(NodeContext context, Leadership leadership, Election election) {
+		this.context = context;
+		this.leadership = leadership;
+		this.election = election;
+	}
+
+	boolean isActive() {
+		return this.active;
+	}
+
+	void start() {
+		if (this.context.isLeader() && !this.active) {
+			this.active = true;
+			this.deadlineMs = this.context.nowMs + this.context.timing().electionTimeoutMs();
+		}
+	}
+
+	void stop() {
+		this.active = false;
+	}
+
+	void advance() {
+		if (!this.active) {
+			return;
+		}
+		long last = this.context.log.lastIndex();
+		if (this.context.commitIndex == last) {
+			for (Member voter : this.context.membership().voters()) {
+				boolean ready = !voter.id().equals(this.context.self) && this.leadership.isLive(voter.id())
+						&& this.leadership.matchIndex(voter.id()) == last;
+				if (ready) {
+					this.context.send(voter.id(), new AgreementMessage.Handover(this.context.group(), this.context.self,
+							voter.id(), this.context.term));
+					this.election.becomeFollower(this.context.term, null);
+					return;
+				}
+			}
+		}
+		if (this.context.nowMs >= this.deadlineMs) {
+			this.active = false;
+		}
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipRules.java
@@ -0,0 +1,161 @@
+package io.fescuehold.core.agreement;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides whether a membership change can be survived.
+ */
+final class MembershipRules {
+
+	private final NodeContext context;
+
+	private final Leadership leadership;
+
+	MembershipRules(NodeContext context, Leadership leadership) {
+		this.context = context;
+		this.leadership = leadership;
+	}
+
+	/**
+	 * Finds the identity that a change removes. A host that returned with an empty disk
+	 * is replaced by itself, so the identity that is added never counts.
+	 * @param membership the membership
+	 * @param change the command
+	 * @param addId the identity that is added, or null
+	 * @return the identity, or null
+	 */
+	ReplicaId resolveRemoved(Membership membership, MembershipChange change, ReplicaId addId) {
+		if (change.removeHostId() == null) {
+			return null;
+		}
+		return membership.members()
+			.stream()
+			.map(Member::id)
+			.filter((id) -> id.hostId().equals(change.removeHostId()) && !id.equals(addId))
+			.findFirst()
+			.orElse(null);
+	}
+
+	Verdict check(Membership membership, MembershipChange change, ReplicaId addId, ReplicaId removeId) {
+		String refusal = checkHosts(membership, change, addId, removeId);
+		if (refusal != null) {
+			return Verdict.refused(refusal);
+		}
+		Membership afterAdd = (addId != null) ? withVoter(membership, addId) : membership;
+		Membership after = (removeId != null) ? afterAdd.withoutMember(removeId) : afterAdd;
+		if (after.voters().isEmpty()) {
+			return Verdict.refused("no voter would be left; add another host first");
+		}
+		String domains = checkDomains(membership, after, addId, removeId);
+		if (domains != null) {
+			return Verdict.refused(domains);
+		}
+		boolean survivable = hasLiveMajority(afterAdd, addId) && hasLiveMajority(after, addId);
+		if (survivable) {
+			return Verdict.ACCEPTED;
+		}
+		long settledMs = this.leadership.electedAtMs() + this.context.timing().electionTimeoutMs();
+		if (this.context.nowMs < settledMs) {
+			return Verdict.WAIT;
+		}
+		return Verdict.refused("only " + liveVoters(after, addId) + " of " + after.voters().size()
+				+ " voters would be reachable, which is no majority; bring back or replace other hosts first");
+	}
+
+	boolean isPromotionSafe(Membership membership, ReplicaId addId) {
+		return hasLiveMajority(withVoter(membership, addId), null);
+	}
+
+	boolean isRemovalSafe(Membership membership, ReplicaId removeId) {
+		return hasLiveMajority(membership.withoutMember(removeId), null);
+	}
+
+	private String checkHosts(Membership membership, MembershipChange change, ReplicaId addId, ReplicaId removeId) {
+		boolean added = addId != null && membership.hasVoter(addId);
+		if (change.removeHostId() != null && removeId == null && !added) {
+			return "host \"" + change.removeHostId() + "\" is not a member; name one of " + hostIds(membership);
+		}
+		if (addId == null) {
+			return null;
+		}
+		boolean otherStore = membership.members()
+			.stream()
+			.map(Member::id)
+			.anyMatch((id) -> id.hostId().equals(addId.hostId()) && !id.equals(addId) && !id.equals(removeId));
+		if (otherStore) {
+			return "host \"" + addId.hostId() + "\" is a member with another store; replace it instead";
+		}
+		return null;
+	}
+
+	private String checkDomains(Membership before, Membership after, ReplicaId addId, ReplicaId removeId) {
+		boolean single = after.voters().size() > 1 && after.voterDomains().size() == 1;
+		if (!single) {
+			return null;
+		}
+		String domain = after.voterDomains().iterator().next();
+		boolean removedIsLive = removeId != null && this.leadership.isLive(removeId);
+		boolean avoidable = before.voterDomains().size() > 1 && removedIsLive;
+		Set<String> otherHosts = otherHosts(before, domain, addId);
+		if (avoidable || (removeId != null && !otherHosts.isEmpty())) {
+			return "all voters would be in failure domain \"" + domain + "\"; "
+					+ (otherHosts.isEmpty() ? "keep a host of another domain" : "use one of the hosts " + otherHosts);
+		}
+		return null;
+	}
+
+	private Set<String> otherHosts(Membership before, String domain, ReplicaId addId) {
+		Set<String> hosts = new HashSet<>();
+		for (Map.Entry<String, String> known : this.context.options.failureDomains().entrySet()) {
+			boolean added = addId != null && addId.hostId().equals(known.getKey());
+			if (!known.getValue().equals(domain) && !added && before.findHost(known.getKey()) == null) {
+				hosts.add(known.getKey());
+			}
+		}
+		return hosts;
+	}
+
+	private Membership withVoter(Membership membership, ReplicaId addId) {
+		Member known = membership.find(addId);
+		String domain = (known != null) ? known.failureDomain() : this.context.options.failureDomain(addId.hostId());
+		return membership.withMember(new Member(addId, domain, true));
+	}
+
+	private boolean hasLiveMajority(Membership membership, ReplicaId assumedLive) {
+		return liveVoters(membership, assumedLive) >= membership.majority();
+	}
+
+	private long liveVoters(Membership membership, ReplicaId assumedLive) {
+		return membership.voters()
+			.stream()
+			.map(Member::id)
+			.filter((id) -> id.equals(assumedLive) || this.leadership.isLive(id))
+			.count();
+	}
+
+	private static List<String> hostIds(Membership membership) {
+		return membership.members().stream().map((member) -> member.id().hostId()).sorted().toList();
+	}
+
+	/**
+	 * The result of a check.
+	 *
+	 * @param waits whether the leader must first hear from its followers
+	 * @param refusal the reason and remedy, or null
+	 */
+	record Verdict(boolean waits, String refusal) {
+
+		static final Verdict ACCEPTED = new Verdict(false, null);
+
+		static final Verdict WAIT = new Verdict(true, null);
+
+		static Verdict refused(String refusal) {
+			return new Verdict(false, refusal);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/StoredState.java
@@ -0,0 +1,27 @@
+package io.fescuehold.core.agreement;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * What a replica reads from its store at the start.
+ *
+ * @param hardState the term and vote
+ * @param snapshot the newest snapshot, or null
+ * @param entries the log entries, consecutive; the first one is at most one after the
+ * snapshot
+ */
+public record StoredState(HardState hardState, SnapshotMeta snapshot, List<LogEntry> entries) {
+
+	/** The state of a new store. */
+	public static final StoredState EMPTY = new StoredState(HardState.INITIAL, null, List.of());
+
+	/**
+	 * Checks the arguments.
+	 */
+	public StoredState {
+		Objects.requireNonNull(hardState, "hardState");
+		Objects.requireNonNull(entries, "entries");
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The replicated log of one agreement group as a pure state machine.
+ */
+package io.fescuehold.core.agreement;
