--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
@@ -38,6 +38,25 @@
 		this.retryAfterMs = retryAfterMs;
 	}
 
+	private FescueholdException(ErrorCode code, RunStatus run, long retryAfterMs, String message) {
+		super(message);
+		this.code = code;
+		this.run = run;
+		this.retryAfterMs = retryAfterMs;
+	}
+
+	/**
+	 * Creates an exception whose message another process has already formatted.
+	 * @param code the code
+	 * @param run whether the request was run
+	 * @param retryAfterMs the time in milliseconds after which coming back helps, or 0
+	 * @param message the formatted message
+	 * @return the exception
+	 */
+	public static FescueholdException withMessage(ErrorCode code, RunStatus run, long retryAfterMs, String message) {
+		return new FescueholdException(code, run, retryAfterMs, message);
+	}
+
 	/**
 	 * Returns the code.
 	 * @return the code
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/CallOutcome.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/CallOutcome.java
@@ -3,7 +3,7 @@
 /**
  * The outcome of {@link StateCommand.BeginCall}.
  */
-public sealed interface CallOutcome {
+public sealed interface CallOutcome extends CommandOutcome {
 
 	/**
 	 * The call may be dispatched once.
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
@@ -6,6 +6,32 @@
  */
 public sealed interface StateCommand {
 
+	/**
+	 * Returns the command with another time. The deadline of a {@link BeginCall} moves
+	 * with it, so that a difference between the clocks of router and leader does not
+	 * shorten or lengthen the call.
+	 * @param newNowMs the time in milliseconds since the epoch
+	 * @return the command at that time, or this command if it carries no time
+	 */
+	default StateCommand at(long newNowMs) {
+		return switch (this) {
+			case Submit submit -> new Submit(submit.configJson(), submit.operator(), newNowMs);
+			case BeginCall begin -> {
+				long shiftMs = (begin.nowMs() > 0) ? newNowMs - begin.nowMs() : 0;
+				yield new BeginCall(begin.key(), begin.bodyDigest(), begin.service(), begin.routerId(),
+						begin.deadlineMs() + shiftMs, newNowMs, begin.attemptId());
+			}
+			case LookupCall lookup -> new LookupCall(lookup.key(), lookup.bodyDigest(), newNowMs);
+			case CompleteCall complete ->
+				new CompleteCall(complete.key(), complete.fencingNumber(), complete.answer(), newNowMs);
+			case MarkNotRun mark -> new MarkNotRun(mark.key(), mark.fencingNumber(), newNowMs);
+			case MarkUnknown mark -> new MarkUnknown(mark.key(), mark.fencingNumber(), newNowMs);
+			case AcquireOrderLease lease -> new AcquireOrderLease(lease.serverId(), lease.holder(),
+					lease.checksFencing(), lease.leaseMs(), newNowMs);
+			case ObserveShare observe -> observe;
+		};
+	}
+
 	/**
 	 * Submits a configuration. Answered by a {@link StateOutcome.Submitted},
 	 * {@link StateOutcome.SubmissionConflict} or {@link StateOutcome.SubmissionRefused}.
@@ -28,9 +54,39 @@
 	 * @param deadlineMs the wall-clock time in milliseconds since the epoch after which
 	 * the call counts as unknown unless it has completed
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
+	 * @param attemptId identifies this attempt, so that the same router may send it again
+	 * and receive the same grant; empty if the command is never sent again
 	 */
-	record BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs,
-			long nowMs) implements StateCommand {
+	record BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs, long nowMs,
+			String attemptId) implements StateCommand {
+
+		/**
+		 * Creates a command without an attempt id.
+		 * @param key the key of the call
+		 * @param bodyDigest the SHA-256 over method, path and body in hexadecimal
+		 * @param service the service that is called
+		 * @param routerId the host id of the dispatching router
+		 * @param deadlineMs the time in milliseconds since the epoch after which the call
+		 * counts as unknown unless it has completed
+		 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
+		 */
+		public BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs, long nowMs) {
+			this(key, bodyDigest, service, routerId, deadlineMs, nowMs, "");
+		}
+
+	}
+
+	/**
+	 * Asks for the record of a call without creating one. Answered by a
+	 * {@link CallOutcome}, or by {@link StateOutcome.Done} if there is no record. It is a
+	 * command rather than a read, so that the answer has a place in the log after every
+	 * earlier grant.
+	 *
+	 * @param key the key of the call
+	 * @param bodyDigest the SHA-256 over method, path and body in hexadecimal
+	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
+	 */
+	record LookupCall(CallKey key, String bodyDigest, long nowMs) implements StateCommand {
 	}
 
 	/**
@@ -66,8 +122,9 @@
 
 	/**
 	 * Acquires or extends the lease that allows a router to send orders to a model
-	 * server. Answered by a {@link StateOutcome.LeaseGranted} or
-	 * {@link StateOutcome.LeaseHeld}.
+	 * server. Answered by a {@link StateOutcome.LeaseGranted}, a
+	 * {@link StateOutcome.LeaseHeld}, or a {@link StateOutcome.SubmissionRefused} with
+	 * code NOT_OWNER if the share does not own the server.
 	 *
 	 * @param serverId the model server
 	 * @param holder the host id of the router
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateOutcome.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateOutcome.java
@@ -3,7 +3,7 @@
 /**
  * The outcome of a {@link StateCommand}, other than a {@link CallOutcome}.
  */
-public sealed interface StateOutcome {
+public sealed interface StateOutcome extends CommandOutcome {
 
 	/**
 	 * The configuration is accepted; sent again for the same content under the same
@@ -22,9 +22,11 @@
 	 * @param number the number that was submitted
 	 * @param winnerDigest the digest of the accepted content
 	 * @param winnerOperator the operator of the accepted content
+	 * @param winnerAcceptedAtMs the leader's time of acceptance in milliseconds since the
+	 * epoch
 	 * @param currentNumber the number now in force
 	 */
-	record SubmissionConflict(long number, String winnerDigest, String winnerOperator,
+	record SubmissionConflict(long number, String winnerDigest, String winnerOperator, long winnerAcceptedAtMs,
 			long currentNumber) implements StateOutcome {
 	}
 
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateSnapshot.java
@@ -0,0 +1,21 @@
+package io.fescuehold.core.state;
+
+import java.util.List;
+
+/**
+ * The whole state of a share's state machine.
+ *
+ * @param nowMs the time of the last command in milliseconds since the epoch
+ * @param configJson the canonical JSON of the configuration in force
+ * @param observedJson the canonical JSON of the observed configurations of other shares
+ * @param submissions the submissions whose outcome is kept
+ * @param calls the call records
+ * @param leases the order leases
+ * @param lastLeaseNumber the highest fencing number granted with a lease
+ * @param transfers the items given up and taken over
+ */
+public record StateSnapshot(long nowMs, byte[] configJson, List<byte[]> observedJson,
+		List<AcceptedSubmission> submissions, List<CallRecord> calls, List<OrderLease> leases, long lastLeaseNumber,
+		List<Transfers.Entry> transfers) {
+
+}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/view/FleetView.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/view/FleetView.java
@@ -60,18 +60,21 @@
 	private <T> void addOwned(ShareConfig config, ItemKind kind, SortedMap<String, T> items,
 			SortedMap<String, Owned<T>> owned) {
 		items.forEach((id, spec) -> {
-			if (owns(config, kind, id)) {
-				// Two shares that list the same item without a claim are both refused it,
-				// so that
-				// no order of arrival decides.
-				Owned<T> previous = owned.put(id, new Owned<>(config.share(), spec));
-				if (previous != null) {
-					owned.remove(id);
-				}
+			// Shares that list the same item without a claim are all refused it, so that
+			// no
+			// order of arrival decides.
+			if (owns(config, kind, id) && !isOwnedByAnother(config, kind, id)) {
+				owned.put(id, new Owned<>(config.share(), spec));
 			}
 		});
 	}
 
+	private boolean isOwnedByAnother(ShareConfig config, ItemKind kind, String id) {
+		return this.shares.values()
+			.stream()
+			.anyMatch((other) -> other != config && lists(other, kind, id) && owns(other, kind, id));
+	}
+
 	private boolean owns(ShareConfig config, ItemKind kind, String id) {
 		if (config.releases(kind, id)) {
 			return false;
@@ -88,14 +91,14 @@
 			return false;
 		}
 		Release release = new Release(claim.kind(), claim.id(), toShare);
-		return from.releases().contains(release) || !lists(from, claim);
+		return from.releases().contains(release) || !lists(from, claim.kind(), claim.id());
 	}
 
-	private static boolean lists(ShareConfig config, Claim claim) {
-		return switch (claim.kind()) {
-			case TEAM -> config.teams().containsKey(claim.id());
-			case MODEL_SERVER -> config.modelServers().containsKey(claim.id());
-			case SERVICE -> config.services().containsKey(claim.id());
+	private static boolean lists(ShareConfig config, ItemKind kind, String id) {
+		return switch (kind) {
+			case TEAM -> config.teams().containsKey(id);
+			case MODEL_SERVER -> config.modelServers().containsKey(id);
+			case SERVICE -> config.services().containsKey(id);
 		};
 	}
 
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the replicated state machine.
+ */
+package io.fescuehold.core.state;
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/view/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the views that routers derive.
+ */
+package io.fescuehold.core.view;
