Add first versions of placement, limits, retry, entry, drain and relay

The router's request path needs classes to call.

A placement test found that the count of requests placed since the last report did not fall when requests finished, so a server whose reports had stopped looked full for ever.

--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/drain/ChatContext.java
@@ -0,0 +1,12 @@
+package io.fescuehold.core.drain;
+
+/**
+ * The context of a chat in a server's cache.
+ *
+ * @param chatId the chat
+ * @param tokens the tokens in the cache
+ * @param usedAtMs when the chat was last served, in milliseconds
+ */
+public record ChatContext(String chatId, long tokens, long usedAtMs) {
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/drain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Graceful shutdown of hosts and removal of servers.
+ */
+package io.fescuehold.core.drain;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The choice of the addresses that callers use.
+ */
+package io.fescuehold.core.entry;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/Priority.java
@@ -0,0 +1,37 @@
+package io.fescuehold.core.limits;
+
+import java.util.Locale;
+
+/**
+ * The priority of a request within its team.
+ */
+public enum Priority {
+
+	/** Served first and refused last. */
+	HIGH,
+
+	/** The default. */
+	NORMAL,
+
+	/** Served last and refused first. */
+	LOW;
+
+	/**
+	 * Reads the value of the {@code Fescuehold-Priority} header.
+	 * @param value the value, or null
+	 * @return the priority, or null if the value is not a priority; normal without a
+	 * value
+	 */
+	public static Priority parse(String value) {
+		if (value == null) {
+			return NORMAL;
+		}
+		return switch (value.trim().toLowerCase(Locale.ROOT)) {
+			case "high" -> HIGH;
+			case "normal" -> NORMAL;
+			case "low" -> LOW;
+			default -> null;
+		};
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -0,0 +1,237 @@
+package io.fescuehold.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.IntSupplier;
+
+import io.fescuehold.core.view.FleetView;
+
+/**
+ * Places a chat on the server that holds its context unless that server's estimated load
+ * is too high, and all other requests by a rendezvous hash weighted with speed and
+ * estimated load. Routers decide independently and agree in most cases, because the hash
+ * is the same everywhere and the weights change slowly with the reports.
+ */
+public final class BoundedLoadPlacement implements PlacementPolicy {
+
+	private static final int CHAT_CAPACITY = 1 << 18;
+
+	private static final long MIN_CONTEXT_TOKENS = 64;
+
+	private static final long DEFAULT_RETRY_MS = 1_000;
+
+	private static final long MIN_RETRY_MS = 100;
+
+	private static final long MAX_RETRY_MS = 10_000;
+
+	private static final int MAX_POOLS = 256;
+
+	private final long hostHash;
+
+	private final IntSupplier routers;
+
+	private final PlacementTuning tuning;
+
+	private final SplittableRandom random;
+
+	private final ChatMemory memory = new ChatMemory(CHAT_CAPACITY);
+
+	private final FlapHoldOff flaps = new FlapHoldOff();
+
+	private final JoinRamp joinRamp = new JoinRamp();
+
+	private final OutputLength outputLength = new OutputLength();
+
+	private final Map<PoolKey, PoolState> pools = new HashMap<>();
+
+	private final OutstandingWork outstanding = new OutstandingWork();
+
+	private FleetView seenView;
+
+	/**
+	 * Creates a policy with the default constants.
+	 * @param hostId the id of this router's host
+	 * @param routers the number of routers that share the servers
+	 * @param seed the seed of the random numbers
+	 */
+	public BoundedLoadPlacement(String hostId, IntSupplier routers, long seed) {
+		this(hostId, routers, seed, PlacementTuning.DEFAULT);
+	}
+
+	/**
+	 * Creates a policy.
+	 * @param hostId the id of this router's host
+	 * @param routers the number of routers that share the servers
+	 * @param seed the seed of the random numbers
+	 * @param tuning the constants
+	 */
+	public BoundedLoadPlacement(String hostId, IntSupplier routers, long seed, PlacementTuning tuning) {
+		this.hostHash = RendezvousHash.hash(hostId);
+		this.routers = routers;
+		this.tuning = tuning;
+		this.random = new SplittableRandom(seed ^ this.hostHash);
+	}
+
+	@Override
+	public PlacementDecision place(PlacementRequest request, String share, FleetView view,
+			Map<String, ServerLoad> loads, long nowMs) {
+		PoolState pool = pool(share, request.model(), view, nowMs);
+		if (pool.servers().size() == 0) {
+			return new PlacementDecision.None();
+		}
+		pool.refresh(loads, this.joinRamp, this.flaps, nowMs);
+		Candidate candidate = choose(request, pool, nowMs);
+		if (candidate == null) {
+			return new PlacementDecision.Full(retryAfterMs(pool));
+		}
+		String serverId = pool.servers().id(candidate.index);
+		double work = request.promptTokens() - candidate.cachedTokens
+				+ this.outputLength.expected(request.maxOutputTokens());
+		pool.loads().placed(candidate.index, work);
+		this.outstanding.add(request, serverId, share, nowMs);
+		return new PlacementDecision.Chosen(serverId, candidate.cachedTokens, candidate.sourceId, candidate.reason);
+	}
+
+	private PoolState pool(String share, String model, FleetView view, long nowMs) {
+		if (view != this.seenView) {
+			this.joinRamp.update(view, nowMs);
+			this.seenView = view;
+		}
+		PoolKey key = new PoolKey(share, model);
+		PoolState pool = this.pools.get(key);
+		if (pool != null && pool.isFor(view)) {
+			return pool;
+		}
+		if (this.pools.size() >= MAX_POOLS) {
+			this.pools.values().removeIf((state) -> !state.isFor(view));
+		}
+		PoolState updated = new PoolState(view, share, model, pool, this.tuning);
+		this.pools.put(key, updated);
+		return updated;
+	}
+
+	private Candidate choose(PlacementRequest request, PoolState pool, long nowMs) {
+		long chatHash = RendezvousHash.hash(request.chatId());
+		ChatMemory.Place place = place(request, chatHash);
+		long context = (place != null) ? Math.min(place.cachedTokens(), request.promptTokens()) : 0;
+		int home = (place != null && context >= MIN_CONTEXT_TOKENS) ? pool.servers().indexOf(place.serverId()) : -1;
+		if (home >= 0 && pool.isUsable(home, request, nowMs) && mayStay(home, chatHash, context, request, pool)) {
+			return new Candidate(home, context, null, "cached");
+		}
+		int best = bestByHash(chatHash, request, pool, nowMs);
+		if (best < 0) {
+			return null;
+		}
+		if (home >= 0 && home != best && CacheCost.isImportCheaper(context)) {
+			return new Candidate(best, context, place.serverId(), "moved");
+		}
+		return new Candidate(best, (home == best) ? context : 0, null, (home >= 0) ? "moved" : "hash");
+	}
+
+	private ChatMemory.Place place(PlacementRequest request, long chatHash) {
+		// The newer of the caller's hint and the memory says where the context is.
+		ChatMemory.Place remembered = this.memory.get(chatHash);
+		ChatHint hint = request.hint();
+		if (hint == null || (remembered != null && remembered.seenAtMs() >= hint.servedAtMs())) {
+			return remembered;
+		}
+		return new ChatMemory.Place(hint.serverId(), hint.cachedTokens(), hint.servedAtMs());
+	}
+
+	private boolean mayStay(int home, long chatHash, long context, PlacementRequest request, PoolState pool) {
+		double load = pool.loads().relative(home, this.routers.getAsInt());
+		double spread = RendezvousHash.unit(RendezvousHash.combine(chatHash, pool.servers().hash(home)));
+		double threshold = this.tuning.stayLow() + spread * (this.tuning.stayHigh() - this.tuning.stayLow())
+				+ pool.loads().increase(home, CacheCost.moveCost(context)) / 2;
+		return load <= Math.min(threshold, pool.loadBound());
+	}
+
+	private int bestByHash(long chatHash, PlacementRequest request, PoolState pool, long nowMs) {
+		int routerCount = this.routers.getAsInt();
+		int best = -1;
+		double bestScore = Double.POSITIVE_INFINITY;
+		int least = -1;
+		double leastLoad = Double.POSITIVE_INFINITY;
+		for (int index = 0; index < pool.servers().size(); index++) {
+			if (!pool.isUsable(index, request, nowMs)) {
+				continue;
+			}
+			double load = pool.loads().relative(index, routerCount);
+			if (load < leastLoad) {
+				least = index;
+				leastLoad = load;
+			}
+			if (load > pool.loadBound()) {
+				continue;
+			}
+			double weight = pool.loads().speed(index) * Math.exp(this.tuning.reportGain() * (1 - load));
+			double score = RendezvousHash.score(chatHash, pool.servers().hash(index), weight);
+			if (score < bestScore) {
+				best = index;
+				bestScore = score;
+			}
+		}
+		return (best >= 0) ? best : least;
+	}
+
+	private long retryAfterMs(PoolState pool) {
+		double meanMs = pool.loads().meanS() * DEFAULT_RETRY_MS;
+		long spreadMs = this.random.nextLong(DEFAULT_RETRY_MS);
+		return Math.clamp((long) (meanMs / 2) + spreadMs, MIN_RETRY_MS, MAX_RETRY_MS);
+	}
+
+	@Override
+	public void finished(PlacementRequest request, String serverId, ServedOutcome outcome, long nowMs) {
+		String share = this.outstanding.remove(request, serverId);
+		PoolState pool = (share != null) ? this.pools.get(new PoolKey(share, request.model())) : null;
+		int index = (pool != null) ? pool.servers().indexOf(serverId) : -1;
+		if (index >= 0) {
+			pool.loads().finished(index);
+		}
+		long chatHash = RendezvousHash.hash(request.chatId());
+		if (!outcome.served()) {
+			this.flaps.failed(serverId, nowMs);
+			return;
+		}
+		this.memory.put(chatHash, serverId, outcome.totalTokens(), nowMs);
+		this.outputLength.learn(outcome.totalTokens() - request.promptTokens());
+	}
+
+	@Override
+	public void cacheEvent(CacheEvent event, long nowMs) {
+		long chatHash = RendezvousHash.hash(event.chatId());
+		if (event.tokens() == 0) {
+			this.memory.remove(chatHash, event.serverId());
+			return;
+		}
+		if (this.memory.get(chatHash) == null) {
+			this.memory.put(chatHash, event.serverId(), event.tokens(), nowMs);
+		}
+	}
+
+	/**
+	 * Returns the number of chats remembered.
+	 * @return the number
+	 */
+	public int rememberedChats() {
+		return this.memory.size();
+	}
+
+	/**
+	 * Returns the memory that the table of chats takes.
+	 * @return the size in bytes
+	 */
+	public long chatMemoryBytes() {
+		return this.memory.sizeBytes();
+	}
+
+	private record PoolKey(String share, String model) {
+
+	}
+
+	private record Candidate(int index, long cachedTokens, String sourceId, String reason) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/OutstandingWork.java
@@ -0,0 +1,58 @@
+package io.fescuehold.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The requests of this router that are outstanding at servers. Requests whose end is
+ * never reported are dropped after a while, so that they do not count for ever.
+ */
+final class OutstandingWork {
+
+	private static final long MAX_AGE_MS = 900_000;
+
+	private static final long SWEEP_MS = 60_000;
+
+	private final Map<Key, Entry> entries = new HashMap<>();
+
+	private long sweptAtMs = Long.MIN_VALUE;
+
+	void add(PlacementRequest request, String serverId, String share, long nowMs) {
+		this.entries.merge(new Key(request, serverId), new Entry(share, 1, nowMs),
+				(old, added) -> new Entry(share, old.count + 1, nowMs));
+		if (this.sweptAtMs == Long.MIN_VALUE || nowMs - this.sweptAtMs >= SWEEP_MS) {
+			this.sweptAtMs = nowMs;
+			this.entries.values().removeIf((entry) -> nowMs - entry.placedAtMs > MAX_AGE_MS);
+		}
+	}
+
+	/**
+	 * Removes a request.
+	 * @param request the request
+	 * @param serverId the server it was placed on
+	 * @return the share it was placed for, or null if it is not outstanding
+	 */
+	String remove(PlacementRequest request, String serverId) {
+		Key key = new Key(request, serverId);
+		Entry entry = this.entries.get(key);
+		if (entry == null) {
+			return null;
+		}
+		if (entry.count > 1) {
+			this.entries.put(key, new Entry(entry.share, entry.count - 1, entry.placedAtMs));
+		}
+		else {
+			this.entries.remove(key);
+		}
+		return entry.share;
+	}
+
+	private record Key(PlacementRequest request, String serverId) {
+
+	}
+
+	private record Entry(String share, int count, long placedAtMs) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PlacementTuning.java
@@ -0,0 +1,20 @@
+package io.fescuehold.core.placement;
+
+/**
+ * Constants of the placement policy that the placement experiment varies.
+ *
+ * @param turnoverMs the time constant with which reports lose their weight and the
+ * router's own work drains
+ * @param reportGain how strongly a deviation of the reported load changes a server's
+ * weight in the hash
+ * @param ownGain how strongly a deviation of the router's own work counts, as the
+ * multiple of the work itself; at most the number of routers
+ * @param stayLow the relative load from which the first chats leave a server
+ * @param stayHigh the relative load from which all chats leave a server
+ */
+public record PlacementTuning(double turnoverMs, double reportGain, double ownGain, double stayLow, double stayHigh) {
+
+	/** The constants in use. */
+	public static final PlacementTuning DEFAULT = new PlacementTuning(6_000, 3, 7, 1.0, 1.2);
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PoolState.java
@@ -0,0 +1,77 @@
+package io.fescuehold.core.placement;
+
+import java.util.Map;
+
+import io.fescuehold.core.view.FleetView;
+
+/**
+ * The servers of a pool with the router's estimates, for one view.
+ */
+final class PoolState {
+
+	private final FleetView view;
+
+	private final ServerPool servers;
+
+	private final LoadEstimator loads;
+
+	private final double[] ramps;
+
+	private final long[] heldOffUntilMs;
+
+	private final double loadBound;
+
+	PoolState(FleetView view, String share, String model, PoolState earlier, PlacementTuning tuning) {
+		this.view = view;
+		this.servers = ServerPool.of(view, share, model);
+		this.loads = new LoadEstimator(this.servers, tuning);
+		this.ramps = new double[this.servers.size()];
+		this.heldOffUntilMs = new long[this.servers.size()];
+		this.loadBound = view.shares().get(share).policy().loadBound();
+		if (earlier != null) {
+			this.loads.inherit(earlier.loads);
+		}
+	}
+
+	void refresh(Map<String, ServerLoad> reports, JoinRamp joinRamp, FlapHoldOff flaps, long nowMs) {
+		for (int index = 0; index < this.servers.size(); index++) {
+			String id = this.servers.id(index);
+			this.heldOffUntilMs[index] = flaps.endOfHoldOffMs(id);
+			this.ramps[index] = joinRamp.portion(id, this.heldOffUntilMs[index], nowMs);
+		}
+		this.loads.refresh(reports, this.ramps, nowMs);
+	}
+
+	boolean isFor(FleetView other) {
+		return this.view == other;
+	}
+
+	ServerPool servers() {
+		return this.servers;
+	}
+
+	LoadEstimator loads() {
+		return this.loads;
+	}
+
+	double loadBound() {
+		return this.loadBound;
+	}
+
+	boolean isHeldOff(int index, long nowMs) {
+		return this.heldOffUntilMs[index] > nowMs;
+	}
+
+	/**
+	 * Tells whether a server may receive a request.
+	 * @param index the server
+	 * @param request the request
+	 * @param nowMs the time in milliseconds
+	 * @return whether the server is not leaving, held off, excluded or full
+	 */
+	boolean isUsable(int index, PlacementRequest request, long nowMs) {
+		return !this.servers.isLeaving(index) && !isHeldOff(index, nowMs)
+				&& !request.excludedServerIds().contains(this.servers.id(index)) && !this.loads.isAtRequestLimit(index);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/RelayTree.java
@@ -0,0 +1,132 @@
+package io.fescuehold.core.relay;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.fescuehold.core.placement.RendezvousHash;
+
+/**
+ * The tree over which daemons receive configuration and load samples. The replicas are
+ * the roots; every other host has a place that follows from the host list alone. Levels
+ * hold eight times as many hosts as the level above.
+ */
+public final class RelayTree {
+
+	/** The children of a host at most. */
+	public static final int FAN_OUT = 8;
+
+	private static final int MAX_CANDIDATES = 6;
+
+	private final List<List<RelayHost>> levels = new ArrayList<>();
+
+	private final Map<String, Position> positions = new HashMap<>();
+
+	/**
+	 * Creates a tree.
+	 * @param hosts the hosts; without a replica among them the first host in hash order
+	 * is the root
+	 */
+	public RelayTree(Collection<RelayHost> hosts) {
+		List<RelayHost> ordered = hosts.stream()
+			.sorted(Comparator.comparing((RelayHost host) -> !host.replica())
+				.thenComparingLong((host) -> RendezvousHash.hash(host.hostId()))
+				.thenComparing(RelayHost::hostId))
+			.toList();
+		int roots = (int) ordered.stream().filter(RelayHost::replica).count();
+		int width = Math.max(1, roots);
+		for (int start = 0; start < ordered.size();) {
+			int end = Math.min(ordered.size(), start + width);
+			addLevel(ordered.subList(start, end));
+			width = (end - start) * FAN_OUT;
+			start = end;
+		}
+	}
+
+	private void addLevel(List<RelayHost> level) {
+		int depth = this.levels.size();
+		for (int index = 0; index < level.size(); index++) {
+			this.positions.put(level.get(index).hostId(), new Position(depth, index));
+		}
+		this.levels.add(List.copyOf(level));
+	}
+
+	/**
+	 * Returns the hosts from which a host may receive, best first: its place in the tree,
+	 * then hosts of the level above in other failure domains than that parent, then the
+	 * other hosts of that level, then the roots.
+	 * @param hostId the host
+	 * @return the host ids; empty for a root or an unknown host
+	 */
+	public List<String> upstream(String hostId) {
+		Position position = this.positions.get(hostId);
+		if (position == null || position.level == 0) {
+			return List.of();
+		}
+		List<RelayHost> above = this.levels.get(position.level - 1);
+		RelayHost parent = above.get(parentIndex(position, above.size()));
+		long hash = RendezvousHash.hash(hostId);
+		List<RelayHost> others = new ArrayList<>(above);
+		others.remove(parent);
+		others.sort(Comparator.comparing((RelayHost other) -> other.failureDomain().equals(parent.failureDomain()))
+			.thenComparingLong((other) -> RendezvousHash.combine(hash, RendezvousHash.hash(other.hostId()))));
+		List<String> candidates = new ArrayList<>();
+		candidates.add(parent.hostId());
+		others.stream().limit(MAX_CANDIDATES - 1).forEach((other) -> candidates.add(other.hostId()));
+		for (RelayHost root : this.levels.getFirst()) {
+			if (!candidates.contains(root.hostId())) {
+				candidates.add(root.hostId());
+			}
+		}
+		return candidates;
+	}
+
+	/**
+	 * Returns the hosts that have a host as their first choice.
+	 * @param hostId the host
+	 * @return the host ids, at most {@link #FAN_OUT}
+	 */
+	public List<String> downstream(String hostId) {
+		Position position = this.positions.get(hostId);
+		if (position == null || position.level + 1 >= this.levels.size()) {
+			return List.of();
+		}
+		int parents = this.levels.get(position.level).size();
+		List<RelayHost> below = this.levels.get(position.level + 1);
+		List<String> children = new ArrayList<>();
+		for (int index = position.index; index < below.size(); index += parents) {
+			children.add(below.get(index).hostId());
+		}
+		return children;
+	}
+
+	/**
+	 * Returns the roots.
+	 * @return the host ids
+	 */
+	public List<String> roots() {
+		return this.levels.isEmpty() ? List.of() : this.levels.getFirst().stream().map(RelayHost::hostId).toList();
+	}
+
+	/**
+	 * Returns the number of hops from a root.
+	 * @param hostId the host
+	 * @return the number, 0 for a root and -1 for an unknown host
+	 */
+	public int depth(String hostId) {
+		Position position = this.positions.get(hostId);
+		return (position != null) ? position.level : -1;
+	}
+
+	private static int parentIndex(Position position, int parents) {
+		return position.index % parents;
+	}
+
+	private record Position(int level, int index) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The tree that carries load samples and configuration between daemons.
+ */
+package io.fescuehold.core.relay;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Budgets for retried and hedged requests.
+ */
+package io.fescuehold.core.retry;
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/drain/DrainTests.java
@@ -0,0 +1,47 @@
+package io.fescuehold.core.drain;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a shutdown that ends while entry answers are valid or requests are in
+ * flight, and against moves beyond the rate limit.
+ */
+class DrainTests {
+
+	@Test
+	void shutdownOutlastsEveryEntryAnswer() {
+		DrainSchedule drain = new DrainSchedule(1_000, 30_000, 10_000);
+		// An answer given by a host with the oldest list expires at 41,000.
+		assertThat(drain.phase(0, 40_999)).isEqualTo(DrainSchedule.Phase.ENTRY_REMOVED);
+		assertThat(drain.phase(0, 40_999).acceptsRequests()).isTrue();
+		assertThat(drain.phase(0, 41_000)).isEqualTo(DrainSchedule.Phase.STOPPABLE);
+	}
+
+	@Test
+	void requestInFlightIsNeverCut() {
+		DrainSchedule drain = new DrainSchedule(0, 30_000, 10_000);
+		assertThat(drain.phase(1, 40_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
+		assertThat(drain.phase(1, 4_000_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
+		assertThat(drain.latestStopMs(120_000)).isEqualTo(160_000);
+	}
+
+	@Test
+	void movesKeepToTheRateAndToOnePerTarget() {
+		List<ChatContext> chats = List.of(new ChatContext("old", 8_000, 0), new ChatContext("recent", 8_000, 900_000),
+				new ChatContext("brief", 100, 900_000), new ChatContext("next", 4_000, 900_000));
+		KvMigrationPlan plan = new KvMigrationPlan("s1", chats, Map.of("s2", 1_000L), 10_000, 900_000);
+		assertThat(plan.next(900_000)).isEmpty();
+		List<KvMove> first = plan.next(900_500);
+		assertThat(first).extracting(KvMove::chatId).containsExactly("recent");
+		assertThat(plan.next(902_000)).isEmpty();
+		plan.ended(first.getFirst());
+		assertThat(plan.next(902_100)).extracting(KvMove::chatId).containsExactly("next");
+		assertThat(plan.waiting()).isEqualTo(1);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/RequestQueueTests.java
@@ -0,0 +1,64 @@
+package io.fescuehold.core.limits;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against unbounded queues, requests that wait past their time and teams that
+ * delay others.
+ */
+class RequestQueueTests {
+
+	private static final RequestQueue.Limits LIMITS = new RequestQueue.Limits(4, 2_000);
+
+	private final RequestQueue<String> queue = new RequestQueue<>(1);
+
+	private QueueOffer<String> offer(String item, String team, Priority priority, long deadlineMs) {
+		return this.queue.offer(item, new RequestQueue.Place(team, 1, priority, 100, deadlineMs), LIMITS, 0);
+	}
+
+	@Test
+	void servesPrioritiesFirstAndTeamsInTurn() {
+		offer("a1", "a", Priority.NORMAL, 9_000);
+		offer("a2", "a", Priority.NORMAL, 9_000);
+		offer("b1", "b", Priority.NORMAL, 9_000);
+		offer("h1", "a", Priority.HIGH, 9_000);
+		assertThat(this.queue.poll(1)).isEqualTo("h1");
+		assertThat(this.queue.poll(1)).isIn("a1", "b1");
+		assertThat(this.queue.poll(1)).isIn("a1", "b1");
+		assertThat(this.queue.poll(1)).isEqualTo("a2");
+		assertThat(this.queue.poll(1)).isNull();
+	}
+
+	@Test
+	void fullQueueRefusesOrDisplacesLowerPriority() {
+		for (int number = 0; number < 4; number++) {
+			offer("low" + number, "a", Priority.LOW, 9_000);
+		}
+		assertThat(offer("low4", "b", Priority.LOW, 9_000)).isInstanceOf(QueueOffer.Refused.class);
+		assertThat(offer("high", "b", Priority.HIGH, 9_000)).isInstanceOfSatisfying(QueueOffer.Displaced.class,
+				(displaced) -> assertThat(displaced.displaced()).isEqualTo("low3"));
+		assertThat(this.queue.size()).isEqualTo(4);
+	}
+
+	@Test
+	void expiredEntriesAreHandedBackAndNeverServed() {
+		offer("brief", "a", Priority.NORMAL, 500);
+		offer("long", "a", Priority.NORMAL, 60_000);
+		assertThat(this.queue.nextExpiryMs()).isEqualTo(500);
+		assertThat(this.queue.removeExpired(500)).containsExactly("brief");
+		assertThat(this.queue.poll(2_000)).isNull();
+		assertThat(this.queue.removeExpired(2_000)).containsExactly("long");
+		assertThat(this.queue.size()).isZero();
+	}
+
+	@Test
+	void disconnectedCallersLeaveTheQueue() {
+		offer("gone", "a", Priority.NORMAL, 9_000);
+		assertThat(this.queue.remove("gone")).isTrue();
+		assertThat(this.queue.remove("gone")).isFalse();
+		assertThat(this.queue.poll(1)).isNull();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the package of the same name.
+ */
+package io.fescuehold.core.limits;
