Add the TCP transport between daemons

Requests know whether they were written, so a failure carries run status NO when the peer cannot have received them and UNKNOWN otherwise. Silence is measured on raw bytes because a large frame on a slow link takes longer than the limit.

--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/PeerLink.java
@@ -0,0 +1,293 @@
+package io.fescuehold.runtime.transport;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.core.port.PeerMessage;
+import io.netty.channel.ChannelOption;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * The connection to one peer, opened on demand. Replies to requests arrive on it;
+ * requests of the peer arrive on the connection that the peer opens.
+ */
+final class PeerLink {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long FIRST_BACK_OFF_MS = 50;
+
+	private static final int MAX_BACK_OFF_DOUBLINGS = 10;
+
+	private final String ownHostId;
+
+	private final String hostId;
+
+	private final TransportOptions.Limits limits;
+
+	private final FrameCodec codec;
+
+	private final TrafficCounters counters;
+
+	private final Scheduler scheduler;
+
+	private final TcpClient client;
+
+	private final AtomicLong correlations = new AtomicLong();
+
+	private final Map<Long, Outgoing> pending = new ConcurrentHashMap<>();
+
+	private final SendQueue queue;
+
+	private volatile PeerAddress address;
+
+	private FrameChannel channel;
+
+	private boolean connecting;
+
+	private int failures;
+
+	private boolean closed;
+
+	PeerLink(String ownHostId, String hostId, PeerAddress address, TransportOptions.Limits limits, FrameCodec codec,
+			TrafficCounters counters, Scheduler scheduler, LoopResources loops) {
+		this.ownHostId = ownHostId;
+		this.hostId = hostId;
+		this.address = address;
+		this.limits = limits;
+		this.codec = codec;
+		this.counters = counters;
+		this.scheduler = scheduler;
+		this.queue = new SendQueue(limits.maxQueuedMessages(), limits.maxQueuedBytes());
+		this.client = TcpClient.newConnection()
+			.runOn(loops)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectMs())
+			.option(ChannelOption.TCP_NODELAY, true)
+			.doOnConnected(this::connected);
+	}
+
+	void moveTo(PeerAddress newAddress) {
+		this.address = newAddress;
+	}
+
+	/**
+	 * Sends a message without reply.
+	 * @param body the body of the frame
+	 * @param group the message group
+	 */
+	void send(byte[] body, String group) {
+		enqueue(new Outgoing(0, body, group, null));
+	}
+
+	/**
+	 * Sends a request.
+	 * @param message the message
+	 * @param group the message group
+	 * @param timeout the longest wait for the reply
+	 * @return the reply
+	 */
+	Mono<PeerMessage> request(PeerMessage message, String group, Duration timeout) {
+		return Mono.defer(() -> {
+			long correlation = this.correlations.incrementAndGet();
+			byte[] body = this.codec.encode(this.codec.message(Frame.REQUEST, correlation, message));
+			if (body.length > this.limits.maxFrameBytes()) {
+				return Mono.error(Outgoing.unreachable(this.hostId, "the message has " + body.length
+						+ " bytes but a frame holds at most " + this.limits.maxFrameBytes()));
+			}
+			Outgoing[] request = new Outgoing[1];
+			return Mono.<PeerMessage>create((sink) -> {
+				request[0] = new Outgoing(correlation, body, group, sink);
+				this.pending.put(correlation, request[0]);
+				enqueue(request[0]);
+			})
+				.timeout(timeout,
+						Mono.defer(() -> Mono.error(request[0].giveUp(this.hostId,
+								"no reply arrived within " + timeout.toMillis() + " ms"))),
+						this.scheduler)
+				.doFinally((signal) -> this.pending.remove(correlation));
+		});
+	}
+
+	private void enqueue(Outgoing message) {
+		List<Outgoing> dropped;
+		boolean refused;
+		synchronized (this) {
+			refused = this.closed;
+			dropped = refused ? List.of(message) : this.queue.add(message);
+			if (!refused && this.channel == null && !this.connecting) {
+				connect();
+			}
+		}
+		for (Outgoing drop : dropped) {
+			this.counters.dropped(drop.group());
+			drop.fail(this.hostId, refused ? "the transport is closed" : "its send queue is full");
+		}
+		drain();
+	}
+
+	private void drain() {
+		synchronized (this) {
+			while (this.channel != null && !this.queue.isEmpty() && this.channel.isWritable()) {
+				Outgoing next = this.queue.poll();
+				if (next.startWriting()) {
+					this.channel.write(next.body(), next.group());
+					this.channel.messageSeen();
+				}
+			}
+		}
+	}
+
+	private void connect() {
+		this.connecting = true;
+		PeerAddress target = this.address;
+		this.client.host(target.address()).port(target.port()).connect().subscribe((connection) -> {
+		}, this::connectFailed);
+	}
+
+	private void connected(Connection connection) {
+		FrameChannel opened = new FrameChannel(connection, this.limits, this.counters, this::drain);
+		connection.inbound().receive().asByteArray().subscribe((body) -> receive(opened, body), (error) -> {
+			logger.atFine().withCause(error).log("The connection to host %s failed", this.hostId);
+			opened.close();
+		});
+		opened.write(this.codec.encode(new Frame(Frame.HELLO, 0, this.ownHostId, new byte[0])), "hello");
+		boolean unwanted;
+		synchronized (this) {
+			this.connecting = false;
+			this.failures = 0;
+			unwanted = this.closed;
+			this.channel = opened;
+		}
+		connection.onDispose(() -> disconnected(opened));
+		if (unwanted) {
+			opened.close();
+		}
+		drain();
+	}
+
+	private void connectFailed(Throwable error) {
+		List<Outgoing> waiting;
+		synchronized (this) {
+			this.failures++;
+			waiting = this.queue.clear();
+		}
+		logger.atFine().withCause(error).log("Host %s cannot be reached", this.hostId);
+		waiting.forEach((message) -> message.fail(this.hostId, "the connection was refused or timed out"));
+		this.scheduler.schedule(this::endBackOff, backOffMs(), TimeUnit.MILLISECONDS);
+	}
+
+	private long backOffMs() {
+		long doubled = FIRST_BACK_OFF_MS << Math.min(this.failures - 1, MAX_BACK_OFF_DOUBLINGS);
+		long bounded = Math.min(doubled, this.limits.maxBackOffMs());
+		return bounded / 2 + ThreadLocalRandom.current().nextLong(bounded / 2 + 1);
+	}
+
+	private void endBackOff() {
+		synchronized (this) {
+			this.connecting = false;
+			if (!this.closed && !this.queue.isEmpty()) {
+				connect();
+			}
+		}
+	}
+
+	private void disconnected(FrameChannel lost) {
+		synchronized (this) {
+			if (this.channel == lost) {
+				this.channel = null;
+			}
+			if (!this.closed && !this.connecting && this.channel == null && !this.queue.isEmpty()) {
+				connect();
+			}
+		}
+		this.pending.values()
+			.stream()
+			.filter(Outgoing::isWritten)
+			.forEach((request) -> request.fail(this.hostId, "the connection was lost"));
+	}
+
+	private void receive(FrameChannel from, byte[] body) {
+		try {
+			Frame frame = this.codec.decode(body);
+			if (frame.k() == Frame.PING) {
+				this.counters.received("ping", body.length);
+				return;
+			}
+			from.messageSeen();
+			Outgoing request = this.pending.remove(frame.c());
+			this.counters.received((request != null) ? request.group() : "late", body.length);
+			if (request != null) {
+				finish(request, frame);
+			}
+		}
+		catch (IOException ex) {
+			logger.atWarning().withCause(ex).log("Host %s sent a frame that cannot be read", this.hostId);
+			from.close();
+		}
+	}
+
+	private void finish(Outgoing request, Frame frame) throws IOException {
+		switch (frame.k()) {
+			case Frame.REPLY -> request.succeed(this.codec.message(frame));
+			case Frame.EMPTY_REPLY -> request.succeed(null);
+			case Frame.ERROR -> request.failWith(this.codec.error(frame));
+			default -> throw new IOException("Frame kind " + frame.k() + " is not a reply");
+		}
+	}
+
+	/** Closes the connection if it has carried no message for the idle time. */
+	void closeIfIdle() {
+		synchronized (this) {
+			if (this.channel != null && this.pending.isEmpty() && this.queue.isEmpty() && this.channel.isIdle()) {
+				this.channel.close();
+			}
+		}
+	}
+
+	/** Closes the connection for good and fails the requests that wait. */
+	void close() {
+		List<Outgoing> waiting;
+		synchronized (this) {
+			this.closed = true;
+			waiting = this.queue.clear();
+			if (this.channel != null) {
+				this.channel.close();
+			}
+		}
+		waiting.forEach((message) -> message.fail(this.hostId, "the transport is closed"));
+	}
+
+	/**
+	 * Returns the state of the link for the dump.
+	 * @return the state
+	 */
+	synchronized LinkDump dump() {
+		return new LinkDump(this.address.address() + ":" + this.address.port(), this.channel != null, this.failures,
+				this.queue.size(), this.pending.size());
+	}
+
+	/**
+	 * The state of a link.
+	 *
+	 * @param address the address of the peer
+	 * @param connected whether a connection is open
+	 * @param failures the failed attempts since the last connection
+	 * @param queuedMessages the messages that wait
+	 * @param pendingRequests the requests without reply
+	 */
+	record LinkDump(String address, boolean connected, int failures, int queuedMessages, int pendingRequests) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between daemons: TCP connections, framing and MessagePack bodies.
+ */
+package io.fescuehold.runtime.transport;
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/transport/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the messages between daemons.
+ */
+package io.fescuehold.runtime.transport;
