Serve chats, service calls and entry requests on one HTTP path

The router had no path from callers to backend servers. Chats run as streams towards the model server, also when the caller asks for a whole response, so that a lost connection can be resumed. The HTTP library repeats no request by itself. Two error codes are added for responses that cannot be given any more (CALL_ANSWER_NOT_KEPT, STREAM_GONE).

--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -63,6 +63,16 @@
 			"Whether the call with Idempotency-Key \"%s\" ran is unknown and it is never run again;"
 					+ " check with the service and use a new key if it did not run"),
 
+	/** The call ran but its response is no longer available. Arguments: key, status. */
+	CALL_ANSWER_NOT_KEPT(410,
+			"The call with Idempotency-Key \"%s\" ran with status %s but its response was too large to keep;"
+					+ " ask the service for the result"),
+
+	/** The stream can neither be resumed nor continued. Argument: stream. */
+	STREAM_GONE(410,
+			"Stream \"%s\" is no longer held by its server; send the original request with the text so far as"
+					+ " an assistant message and continue_final_message"),
+
 	/** The store of call records is full. Argument: limit. */
 	CALL_STORE_FULL(503, "The store holds its limit of %s call records; come back after Retry-After"),
 
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/stream/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions about streamed responses: positions and stalls.
+ */
+package io.fescuehold.core.stream;
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -0,0 +1,122 @@
+package io.fescuehold.runtime.backend;
+
+import java.io.ByteArrayOutputStream;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BiFunction;
+
+import io.fescuehold.core.error.FescueholdException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+
+/**
+ * Sends requests to backend servers and tells failures before sending from those after.
+ */
+public final class BackendExchange {
+
+	private BackendExchange() {
+	}
+
+	/**
+	 * Sends a request.
+	 * @param client the client of the server
+	 * @param request the request
+	 * @param receiver turns the response into elements; the buffers are released after
+	 * each signal
+	 * @param <T> the type of the elements
+	 * @return the elements; failures of the connection arrive as {@link BackendFailure}
+	 */
+	public static <T> Flux<T> send(HttpClient client, BackendRequest request,
+			BiFunction<HttpClientResponse, ByteBufFlux, Publisher<T>> receiver) {
+		return Flux.defer(() -> {
+			AtomicBoolean sending = new AtomicBoolean();
+			return client.headers((headers) -> setHeaders(headers, request))
+				.request(HttpMethod.valueOf(request.method()))
+				.uri(request.uri())
+				.send((head, outbound) -> Mono.defer(() -> {
+					request.beforeSend().run();
+					sending.set(true);
+					return (request.body().length > 0)
+							? outbound.sendObject(Unpooled.wrappedBuffer(request.body())).then() : Mono.<Void>empty();
+				}))
+				.response(receiver)
+				.onErrorMap((ex) -> classify(ex, sending.get()));
+		});
+	}
+
+	/**
+	 * Sends a request and collects the whole response.
+	 * @param client the client of the server
+	 * @param request the request
+	 * @param maxBodyBytes the size of the response body at most
+	 * @return the response, whatever its status
+	 */
+	public static Mono<BackendAnswer> sendWhole(HttpClient client, BackendRequest request, int maxBodyBytes) {
+		return send(client, request, (head, content) -> collect(head, content, maxBodyBytes)).next();
+	}
+
+	/**
+	 * Collects the whole response.
+	 * @param head the response head
+	 * @param content the response body
+	 * @param maxBodyBytes the size of the response body at most
+	 * @return the response, or a {@link BackendFailure} of kind TOO_LARGE
+	 */
+	public static Mono<BackendAnswer> collect(HttpClientResponse head, ByteBufFlux content, int maxBodyBytes) {
+		return content.reduceWith(ByteArrayOutputStream::new, (bytes, chunk) -> append(bytes, chunk, maxBodyBytes))
+			.map((bytes) -> new BackendAnswer(head.status().code(), headers(head), bytes.toByteArray()));
+	}
+
+	private static ByteArrayOutputStream append(ByteArrayOutputStream bytes, ByteBuf chunk, int maxBodyBytes) {
+		if (bytes.size() + chunk.readableBytes() > maxBodyBytes) {
+			throw new BackendFailure(BackendFailure.Kind.TOO_LARGE,
+					"the response body exceeds " + maxBodyBytes + " bytes", null);
+		}
+		byte[] part = new byte[chunk.readableBytes()];
+		chunk.readBytes(part);
+		bytes.writeBytes(part);
+		return bytes;
+	}
+
+	/**
+	 * Returns the headers of a response.
+	 * @param head the response head
+	 * @return the headers by lower-case name, of repeated ones the values joined by
+	 * commas
+	 */
+	public static Map<String, String> headers(HttpClientResponse head) {
+		Map<String, String> headers = new HashMap<>();
+		head.responseHeaders()
+			.forEach((entry) -> headers.merge(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue(),
+					(first, second) -> first + ", " + second));
+		return headers;
+	}
+
+	private static void setHeaders(HttpHeaders headers, BackendRequest request) {
+		headers.remove(HttpHeaderNames.USER_AGENT);
+		request.headers().forEach(headers::set);
+		if (request.body().length > 0 || !"GET".equals(request.method()) && !"HEAD".equals(request.method())) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+		}
+	}
+
+	private static Throwable classify(Throwable ex, boolean sending) {
+		if (ex instanceof BackendFailure || ex instanceof FescueholdException) {
+			return ex;
+		}
+		BackendFailure.Kind kind = (sending) ? BackendFailure.Kind.LOST : BackendFailure.Kind.NOT_SENT;
+		return new BackendFailure(kind, String.valueOf(ex.getMessage()), ex);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
@@ -0,0 +1,103 @@
+package io.fescuehold.runtime.backend;
+
+import java.time.Duration;
+
+import io.netty.channel.ChannelOption;
+import reactor.netty.NettyPipeline;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * The connections to one backend server. The HTTP library repeats no request by itself;
+ * repeats are decided by the router within its budget.
+ */
+public final class BackendPool {
+
+	private final String host;
+
+	private final int port;
+
+	private final BackendOptions options;
+
+	private final HttpClient fresh;
+
+	private volatile Generation generation;
+
+	/**
+	 * Creates the pool without opening a connection.
+	 * @param host the IP address of the server
+	 * @param port the port of the server
+	 * @param options the limits
+	 */
+	public BackendPool(String host, int port, BackendOptions options) {
+		this.host = host;
+		this.port = port;
+		this.options = options;
+		this.fresh = client(ConnectionProvider.newConnection());
+		this.generation = newGeneration();
+	}
+
+	/**
+	 * Returns a client that takes connections from the pool.
+	 * @return the client
+	 */
+	public HttpClient pooled() {
+		return this.generation.client();
+	}
+
+	/**
+	 * Returns a client that opens a new connection for each request. A refused connection
+	 * then proves that nothing was sent.
+	 * @return the client
+	 */
+	public HttpClient fresh() {
+		return this.fresh;
+	}
+
+	/**
+	 * Closes the idle pooled connections. Called once a connection to the server went
+	 * silent, because the others may be dead as well. Connections in use are closed when
+	 * they are given back.
+	 */
+	public synchronized void evictIdle() {
+		Generation old = this.generation;
+		this.generation = newGeneration();
+		old.provider().disposeLater().subscribe();
+	}
+
+	/**
+	 * Closes the pool.
+	 */
+	public synchronized void close() {
+		this.generation.provider().disposeLater().subscribe();
+	}
+
+	private Generation newGeneration() {
+		ConnectionProvider provider = ConnectionProvider.builder(this.host + ":" + this.port)
+			.maxConnections(this.options.maxConnections())
+			.pendingAcquireMaxCount(this.options.maxPendingAcquires())
+			.pendingAcquireTimeout(Duration.ofMillis(this.options.acquireTimeoutMs()))
+			.maxIdleTime(Duration.ofMillis(this.options.maxIdleMs()))
+			.lifo()
+			.build();
+		return new Generation(provider, client(provider));
+	}
+
+	private HttpClient client(ConnectionProvider provider) {
+		return HttpClient.create(provider)
+			.host(this.host)
+			.port(this.port)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.options.connectTimeoutMs())
+			.option(ChannelOption.TCP_NODELAY, true)
+			.disableRetry(true)
+			.followRedirect(false)
+			.httpResponseDecoder((spec) -> spec.maxHeaderSize(this.options.maxHeaderBytes()))
+			.doOnChannelInit((observer, channel, address) -> channel.pipeline()
+				.addAfter(NettyPipeline.HttpCodec, IdleReadGuard.NAME, new IdleReadGuard()));
+	}
+
+	private record Generation(ConnectionProvider provider, HttpClient client) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPools.java
@@ -0,0 +1,62 @@
+package io.fescuehold.runtime.backend;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * The connection pools of all backend servers, by address.
+ */
+public final class BackendPools {
+
+	private final Map<String, BackendPool> pools = new ConcurrentHashMap<>();
+
+	private final BackendOptions options;
+
+	/**
+	 * Creates an empty set of pools.
+	 * @param options the limits of each pool
+	 */
+	public BackendPools(BackendOptions options) {
+		this.options = options;
+	}
+
+	/**
+	 * Returns the pool of a server.
+	 * @param host the IP address of the server
+	 * @param port the port of the server
+	 * @return the pool, created on first use
+	 */
+	public BackendPool pool(String host, int port) {
+		return this.pools.computeIfAbsent(host + ":" + port, (key) -> new BackendPool(host, port, this.options));
+	}
+
+	/**
+	 * Closes the pools of servers that are no longer configured. Requests in flight end
+	 * normally.
+	 * @param addresses the configured servers as {@code host:port}
+	 */
+	public void retain(Set<String> addresses) {
+		this.pools.forEach((address, pool) -> {
+			if (!addresses.contains(address) && this.pools.remove(address, pool)) {
+				pool.close();
+			}
+		});
+	}
+
+	/**
+	 * Closes all pools.
+	 */
+	public void close() {
+		retain(Set.of());
+	}
+
+	/**
+	 * Returns the number of pools.
+	 * @return the number
+	 */
+	public int size() {
+		return this.pools.size();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/StreamPart.java
@@ -0,0 +1,33 @@
+package io.fescuehold.runtime.backend;
+
+/**
+ * A part of a streamed response of a model server.
+ */
+public sealed interface StreamPart {
+
+	/**
+	 * The response head arrived.
+	 *
+	 * @param streamId the id under which the server keeps the stream, or null
+	 */
+	record Head(String streamId) implements StreamPart {
+	}
+
+	/** A comment, which only shows that the connection is alive. */
+	record Comment() implements StreamPart {
+	}
+
+	/**
+	 * An event.
+	 *
+	 * @param position the position, or 0 if the event has none
+	 * @param data the data, one OpenAI chunk as JSON
+	 */
+	record Event(long position, String data) implements StreamPart {
+	}
+
+	/** The stream is complete. */
+	record Done() implements StreamPart {
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP client side of the backend servers: connections, protocols and failures.
+ */
+package io.fescuehold.runtime.backend;
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -0,0 +1,414 @@
+package io.fescuehold.runtime.http;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+
+import io.fescuehold.config.ModelServerSpec;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.placement.ServedOutcome;
+import io.fescuehold.core.stream.StallWatch;
+import io.fescuehold.core.stream.StreamPosition;
+import io.fescuehold.core.view.FleetView;
+import io.fescuehold.runtime.backend.BackendAnswer;
+import io.fescuehold.runtime.backend.BackendFailure;
+import io.fescuehold.runtime.backend.BackendFailure.Kind;
+import io.fescuehold.runtime.backend.ModelServerClient;
+import io.fescuehold.runtime.backend.StallGuard;
+import io.fescuehold.runtime.backend.StreamPart;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.SignalType;
+import reactor.core.publisher.SynchronousSink;
+
+/**
+ * One chat request and its stream, which survives the loss of connections and servers.
+ */
+final class ChatExchange {
+
+	private static final Duration RETRY_ALL_DELAY = Duration.ofMillis(250);
+
+	private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(300);
+
+	private static final long RETRY_AFTER_MS = 1_000;
+
+	private static final int TOO_MANY_REQUESTS = 429;
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int REQUEST_TIMEOUT = 408;
+
+	private final RouterContext context;
+
+	private final CallerRequest caller;
+
+	private final ChatBody body;
+
+	private final String share;
+
+	private final long deadlineAtMs;
+
+	private final ModelPlacement placement;
+
+	private final StreamPosition position;
+
+	private final AnswerText text;
+
+	private final AtomicBoolean ended = new AtomicBoolean();
+
+	private volatile ModelPlacement.Target target;
+
+	private volatile String streamId;
+
+	private volatile boolean finished;
+
+	private boolean mayHaveRun;
+
+	private long earlierTokens;
+
+	private long resumedAt = -1;
+
+	private int recoveries;
+
+	private String announcedSource;
+
+	ChatExchange(RouterContext context, CallerRequest caller, ChatBody body, String share, long deadlineAtMs) {
+		this.context = context;
+		this.caller = caller;
+		this.body = body;
+		this.share = share;
+		this.deadlineAtMs = deadlineAtMs;
+		this.placement = new ModelPlacement(context, caller, body, share, deadlineAtMs);
+		this.position = new StreamPosition(Math.max(0, caller.lastEventId()));
+		this.text = new AnswerText(context.options().maxAnswerBytes());
+	}
+
+	/**
+	 * Runs the request.
+	 * @return the parts with consecutive positions; a head comes first and again whenever
+	 * another stream takes over
+	 */
+	Flux<StreamPart> parts() {
+		Mono<Void> deadline = Mono.delay(this.context.until(this.deadlineAtMs), this.context.scheduler())
+			.then(Mono.error(this::deadlineExceeded));
+		return Flux.defer(() -> (this.caller.stream() != null) ? resumeForCaller() : attempt(this::open))
+			.takeUntilOther(deadline)
+			.doFinally(this::end);
+	}
+
+	/**
+	 * Runs the request without a stream, for responses that cannot be put together from
+	 * one. A failed server is replaced within the retry budget.
+	 * @return the response
+	 */
+	Mono<BackendAnswer> whole() {
+		return Mono.defer(this::openWhole)
+			.timeout(this.context.until(this.deadlineAtMs), Mono.error(this::deadlineExceeded),
+					this.context.scheduler())
+			.doFinally(this::end);
+	}
+
+	private Mono<BackendAnswer> openWhole() {
+		ModelPlacement.Target chosen = this.placement.place(0);
+		this.target = chosen;
+		this.context.metrics().dispatched(this.caller);
+		byte[] json = this.body.forServer(this.caller.priority(), false);
+		return ModelServerClient
+			.complete(chosen.pool(), this.placement.headers(), json, this.context.options().maxAnswerBytes())
+			.flatMap((answer) -> (answer.status() >= SERVER_ERROR || answer.status() == TOO_MANY_REQUESTS)
+					? Mono.<BackendAnswer>error(new BackendFailure(answer)) : Mono.just(answer))
+			.doOnNext((answer) -> this.finished = true)
+			.onErrorResume(BackendFailure.class, this::retryWhole);
+	}
+
+	private Mono<BackendAnswer> retryWhole(BackendFailure failure) {
+		ModelPlacement.Target failed = this.target;
+		this.mayHaveRun |= failure.kind() != Kind.NOT_SENT;
+		leave(failed);
+		if (!mayRecover() || !this.context.ports().retries().tryRetry()) {
+			return Mono.error(serverFailed(failed.serverId(), failure.getMessage()));
+		}
+		this.context.metrics().retry();
+		return Mono.defer(this::openWhole);
+	}
+
+	private FescueholdException deadlineExceeded() {
+		long allowedMs = (this.caller.deadlineMs() > 0) ? this.caller.deadlineMs()
+				: this.context.options().defaultDeadlineMs();
+		return Refusals.of(ErrorCode.DEADLINE_EXCEEDED, runStatus(), 0, allowedMs);
+	}
+
+	private Flux<StreamPart> resumeForCaller() {
+		StreamRef stream = this.caller.stream();
+		FleetView.Owned<ModelServerSpec> owned = this.context.view().modelServers().get(stream.serverId());
+		if (owned == null) {
+			return continueForCaller();
+		}
+		this.target = new ModelPlacement.Target(stream.serverId(), owned.spec(), this.context.pool(owned.spec()), null,
+				null);
+		this.streamId = stream.streamId();
+		this.mayHaveRun = true;
+		Mono<Void> handover = (stream.routerHostId().equals(this.context.ports().hostId())) ? Mono.empty()
+				: this.context.ports()
+					.handover()
+					.announce(stream.routerHostId(), stream.serverId(), stream.streamId())
+					.timeout(HANDOVER_TIMEOUT, this.context.scheduler())
+					.onErrorComplete();
+		this.context.cancels().taken(stream.serverId(), stream.streamId());
+		return handover.thenMany(attempt(this::resume));
+	}
+
+	private Flux<StreamPart> continueForCaller() {
+		if (this.body == null || this.caller.lastEventId() > 0 && !this.body.continuesFinalMessage()) {
+			return Flux.error(Refusals.of(ErrorCode.STREAM_GONE, RunStatus.UNKNOWN, 0, this.caller.stream().format()));
+		}
+		return attempt(this::open);
+	}
+
+	private Flux<StreamPart> attempt(Supplier<Flux<List<StreamPart>>> source) {
+		return Flux.defer(source)
+			.concatMapIterable((parts) -> parts, 1)
+			.<StreamPart>handle(this::accept)
+			.concatWith(Mono.defer(this::checkFinished))
+			.onErrorResume(this::recover);
+	}
+
+	private Flux<List<StreamPart>> open() {
+		this.target = null;
+		this.streamId = null;
+		this.earlierTokens = this.position.last();
+		ModelPlacement.Target chosen = this.placement.place(this.position.last());
+		this.target = chosen;
+		byte[] json = (this.position.last() == 0) ? this.body.forServer(this.caller.priority(), true)
+				: this.body.continued(this.caller.priority(), this.text.text(), this.position.last());
+		this.context.metrics().dispatched(this.caller);
+		Flux<List<StreamPart>> stream = ModelServerClient.open(chosen.pool(), this.placement.headers(), json);
+		return this.placement.prepare(chosen)
+			.thenMany(guard(stream, StallWatch.ofRequest(stallLimitMs(), this.context.nowMs())));
+	}
+
+	private Flux<List<StreamPart>> resume() {
+		this.resumedAt = this.position.last();
+		Flux<List<StreamPart>> stream = ModelServerClient.resume(this.target.pool(), this.streamId,
+				this.position.last() - this.earlierTokens);
+		return guard(stream, StallWatch.ofResume(stallLimitMs(), this.context.nowMs()));
+	}
+
+	private Flux<List<StreamPart>> guard(Flux<List<StreamPart>> stream, StallWatch watch) {
+		return new StallGuard<>(stream, watch, this.context.scheduler(), this.context.clockMs());
+	}
+
+	private long stallLimitMs() {
+		return this.context.policy(this.share).stallLimitMs();
+	}
+
+	private void accept(StreamPart part, SynchronousSink<StreamPart> sink) {
+		switch (part) {
+			case StreamPart.Head head -> {
+				this.streamId = (head.streamId() != null) ? head.streamId() : this.streamId;
+				String source = this.target.serverId() + ";" + this.streamId;
+				if (!source.equals(this.announcedSource)) {
+					this.announcedSource = source;
+					sink.next(new StreamPart.Head(this.streamId));
+				}
+			}
+			case StreamPart.Comment() -> {
+				// The caller has its own heartbeats.
+			}
+			case StreamPart.Event event -> accept(event, sink);
+			case StreamPart.Done done -> {
+				if (!this.finished) {
+					this.finished = true;
+					sink.next(done);
+				}
+			}
+		}
+	}
+
+	private void accept(StreamPart.Event event, SynchronousSink<StreamPart> sink) {
+		long seen = (event.position() > 0) ? this.earlierTokens + event.position() : this.position.last();
+		switch (this.position.accept(seen)) {
+			case NEXT -> deliver(event, sink);
+			case REPEAT -> {
+				// A closing event may carry the position of the last token or none.
+				if (seen == this.position.last() && this.text.isNewEnd(event.data())) {
+					deliver(event, sink);
+				}
+			}
+			case GAP -> sink.error(
+					new BackendFailure(Kind.PROTOCOL, "position " + seen + " follows " + this.position.last(), null));
+		}
+	}
+
+	private void deliver(StreamPart.Event event, SynchronousSink<StreamPart> sink) {
+		String data = this.text.add(event.data(), this.earlierTokens);
+		sink.next(new StreamPart.Event(this.position.last(), data));
+	}
+
+	private Mono<StreamPart> checkFinished() {
+		return (this.finished) ? Mono.empty()
+				: Mono.error(new BackendFailure(Kind.LOST, "the stream ended before its last event", null));
+	}
+
+	private Flux<StreamPart> recover(Throwable error) {
+		if (this.finished) {
+			return Flux.empty();
+		}
+		if (this.text.hasFinishReason()) {
+			this.finished = true;
+			return Flux.just(new StreamPart.Done());
+		}
+		return switch (error) {
+			case FescueholdException refusal -> recoverFromRefusal(refusal);
+			case BackendFailure failure -> recoverFromFailure(failure);
+			default -> Flux.error(error);
+		};
+	}
+
+	private Flux<StreamPart> recoverFromRefusal(FescueholdException refusal) {
+		boolean retried = refusal.code() == ErrorCode.NO_SERVER && this.position.last() > 0 && mayRecover()
+				&& this.placement.clearExclusions();
+		if (!retried) {
+			return Flux.error((this.mayHaveRun)
+					? serverFailed((this.target != null) ? this.target.serverId() : "any", refusal.getMessage())
+					: refusal);
+		}
+		return Mono.delay(RETRY_ALL_DELAY, this.context.scheduler()).thenMany(attempt(this::open));
+	}
+
+	private Flux<StreamPart> recoverFromFailure(BackendFailure failure) {
+		this.mayHaveRun |= failure.kind() != Kind.NOT_SENT;
+		if (failure.kind() == Kind.STALLED) {
+			this.context.metrics().stall();
+			this.target.pool().evictIdle();
+		}
+		if (isCallersFault(failure)) {
+			return Flux.error(failure);
+		}
+		if (!mayRecover()) {
+			return Flux.error(serverFailed(this.target.serverId(), failure.getMessage()));
+		}
+		if (canResume(failure)) {
+			this.context.metrics().resume();
+			this.context.log().backendFailed(this.caller, this.target.serverId(), failure, "resuming the stream there");
+			return attempt(this::resume);
+		}
+		return elsewhere(failure);
+	}
+
+	private boolean mayRecover() {
+		this.recoveries++;
+		return this.recoveries <= this.context.options().maxRecoveries();
+	}
+
+	private boolean isCallersFault(BackendFailure failure) {
+		int status = failure.answer().status();
+		return failure.kind() == Kind.STATUS && status >= BAD_REQUEST && status < SERVER_ERROR && status != NOT_FOUND
+				&& status != REQUEST_TIMEOUT && status != TOO_MANY_REQUESTS;
+	}
+
+	private boolean canResume(BackendFailure failure) {
+		return this.streamId != null && this.target.spec().resumesStreams() && failure.kind() != Kind.STATUS
+				&& this.resumedAt != this.position.last();
+	}
+
+	private Flux<StreamPart> elsewhere(BackendFailure failure) {
+		ModelPlacement.Target failed = this.target;
+		leave(failed);
+		this.context.log().backendFailed(this.caller, failed.serverId(), failure, "moving to another server");
+		if (this.caller.stream() != null && failed.request() == null) {
+			return continueForCaller();
+		}
+		boolean inBudget = this.context.ports().retries().tryRetry();
+		if (this.position.last() == 0) {
+			this.context.metrics().retry();
+			return (inBudget) ? attempt(this::open) : Flux.error(serverFailed(failed.serverId(), failure.getMessage()));
+		}
+		if (!this.text.isContinuable()) {
+			return Flux.error(serverFailed(failed.serverId(), failure.getMessage()));
+		}
+		if (this.body.isLimitReached(this.position.last())) {
+			return endAtLimit();
+		}
+		this.context.metrics().continuation();
+		return attempt(this::open);
+	}
+
+	private void leave(ModelPlacement.Target failed) {
+		if (this.streamId != null) {
+			ModelServerClient.cancel(failed.pool(), this.streamId).subscribe();
+		}
+		if (failed.request() != null) {
+			this.placement.failed(failed);
+		}
+		this.target = null;
+		this.streamId = null;
+	}
+
+	private Flux<StreamPart> endAtLimit() {
+		this.finished = true;
+		String last = "{\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{},"
+				+ "\"finish_reason\":\"length\"}]}";
+		return Flux.just(new StreamPart.Event(this.position.last(), this.text.add(last, 0)), new StreamPart.Done());
+	}
+
+	private FescueholdException serverFailed(String serverId, String reason) {
+		return Refusals.of(ErrorCode.SERVER_FAILED, runStatus(), RETRY_AFTER_MS, serverId, reason);
+	}
+
+	private RunStatus runStatus() {
+		return (this.mayHaveRun || this.target != null) ? RunStatus.UNKNOWN : RunStatus.NO;
+	}
+
+	private void end(SignalType signal) {
+		ModelPlacement.Target current = this.target;
+		if (current == null || !this.ended.compareAndSet(false, true)) {
+			return;
+		}
+		if (!this.finished && this.streamId != null) {
+			boolean callerMayReturn = signal == SignalType.CANCEL && (this.body == null || this.body.isStreamed());
+			this.context.cancels()
+				.cancel(current, this.streamId, (callerMayReturn) ? this.context.options().callerGraceMs() : 0);
+		}
+		if (current.request() != null) {
+			long total = this.body.promptTokens() + this.position.last();
+			this.placement.finished(current,
+					(this.finished || signal == SignalType.CANCEL)
+							? new ServedOutcome(true, this.text.cachedTokens(), this.text.totalTokens(total))
+							: ServedOutcome.FAILED);
+		}
+	}
+
+	/**
+	 * Returns the server that holds the stream.
+	 * @return the server id
+	 */
+	String serverId() {
+		return this.target.serverId();
+	}
+
+	/**
+	 * Returns the whole response after {@link #parts()} has completed.
+	 * @return the JSON
+	 */
+	byte[] assembled() {
+		return this.text.assemble();
+	}
+
+	/**
+	 * Returns the tokens of the chat that its server holds.
+	 * @return the tokens, estimated until the server has reported them
+	 */
+	long chatTokens() {
+		return this.text
+			.totalTokens((this.body != null) ? this.body.promptTokens() + this.position.last() : this.position.last());
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
@@ -0,0 +1,94 @@
+package io.fescuehold.runtime.http;
+
+import java.util.Map;
+
+import io.fescuehold.config.ServiceSpec;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.view.FleetView;
+import io.fescuehold.runtime.backend.BackendAnswer;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Handles calls to plain services.
+ */
+final class ServiceHandler {
+
+	/** Marks a response that has been written already. */
+	static final BackendAnswer WRITTEN = new BackendAnswer(0, Map.of(), new byte[0]);
+
+	private final RouterContext context;
+
+	private final BodyReader bodies;
+
+	private final ServiceServers servers;
+
+	ServiceHandler(RouterContext context) {
+		this.context = context;
+		this.bodies = new BodyReader(context);
+		this.servers = new ServiceServers(context);
+	}
+
+	/**
+	 * Handles a call.
+	 * @param caller the headers of the call
+	 * @param request the request
+	 * @param response the response
+	 * @return completes once the response is written; refusals arrive as errors
+	 */
+	Mono<Void> handle(CallerRequest caller, HttpServerRequest request, HttpServerResponse response) {
+		String team = caller.requireTeam();
+		FleetView view = this.context.view();
+		String share = view.shareOf(team, caller.chatId());
+		if (share == null) {
+			return Mono.error(new FescueholdException(ErrorCode.UNKNOWN_TEAM, team));
+		}
+		ServicePath path = ServicePath.of(request.uri());
+		String method = request.method().name();
+		Map<String, String> headers = ServiceCall.passedOn(request.requestHeaders());
+		return this.bodies.read(request).flatMap((body) -> {
+			ServiceCall unlimited = new ServiceCall(caller, share, method, path, headers, body, 0);
+			ServiceSpec spec = unlimited.spec(view);
+			long allowedMs = (caller.deadlineMs() > 0) ? Math.min(caller.deadlineMs(), spec.timeoutMs())
+					: spec.timeoutMs();
+			ServiceCall call = new ServiceCall(caller, share, method, path, headers, body,
+					this.context.nowMs() + allowedMs);
+			return new IdempotentCall(this.context, this.servers, call, response).run();
+		});
+	}
+
+	/**
+	 * Writes a whole response.
+	 * @param response the response to the caller
+	 * @param answer the response of the server
+	 * @return completes once the response is written
+	 */
+	static Mono<Void> write(HttpServerResponse response, BackendAnswer answer) {
+		head(response, answer.status(), answer.headers());
+		if (answer.body().length == 0) {
+			return response.send();
+		}
+		response.header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(answer.body().length));
+		return response.sendObject(Unpooled.wrappedBuffer(answer.body())).then();
+	}
+
+	/**
+	 * Sets status and headers.
+	 * @param response the response to the caller
+	 * @param status the status
+	 * @param headers the headers of the server by lower-case name
+	 */
+	static void head(HttpServerResponse response, int status, Map<String, String> headers) {
+		response.status(status);
+		headers.forEach((name, value) -> {
+			if (ServiceCall.isPassedOn(name)) {
+				response.header(name, value);
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP path from callers to backend servers.
+ */
+package io.fescuehold.runtime.http;
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
@@ -0,0 +1,208 @@
+package io.fescuehold.runtime.http;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A backend server on loopback whose script decides byte by byte what it sends.
+ */
+final class ScriptedServer implements AutoCloseable {
+
+	private final ServerSocket listener;
+
+	private final Script script;
+
+	private final List<Received> received = new CopyOnWriteArrayList<>();
+
+	private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	ScriptedServer(Script script) {
+		this.script = script;
+		try {
+			this.listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		Thread.ofVirtual().start(this::accept);
+	}
+
+	private void accept() {
+		while (!this.listener.isClosed()) {
+			try {
+				Socket socket = this.listener.accept();
+				this.sockets.add(socket);
+				int number = this.connections.incrementAndGet();
+				Thread.ofVirtual().start(() -> serve(socket, number));
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket socket, int number) {
+		try (socket) {
+			InputStream in = new BufferedInputStream(socket.getInputStream());
+			while (true) {
+				Received request = read(in, number);
+				if (request == null) {
+					return;
+				}
+				this.received.add(request);
+				this.script.serve(request, new Connection(socket));
+			}
+		}
+		catch (Exception ex) {
+			// The connection is closed, which is what most scripts are about.
+		}
+	}
+
+	private static Received read(InputStream in, int number) throws IOException {
+		String line = line(in);
+		if (line == null) {
+			return null;
+		}
+		Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		for (String header = line(in); header != null && !header.isEmpty(); header = line(in)) {
+			int colon = header.indexOf(':');
+			headers.put(header.substring(0, colon), header.substring(colon + 1).strip());
+		}
+		byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+		String[] parts = line.split(" ");
+		return new Received(number, parts[0], parts[1], headers, new String(body, StandardCharsets.UTF_8));
+	}
+
+	private static String line(InputStream in) throws IOException {
+		StringBuilder line = new StringBuilder();
+		for (int octet = in.read(); octet != '\n'; octet = in.read()) {
+			if (octet < 0) {
+				return null;
+			}
+			line.append((char) octet);
+		}
+		return line.toString().strip();
+	}
+
+	int port() {
+		return this.listener.getLocalPort();
+	}
+
+	int connections() {
+		return this.connections.get();
+	}
+
+	List<Received> received() {
+		return this.received;
+	}
+
+	long count(String method) {
+		return this.received.stream().filter((request) -> request.method().equals(method)).count();
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.listener.close();
+			for (Socket socket : this.sockets) {
+				socket.close();
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	interface Script {
+
+		void serve(Received request, Connection connection) throws Exception;
+
+	}
+
+	record Received(int connection, String method, String target, Map<String, String> headers, String body) {
+
+		boolean isChat() {
+			return this.target.equals("/v1/chat/completions");
+		}
+
+		long from() {
+			return Long.parseLong(this.target.substring(this.target.indexOf("from=") + "from=".length()));
+		}
+
+	}
+
+	static final class Connection {
+
+		private final Socket socket;
+
+		Connection(Socket socket) {
+			this.socket = socket;
+		}
+
+		void send(String text) throws IOException {
+			OutputStream out = this.socket.getOutputStream();
+			out.write(text.getBytes(StandardCharsets.UTF_8));
+			out.flush();
+		}
+
+		void answer(int status, String body) throws IOException {
+			send("HTTP/1.1 " + status + " Status\r\nContent-Type: application/json\r\nContent-Length: "
+					+ body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
+		}
+
+		void beginStream(String streamId) throws IOException {
+			send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Stream-Id: " + streamId
+					+ "\r\nTransfer-Encoding: chunked\r\n\r\n");
+		}
+
+		void chunk(String text) throws IOException {
+			int length = text.getBytes(StandardCharsets.UTF_8).length;
+			send(Integer.toHexString(length).toUpperCase(Locale.ROOT) + "\r\n" + text + "\r\n");
+		}
+
+		void tokens(int first, int last) throws IOException {
+			for (int position = first; position <= last; position++) {
+				token(position, "w" + position + " ");
+			}
+		}
+
+		void token(int position, String text) throws IOException {
+			chunk("id: " + position + "\ndata: {\"id\":\"c\",\"object\":\"chat.completion.chunk\",\"model\":\"m\","
+					+ "\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n");
+		}
+
+		void endStream(int tokens) throws IOException {
+			chunk("data: {\"id\":\"c\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],"
+					+ "\"usage\":{\"prompt_tokens\":10,\"completion_tokens\":" + tokens
+					+ ",\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n");
+			chunk("data: [DONE]\n\n");
+			send("0\r\n\r\n");
+		}
+
+		void reset() throws IOException {
+			this.socket.setSoLinger(true, 0);
+			this.socket.close();
+		}
+
+		void hang() throws InterruptedException {
+			Thread.sleep(60_000);
+		}
+
+	}
+
+}
