--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the control plane of a daemon.
+ */
+package io.fescuehold.runtime.control;
