Add the caller library with failover, stream resume and safe retry

A caller makes one call; the library looks up routers at any entry host, moves on when a router refuses, resets or falls silent, resumes streams with Fescuehold-Stream and Last-Event-ID, and continues the text so far when the stream is gone.

Retries of the HTTP library are switched off: they would send a call twice without the knowledge of this library. After an attempt whose outcome is unknown, a later "run: no" proves nothing about that attempt, so the call is then reported as unknown.

Resumes and continuations are limited by attempts without progress and not by the retry budget: refusing one would cut an answer that is already running.

--- /dev/null
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ClientOptions.java
@@ -0,0 +1,40 @@
+package io.fescuehold.client;
+
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * The settings of a client.
+ *
+ * @param entries the entry hosts, at least one
+ * @param team the team that the requests are counted for
+ * @param connectLimitMs the time to establish a connection
+ * @param entryLimitMs the time for one entry host to answer
+ * @param headerLimitMs the time for a router to begin the answer to a chat request
+ * @param stallLimitMs the time without any byte after which a stream is resumed elsewhere
+ * @param answerLimitMs the time for a router to answer one attempt of a service call
+ * @param chatTimeoutMs the time for a whole chat answer unless the request states one
+ * @param serviceTimeoutMs the time for a whole service call unless the request states one
+ * @param trustedCertificates the file of trusted certificates in PEM form, or null for
+ * connections without TLS
+ */
+record ClientOptions(List<Address> entries, String team, int connectLimitMs, int entryLimitMs, int headerLimitMs,
+		int stallLimitMs, int answerLimitMs, int chatTimeoutMs, int serviceTimeoutMs, Path trustedCertificates) {
+
+	ClientOptions {
+		entries = List.copyOf(entries);
+		if (entries.isEmpty()) {
+			throw new IllegalArgumentException("No entry host is set; add at least one with entry(\"ip:port\")");
+		}
+		if (team == null || team.isBlank()) {
+			throw new IllegalArgumentException("No team is set; name the team that the requests are counted for");
+		}
+		for (int limitMs : new int[] { connectLimitMs, entryLimitMs, headerLimitMs, stallLimitMs, answerLimitMs,
+				chatTimeoutMs, serviceTimeoutMs }) {
+			if (limitMs < 1) {
+				throw new IllegalArgumentException("A limit is " + limitMs + " ms; use 1 or more");
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/RunStatus.java
@@ -0,0 +1,30 @@
+package io.fescuehold.client;
+
+/**
+ * Whether a failed request was run by a backend server.
+ */
+public enum RunStatus {
+
+	/** The request was not run; this is certain. */
+	NO,
+
+	/** The request was run. */
+	YES,
+
+	/** The request may or may not have been run. */
+	UNKNOWN;
+
+	/**
+	 * Reads the {@code run} property of a rejection.
+	 * @param value the value, or null
+	 * @return the status, {@link #UNKNOWN} if the value is missing or unknown
+	 */
+	static RunStatus parse(String value) {
+		return switch ((value != null) ? value : "") {
+			case "no" -> NO;
+			case "yes" -> YES;
+			default -> UNKNOWN;
+		};
+	}
+
+}
--- /dev/null
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/WireSignal.java
@@ -0,0 +1,41 @@
+package io.fescuehold.client;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A part of an HTTP response: the head first, then any number of body chunks.
+ */
+sealed interface WireSignal {
+
+	/**
+	 * The status and headers.
+	 *
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 */
+	record Head(int status, HttpHeaders headers) implements WireSignal {
+
+		boolean isEventStream() {
+			return contentType().startsWith("text/event-stream");
+		}
+
+		boolean isProblem() {
+			return contentType().startsWith("application/problem+json");
+		}
+
+		String contentType() {
+			String type = this.headers.get("Content-Type");
+			return (type != null) ? type : "";
+		}
+
+	}
+
+	/**
+	 * Bytes of the body.
+	 *
+	 * @param bytes the bytes
+	 */
+	record Body(byte[] bytes) implements WireSignal {
+	}
+
+}
--- /dev/null
+++ b/fescuehold-client/src/test/java/io/fescuehold/client/FescueholdClientServiceTests.java
@@ -0,0 +1,145 @@
+package io.fescuehold.client;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards against non-idempotent calls that run twice, and against a wrong statement that
+ * a call was not run.
+ */
+class FescueholdClientServiceTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(20);
+
+	private static final ServiceRequest ORDER = ServiceRequest.post("depot", "/orders", "{}".getBytes(), "key-1");
+
+	private final ScriptedRouter first = new ScriptedRouter();
+
+	private final ScriptedRouter second = new ScriptedRouter();
+
+	private final FescueholdClient client = FescueholdClient.builder()
+		.entry(this.first.names(this.first, this.second).address())
+		.team("team-1")
+		.answerLimitMs(400)
+		.serviceTimeoutMs(10_000)
+		.build();
+
+	@AfterEach
+	void close() {
+		this.client.close();
+		this.first.close();
+		this.second.close();
+	}
+
+	private FescueholdClientException failure(ServiceRequest request) {
+		return assertThatExceptionOfType(FescueholdClientException.class)
+			.isThrownBy(() -> this.client.call(request).block(LIMIT))
+			.actual();
+	}
+
+	/** Guards against a new key after a lost answer, which would run the call twice. */
+	@Test
+	void lostAnswerIsAskedForWithTheSameKey() {
+		this.first.then(ScriptedRouter.drop());
+		this.second.then(ScriptedRouter.answer("{\"order\":1}"));
+		ServiceAnswer answer = this.client.call(ORDER).block(LIMIT);
+		assertThat(answer.text()).isEqualTo("{\"order\":1}");
+		assertThat(this.first.received().getFirst().header("Idempotency-Key")).isEqualTo("key-1");
+		assertThat(this.second.received().getFirst().header("Idempotency-Key")).isEqualTo("key-1");
+	}
+
+	/** Guards against a call without a key, which no router can run at most once. */
+	@Test
+	void generatedKeyIsSharedByAllAttempts() {
+		this.first.then(ScriptedRouter.silent());
+		this.second.then(ScriptedRouter.answer("{}"));
+		this.client.call(ServiceRequest.post("depot", "/orders", "{}".getBytes(), null)).block(LIMIT);
+		String key = this.first.received().getFirst().header("Idempotency-Key");
+		assertThat(key).isNotEmpty().isEqualTo(this.second.received().getFirst().header("Idempotency-Key"));
+	}
+
+	/** Guards against a call that is given up although it was certainly not run. */
+	@Test
+	void callThatWasNotRunIsRetriedAfterRetryAfter() {
+		this.first.then(ScriptedRouter.problem(503, "NO_QUORUM", "no", "1"));
+		this.second.then(ScriptedRouter.answer("{}"));
+		long startNanos = System.nanoTime();
+		assertThat(this.client.call(ORDER).block(LIMIT).attempts()).isEqualTo(2);
+		assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isGreaterThan(Duration.ofMillis(950));
+	}
+
+	/** Guards against an unknown call that is reported as not run or run again. */
+	@Test
+	void unknownCallIsAskedForAgainAndThenReported() {
+		for (int attempt = 0; attempt < 3; attempt++) {
+			this.first.then(ScriptedRouter.problem(502, "CALL_UNKNOWN", "unknown", null));
+			this.second.then(ScriptedRouter.problem(502, "CALL_UNKNOWN", "unknown", null));
+		}
+		FescueholdClientException ex = failure(ORDER);
+		assertThat(ex.run()).isEqualTo(RunStatus.UNKNOWN);
+		assertThat(ex.code()).isEqualTo("CALL_UNKNOWN");
+		assertThat(this.first.received().size() + this.second.received().size()).isEqualTo(5);
+		assertThat(this.second.received())
+			.allSatisfy((request) -> assertThat(request.header("Idempotency-Key")).isEqualTo("key-1"));
+	}
+
+	/** Guards against a true answer that is lost because an earlier one was unknown. */
+	@Test
+	void outcomeThatBecomesKnownIsReturned() {
+		this.first.then(ScriptedRouter.problem(502, "CALL_UNKNOWN", "unknown", null));
+		this.second.then(ScriptedRouter.answer("{\"order\":7}"));
+		assertThat(this.client.call(ORDER).block(LIMIT).text()).isEqualTo("{\"order\":7}");
+	}
+
+	/** Guards against "not run" being stated when an earlier attempt may have run. */
+	@Test
+	void notRunAfterALostAttemptIsReportedAsUnknown() {
+		this.first.then(ScriptedRouter.drop());
+		this.second.then(ScriptedRouter.problem(422, "KEY_REUSED", "no", null));
+		FescueholdClientException ex = failure(ORDER);
+		assertThat(ex.run()).isEqualTo(RunStatus.UNKNOWN);
+		assertThat(ex.code()).isEqualTo("KEY_REUSED");
+	}
+
+	/** Guards against a repeat of a call that was run and failed. */
+	@Test
+	void callThatWasRunIsNotRepeated() {
+		this.first.then(ScriptedRouter.problem(502, "SERVER_FAILED", "yes", "1"));
+		assertThat(failure(ORDER).run()).isEqualTo(RunStatus.YES);
+		assertThat(this.second.received()).isEmpty();
+	}
+
+	/** Guards against a running call that is taken for lost. */
+	@Test
+	void callInProgressIsAwaited() {
+		this.first.then(ScriptedRouter.problem(409, "CALL_IN_PROGRESS", "unknown", "1"));
+		this.second.then(ScriptedRouter.answer("{\"order\":8}"));
+		assertThat(this.client.call(ORDER).block(LIMIT).text()).isEqualTo("{\"order\":8}");
+	}
+
+	/** Guards against an answer of the service that is taken for a router's rejection. */
+	@Test
+	void failureOfTheServiceIsPassedOn() {
+		this.first.then((response) -> response.status(500).sendString(reactor.core.publisher.Mono.just("broken")));
+		ServiceAnswer answer = this.client.call(ServiceRequest.get("depot", "/stock?part=1")).block(LIMIT);
+		assertThat(answer.status()).isEqualTo(500);
+		assertThat(answer.text()).isEqualTo("broken");
+		assertThat(this.first.received().getFirst().uri()).isEqualTo("/services/depot/stock?part=1");
+	}
+
+	/** Guards against a statement that a call may have run when nothing was ever sent. */
+	@Test
+	void callThatReachesNoRouterWasNotRun() {
+		this.first.names(this.second);
+		this.second.close();
+		FescueholdClientException ex = failure(ORDER.withTimeoutMs(15_000));
+		assertThat(ex.code()).isEqualTo(FescueholdClientException.NO_ROUTER);
+		assertThat(ex.run()).isEqualTo(RunStatus.NO);
+	}
+
+}
