Add the control service, the shared-state client and the configuration feed

Every daemon fetches from two sources at a time: the preferred candidate and one that changes with every fetch, because a source that is cut off from the replicas still answers, but with old numbers.

--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
@@ -0,0 +1,282 @@
+package io.fescuehold.runtime.control;
+
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.config.ConfigJson;
+import io.fescuehold.config.ShareConfig;
+import io.fescuehold.core.port.FleetViews;
+import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.core.view.FleetView;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/**
+ * The accepted configurations at this daemon. They come from replicas on this host and
+ * from other daemons, and are passed on to every daemon that asks. An older number is
+ * never applied.
+ */
+public final class ConfigFeed implements FleetViews, StateDump {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final int MAX_HOLD_MS = 10_000;
+
+	private final String hostId;
+
+	private final PeerTransport transport;
+
+	private final UpstreamCandidates candidates;
+
+	private final FeedStore store;
+
+	private final Scheduler scheduler;
+
+	private final FeedOptions options;
+
+	private final Map<String, ShareHistory> histories = new ConcurrentHashMap<>();
+
+	private final Sinks.Many<FleetView> views = Sinks.many().replay().latestOrDefault(FleetView.EMPTY);
+
+	private final InForceTable inForce;
+
+	private final FeedFetcher fetcher;
+
+	private volatile FleetView current = FleetView.EMPTY;
+
+	/**
+	 * Creates a feed, registers its handlers and loads the configurations of the last
+	 * run.
+	 * @param hostId the host id of this daemon
+	 * @param transport sends and receives the messages
+	 * @param candidates where configurations come from
+	 * @param store keeps the last configurations, or null if the host has no disk
+	 * @param scheduler gives the time and runs delays
+	 * @param options the times
+	 */
+	public ConfigFeed(String hostId, PeerTransport transport, UpstreamCandidates candidates, FeedStore store,
+			Scheduler scheduler, FeedOptions options) {
+		this.hostId = hostId;
+		this.transport = transport;
+		this.candidates = candidates;
+		this.store = store;
+		this.scheduler = scheduler;
+		this.options = options;
+		this.inForce = new InForceTable(options.expiryMs());
+		this.fetcher = new FeedFetcher(this, transport, candidates, scheduler, options);
+		if (store != null) {
+			store.load().forEach((config) -> accept(config, false));
+		}
+		transport.onMessage(FeedMessage.Fetch.class, this::answer);
+		transport.onMessage(FeedMessage.ReadInForce.class,
+				(from, request) -> Mono.fromSupplier(() -> new FeedMessage.InForceReport(reported(null))));
+	}
+
+	/** Starts to fetch from other daemons. */
+	public void start() {
+		this.fetcher.start();
+	}
+
+	/** Stops fetching. Other daemons are still answered. */
+	public void stop() {
+		this.fetcher.stop();
+	}
+
+	/**
+	 * Offers an accepted configuration. It is ignored if the same or a newer number of
+	 * the share is known.
+	 * @param config the configuration
+	 */
+	public void offer(ShareConfig config) {
+		accept(config, true);
+	}
+
+	private synchronized void accept(ShareConfig config, boolean save) {
+		if (config.number() < 1) {
+			return;
+		}
+		FleetView newer = this.current.with(config);
+		if (newer == this.current) {
+			return;
+		}
+		this.histories.computeIfAbsent(config.share(), (share) -> new ShareHistory()).add(config);
+		this.current = newer;
+		this.views.emitNext(newer, Sinks.EmitFailureHandler.FAIL_FAST);
+		if (save && this.store != null) {
+			Schedulers.boundedElastic().schedule(() -> save(config.share()));
+		}
+	}
+
+	private void save(String share) {
+		// Saves of one share may run in any order, so each writes the newest.
+		synchronized (this.store) {
+			try {
+				this.store.save(this.current.shares().get(share));
+			}
+			catch (UncheckedIOException ex) {
+				logger.atWarning()
+					.withCause(ex)
+					.log("Share %s could not be saved; after a restart it is fetched from other daemons", share);
+			}
+		}
+	}
+
+	@Override
+	public FleetView current() {
+		return this.current;
+	}
+
+	@Override
+	public Flux<FleetView> changes() {
+		return this.views.asFlux();
+	}
+
+	/**
+	 * Returns the numbers in force here.
+	 * @return the numbers by share
+	 */
+	SortedMap<String, Long> numbers() {
+		return numbers(this.current);
+	}
+
+	private static SortedMap<String, Long> numbers(FleetView view) {
+		SortedMap<String, Long> numbers = new TreeMap<>();
+		view.shares().forEach((share, config) -> numbers.put(share, config.number()));
+		return numbers;
+	}
+
+	private Mono<FeedMessage.Update> answer(String fromHostId, FeedMessage.Fetch fetch) {
+		long nowMs = nowMs();
+		this.inForce.put(fromHostId, fetch.n(), nowMs, fromHostId);
+		if (fetch.r() != null) {
+			this.inForce.putAll(fetch.r(), this.hostId, fromHostId, nowMs);
+		}
+		FeedMessage.Update nothing = new FeedMessage.Update(null);
+		if (fetch.h() <= 0) {
+			return Mono.just(hasNews(this.current, fetch.n()) ? update(this.current, fetch.n()) : nothing);
+		}
+		Duration hold = Duration.ofMillis(Math.min(fetch.h(), MAX_HOLD_MS));
+		return changes().filter((view) -> hasNews(view, fetch.n()))
+			.next()
+			.map((view) -> update(view, fetch.n()))
+			.timeout(hold, Mono.just(nothing), this.scheduler);
+	}
+
+	private static boolean hasNews(FleetView view, Map<String, Long> numbers) {
+		return view.shares()
+			.values()
+			.stream()
+			.anyMatch((config) -> config.number() > numbers.getOrDefault(config.share(), -1L));
+	}
+
+	private FeedMessage.Update update(FleetView view, Map<String, Long> numbers) {
+		List<FeedMessage.ShareUpdate> updates = new ArrayList<>();
+		view.shares().forEach((share, config) -> {
+			long known = numbers.getOrDefault(share, -1L);
+			if (config.number() > known) {
+				updates.add(this.histories.get(share).updateFrom(known));
+			}
+		});
+		return new FeedMessage.Update(updates);
+	}
+
+	/**
+	 * Applies the answer to a fetch.
+	 * @param update the answer
+	 * @throws RuntimeException if an entry is not valid; the entries before it are
+	 * applied
+	 */
+	void apply(FeedMessage.Update update) {
+		if (update.u() == null) {
+			return;
+		}
+		for (FeedMessage.ShareUpdate share : update.u()) {
+			if (share.delta() == null) {
+				offer(ConfigJson.read(share.configJson()));
+				continue;
+			}
+			ShareConfig base = this.current.shares().get(share.delta().share());
+			// Another source may have been faster.
+			if (base != null && base.number() == share.delta().fromNumber()) {
+				offer(share.delta().applyTo(base));
+			}
+		}
+	}
+
+	/**
+	 * Returns what this daemon knows of numbers in force, including its own.
+	 * @param excludedViaHostId leaves out what this daemon has passed on, or null
+	 * @return the groups
+	 */
+	List<FeedMessage.InForce> reported(String excludedViaHostId) {
+		this.inForce.put(this.hostId, numbers(), nowMs(), this.hostId);
+		return this.inForce.groups(excludedViaHostId, nowMs());
+	}
+
+	/**
+	 * Returns the version of the report, which grows when the numbers of a daemon change.
+	 * @return the version
+	 */
+	long reportVersion() {
+		this.inForce.put(this.hostId, numbers(), nowMs(), this.hostId);
+		return this.inForce.version();
+	}
+
+	/**
+	 * Asks the roots which numbers are in force where.
+	 * @return the numbers by share by host id, from the roots that answer and from here
+	 */
+	public Mono<SortedMap<String, SortedMap<String, Long>>> inForce() {
+		return Flux.fromIterable(this.candidates.roots())
+			.filter((root) -> !root.equals(this.hostId))
+			.flatMap((root) -> this.transport
+				.request(root, new FeedMessage.ReadInForce(), Duration.ofMillis(this.options.silenceMs()))
+				.cast(FeedMessage.InForceReport.class)
+				.onErrorResume((error) -> Mono.empty()))
+			.collectList()
+			.map(this::merge);
+	}
+
+	private SortedMap<String, SortedMap<String, Long>> merge(List<FeedMessage.InForceReport> reports) {
+		InForceTable merged = new InForceTable(this.options.expiryMs());
+		long nowMs = nowMs();
+		merged.putAll(reported(null), "", this.hostId, nowMs);
+		reports.forEach((report) -> merged.putAll(report.groups(), this.hostId, "", nowMs));
+		SortedMap<String, SortedMap<String, Long>> numbersByHost = new TreeMap<>();
+		merged.groups(null, nowMs)
+			.forEach(
+					(group) -> group.a().keySet().forEach((host) -> numbersByHost.put(host, new TreeMap<>(group.n()))));
+		return numbersByHost;
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	public String dumpName() {
+		return "feed";
+	}
+
+	@Override
+	public Object dump() {
+		Map<String, Object> dump = new TreeMap<>();
+		dump.put("numbers", numbers());
+		dump.put("upstream", String.valueOf(this.fetcher.upstream()));
+		dump.put("reports", reported(null));
+		return dump;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
@@ -0,0 +1,231 @@
+package io.fescuehold.runtime.control;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.config.ItemKind;
+import io.fescuehold.config.ShareConfig;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.port.FleetViews;
+import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.port.SharedState;
+import io.fescuehold.core.state.CallOutcome;
+import io.fescuehold.core.state.CommandOutcome;
+import io.fescuehold.core.state.StateCommand;
+import io.fescuehold.core.state.StateOutcome;
+import io.fescuehold.core.state.StoredAnswer;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * The agreed state of all shares, reached through the leaders of their groups.
+ */
+public final class SharedStateClient implements SharedState {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** The largest answer body that any policy allows to be stored. */
+	private static final int MAX_SENT_ANSWER_BYTES = 1_048_576;
+
+	private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1_000);
+
+	private static final Duration LIMIT = Duration.ofMillis(2_000);
+
+	private static final Duration ABANDON_LIMIT = Duration.ofSeconds(30);
+
+	private static final Duration OPERATOR_LIMIT = Duration.ofSeconds(10);
+
+	private static final Duration MEMBERSHIP_LIMIT = Duration.ofMinutes(5);
+
+	private final LeaderClient leaders;
+
+	private final LeaderClient patientLeaders;
+
+	private final PeerTransport transport;
+
+	private final Function<String, List<String>> replicas;
+
+	private final FleetViews views;
+
+	private final String attemptPrefix = UUID.randomUUID().toString();
+
+	private final AtomicLong attempts = new AtomicLong();
+
+	/**
+	 * Creates a client.
+	 * @param transport sends the requests; the replies of {@link ControlMessage} must be
+	 * registered
+	 * @param replicas returns the host ids of a share's replicas
+	 * @param views tells which teams a share has taken over
+	 * @param scheduler runs time-outs and delays
+	 */
+	public SharedStateClient(PeerTransport transport, Function<String, List<String>> replicas, FleetViews views,
+			Scheduler scheduler) {
+		this.transport = transport;
+		this.replicas = replicas;
+		this.views = views;
+		this.leaders = new LeaderClient(transport, replicas, scheduler, ATTEMPT_TIMEOUT);
+		this.patientLeaders = new LeaderClient(transport, replicas, scheduler, MEMBERSHIP_LIMIT);
+	}
+
+	@Override
+	public Mono<CallOutcome> begin(String share, StateCommand.BeginCall command) {
+		return Mono.defer(() -> {
+			StateCommand.BeginCall begin = withAttemptId(command);
+			return lookUpElsewhere(share, begin).switchIfEmpty(Mono.defer(() -> grant(share, begin)));
+		});
+	}
+
+	private StateCommand.BeginCall withAttemptId(StateCommand.BeginCall command) {
+		if (!command.attemptId().isEmpty()) {
+			return command;
+		}
+		return new StateCommand.BeginCall(command.key(), command.bodyDigest(), command.service(), command.routerId(),
+				command.deadlineMs(), command.nowMs(), this.attemptPrefix + "-" + this.attempts.incrementAndGet());
+	}
+
+	// All other shares are asked, because the team may have passed through several.
+	private Mono<CallOutcome> lookUpElsewhere(String share, StateCommand.BeginCall begin) {
+		Map<String, ShareConfig> shares = this.views.current().shares();
+		ShareConfig config = shares.get(share);
+		boolean takenOver = config != null && config.claims()
+			.stream()
+			.anyMatch((claim) -> claim.kind() == ItemKind.TEAM && claim.id().equals(begin.key().team()));
+		if (!takenOver) {
+			return Mono.empty();
+		}
+		StateCommand.LookupCall lookup = new StateCommand.LookupCall(begin.key(), begin.bodyDigest(), begin.nowMs());
+		return Flux.fromIterable(shares.keySet())
+			.filter((other) -> !other.equals(share))
+			.flatMap((other) -> send(other, lookup, LIMIT).onErrorResume(FescueholdException.class, (error) -> {
+				logger.atWarning()
+					.withCause(error)
+					.log("Share %s could not be asked for an earlier call of team %s", other, begin.key().team());
+				return Mono.just(new CallOutcome.Unknown());
+			}))
+			.ofType(CallOutcome.class)
+			.collectList()
+			.flatMap((found) -> Mono.justOrEmpty(mostCertain(found)));
+	}
+
+	private static CallOutcome mostCertain(List<CallOutcome> found) {
+		return found.stream()
+			.filter((outcome) -> !(outcome instanceof CallOutcome.Unknown))
+			.findFirst()
+			.orElse(found.isEmpty() ? null : found.getFirst());
+	}
+
+	private Mono<CallOutcome> grant(String share, StateCommand.BeginCall begin) {
+		return send(share, begin, LIMIT).cast(CallOutcome.class).onErrorMap(FescueholdException.class, (error) -> {
+			if (error.code() != ErrorCode.OUTCOME_UNKNOWN) {
+				return error;
+			}
+			abandon(share, begin);
+			// The grant may exist, but nothing was dispatched under it.
+			return FescueholdException.withMessage(ErrorCode.OUTCOME_UNKNOWN, RunStatus.NO, error.retryAfterMs(),
+					error.getMessage());
+		});
+	}
+
+	// Frees the key of a call that was never dispatched, so that the caller's next
+	// attempt
+	// is not told that the outcome is unknown.
+	private void abandon(String share, StateCommand.BeginCall begin) {
+		send(share, begin, ABANDON_LIMIT).ofType(CallOutcome.Granted.class)
+			.flatMap((granted) -> send(share,
+					new StateCommand.MarkNotRun(begin.key(), granted.fencingNumber(), begin.nowMs()), ABANDON_LIMIT))
+			.subscribe((outcome) -> {
+			}, (error) -> logger.atWarning()
+				.withCause(error)
+				.log("The key of a call of team %s that was not dispatched could not be freed", begin.key().team()));
+	}
+
+	@Override
+	public Mono<StateOutcome> apply(String share, StateCommand command) {
+		return send(share, bounded(command), LIMIT).cast(StateOutcome.class);
+	}
+
+	private static StateCommand bounded(StateCommand command) {
+		if (command instanceof StateCommand.CompleteCall complete
+				&& complete.answer().body().length > MAX_SENT_ANSWER_BYTES) {
+			StoredAnswer answer = new StoredAnswer(complete.answer().status(), complete.answer().headers(), new byte[0],
+					true);
+			return new StateCommand.CompleteCall(complete.key(), complete.fencingNumber(), answer, complete.nowMs());
+		}
+		return command;
+	}
+
+	private Mono<CommandOutcome> send(String share, StateCommand command, Duration limit) {
+		return this.leaders
+			.request(share, new ControlMessage.Apply(share, command), ControlMessage.Applied.class, limit)
+			.map(ControlMessage.Applied::outcome);
+	}
+
+	/**
+	 * Submits a configuration.
+	 * @param share the share
+	 * @param configJson the JSON of the configuration
+	 * @param operator the name of the operator
+	 * @return the outcome
+	 */
+	public Mono<StateOutcome> submit(String share, byte[] configJson, String operator) {
+		return send(share, new StateCommand.Submit(configJson, operator, 0), OPERATOR_LIMIT).cast(StateOutcome.class);
+	}
+
+	/**
+	 * Returns what a submission would change.
+	 * @param share the share
+	 * @param configJson the JSON of the configuration
+	 * @return the result
+	 */
+	public Mono<ControlMessage.DryRunResult> dryRun(String share, byte[] configJson) {
+		return this.leaders.request(share, new ControlMessage.DryRun(share, configJson),
+				ControlMessage.DryRunResult.class, OPERATOR_LIMIT);
+	}
+
+	/**
+	 * Reads the configuration in force.
+	 * @param share the share
+	 * @return the configuration, at least as new as any accepted before the call
+	 */
+	public Mono<ControlMessage.ShareRead> read(String share) {
+		return this.leaders.request(share, new ControlMessage.ReadShare(share), ControlMessage.ShareRead.class,
+				OPERATOR_LIMIT);
+	}
+
+	/**
+	 * Changes the replicas of a share.
+	 * @param change the change
+	 * @return the state reached, in words
+	 */
+	public Mono<String> changeMembership(MembershipChange change) {
+		return this.patientLeaders
+			.request(change.share(), new ControlMessage.ChangeMembership(change),
+					ControlMessage.MembershipChanged.class, MEMBERSHIP_LIMIT)
+			.map(ControlMessage.MembershipChanged::result);
+	}
+
+	/**
+	 * Asks every replica of a share how it sees its group.
+	 * @param share the share
+	 * @return the answers by host id; hosts that do not answer are missing
+	 */
+	public Mono<Map<String, ControlMessage.GroupStatus>> groupStatus(String share) {
+		return Flux.fromIterable(this.replicas.apply(share))
+			.flatMap((hostId) -> this.transport.request(hostId, new ControlMessage.ReadGroup(share), ATTEMPT_TIMEOUT)
+				.cast(ControlMessage.GroupStatus.class)
+				.map((status) -> Map.entry(hostId, status))
+				.onErrorResume((error) -> Mono.empty()))
+			.collect(TreeMap::new, (map, entry) -> map.put(entry.getKey(), entry.getValue()));
+	}
+
+}
