--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands that try out and measure the fleet.
+ */
+package io.fescuehold.bench;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
@@ -45,6 +45,19 @@
 		this.retryAfterMs = retryAfterMs;
 	}
 
+	/**
+	 * Creates an exception. Callers with single message arguments use this method,
+	 * because such arguments would match both constructors.
+	 * @param code the code
+	 * @param run whether the request was run
+	 * @param retryAfterMs the time in milliseconds after which coming back helps, or 0
+	 * @param arguments the arguments of the code's message
+	 * @return the exception
+	 */
+	public static FescueholdException of(ErrorCode code, RunStatus run, long retryAfterMs, Object... arguments) {
+		return new FescueholdException(code, run, retryAfterMs, arguments);
+	}
+
 	/**
 	 * Creates an exception whose message another process has already formatted.
 	 * @param code the code
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/Command.java
@@ -0,0 +1,15 @@
+package io.fescuehold.daemon.cli;
+
+/**
+ * A command of the program. Fields annotated for args4j hold its options.
+ */
+interface Command {
+
+	/**
+	 * Runs the command.
+	 * @param console where results go
+	 * @return the exit code
+	 */
+	int run(Console console);
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
@@ -0,0 +1,97 @@
+package io.fescuehold.daemon.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/**
+ * Finds the command that the arguments name and runs it.
+ */
+public final class CommandLine {
+
+	private static final Map<String, Entry> COMMANDS = commands();
+
+	private final Console console;
+
+	/**
+	 * Creates a command line.
+	 * @param out where results go
+	 * @param err where messages for people go
+	 */
+	public CommandLine(PrintStream out, PrintStream err) {
+		this.console = new Console(out, err);
+	}
+
+	private static Map<String, Entry> commands() {
+		Map<String, Entry> commands = new TreeMap<>();
+		commands.put("daemon", new Entry("run a daemon until it is told to stop", DaemonCommand::new));
+		commands.put("check", new Entry("check a settings file or a configuration file", CheckCommand::new));
+		commands.put("submit", new Entry("submit a configuration of a share", SubmitCommand::new));
+		commands.put("show", new Entry("print the configuration of a share in force", ShowCommand::new));
+		commands.put("server", new Entry("declare a backend server joining, active or leaving", ServerCommand::new));
+		commands.put("status", new Entry("print which configuration is in force where", StatusCommand::new));
+		commands.put("replica", new Entry("replace, add or remove a replica of a share", ReplicaCommand::new));
+		commands.put("drain", new Entry("stop a daemon gracefully", DrainCommand::new));
+		commands.put("dump", new Entry("print the state of a daemon", DumpCommand::new));
+		commands.put("metrics", new Entry("print the metrics of a daemon", MetricsCommand::new));
+		return commands;
+	}
+
+	/**
+	 * Runs the program.
+	 * @param args the command and its options
+	 * @return the exit code
+	 */
+	public int run(String... args) {
+		if (args.length == 0 || "help".equals(args[0]) || "--help".equals(args[0])) {
+			printHelp();
+			return (args.length == 0) ? ExitCode.USAGE : ExitCode.OK;
+		}
+		Entry entry = COMMANDS.get(args[0]);
+		if (entry == null) {
+			this.console.message("unknown command \"" + args[0] + "\"; use one of " + COMMANDS.keySet());
+			return ExitCode.USAGE;
+		}
+		return run(entry.create().get(), args[0], Arrays.copyOfRange(args, 1, args.length));
+	}
+
+	private int run(Command command, String name, String... options) {
+		CmdLineParser parser = new CmdLineParser(command);
+		if (options.length == 1 && "--help".equals(options[0])) {
+			this.console.err().println("fescuehold " + name + " [options]");
+			parser.printUsage(this.console.err());
+			return ExitCode.OK;
+		}
+		try {
+			parser.parseArgument(options);
+			return command.run(this.console);
+		}
+		catch (CmdLineException ex) {
+			this.console.message(ex.getMessage() + "; run \"fescuehold " + name + " --help\" for the options");
+			return ExitCode.USAGE;
+		}
+		catch (FescueholdException ex) {
+			this.console.message(ex.getMessage());
+			return (ex.code() == ErrorCode.BAD_SETTING) ? ExitCode.USAGE : ExitCode.REFUSED;
+		}
+	}
+
+	private void printHelp() {
+		this.console.err().println("Usage: fescuehold COMMAND [options]");
+		COMMANDS.forEach((name, entry) -> this.console.err().printf("  %-8s %s%n", name, entry.summary()));
+		this.console.err().println("Run \"fescuehold COMMAND --help\" for the options of a command.");
+		this.console.err().println("Exit codes: 0 done, 1 refused, 2 wrong arguments or settings, 3 unreachable.");
+	}
+
+	private record Entry(String summary, Supplier<Command> create) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/ExitCode.java
@@ -0,0 +1,23 @@
+package io.fescuehold.daemon.cli;
+
+/**
+ * Exit codes of the program.
+ */
+public final class ExitCode {
+
+	/** The command has done what was asked. */
+	public static final int OK = 0;
+
+	/** The command was refused; the output says why and what to do. */
+	public static final int REFUSED = 1;
+
+	/** The arguments or settings are wrong; nothing was started. */
+	public static final int USAGE = 2;
+
+	/** The daemon could not be reached or did not answer in time. */
+	public static final int UNREACHABLE = 3;
+
+	private ExitCode() {
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RemoteCommand.java
@@ -0,0 +1,68 @@
+package io.fescuehold.daemon.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Options of the commands that talk to the administration API of a daemon.
+ */
+abstract class RemoteCommand implements Command {
+
+	private static final int DEFAULT_TIMEOUT_MS = 15_000;
+
+	@Option(name = "--endpoint", metaVar = "URL",
+			usage = "administration API of any daemon, such as http://127.0.0.1:7101", required = true)
+	private String endpoint;
+
+	@Option(name = "--token-file", metaVar = "FILE", usage = "file that holds the bearer token")
+	private Path tokenFile;
+
+	@Option(name = "--ca-file", metaVar = "FILE",
+			usage = "PEM file of the authority that signed the daemon's certificate")
+	private Path caFile;
+
+	@Option(name = "--timeout-ms", metaVar = "MS", usage = "longest wait in milliseconds")
+	private int timeoutMs = DEFAULT_TIMEOUT_MS;
+
+	/**
+	 * Returns a client of the administration API.
+	 * @return the client
+	 */
+	protected AdminClient client() {
+		return new AdminClient(this.endpoint, readToken(), this.caFile, this.timeoutMs);
+	}
+
+	private String readToken() {
+		if (this.tokenFile == null) {
+			return null;
+		}
+		try {
+			return Files.readString(this.tokenFile).strip();
+		}
+		catch (IOException ex) {
+			throw new FescueholdException(ErrorCode.BAD_SETTING, this.tokenFile, "the file",
+					"cannot be read (" + ex.getMessage() + "); name a readable token file");
+		}
+	}
+
+	/**
+	 * Prints the reply and returns the exit code that fits its status.
+	 * @param console where the reply goes
+	 * @param reply the reply
+	 * @return the exit code
+	 */
+	protected static int print(Console console, AdminClient.Reply reply) {
+		if (reply.status() == AdminClient.Reply.UNREACHABLE) {
+			console.message(reply.body());
+			return ExitCode.UNREACHABLE;
+		}
+		console.resultText(reply.body());
+		return reply.isSuccess() ? ExitCode.OK : ExitCode.REFUSED;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/ReplicaCommand.java
@@ -0,0 +1,57 @@
+package io.fescuehold.daemon.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.UUID;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Changes the members of a share's agreement group. The answer comes when the change is
+ * done, that is, when the group survives the next loss. Running it again with the same
+ * request id continues the same change.
+ */
+final class ReplicaCommand extends RemoteCommand {
+
+	@Argument(metaVar = "ACTION", usage = "replace, add or remove", required = true)
+	private String action;
+
+	@Option(name = "--share", metaVar = "NAME", usage = "the share", required = true)
+	private String share;
+
+	@Option(name = "--lost", metaVar = "HOST", usage = "the host to replace or remove")
+	private String lostHostId;
+
+	@Option(name = "--with", metaVar = "HOST", usage = "the host to add")
+	private String newHostId;
+
+	@Option(name = "--request-id", metaVar = "ID", usage = "id of the change, to continue one that was not answered")
+	private String requestId = UUID.randomUUID().toString();
+
+	@Override
+	public int run(Console console) {
+		Map<String, String> body = new LinkedHashMap<>();
+		body.put("requestId", this.requestId);
+		body.put("action", this.action);
+		body.put("lostHostId", this.lostHostId);
+		body.put("newHostId", this.newHostId);
+		AdminClient.Reply reply = client().post("/fescuehold/v1/shares/" + this.share + "/replicas", write(body));
+		if (!reply.isSuccess()) {
+			console.message("not done; run again with --request-id " + this.requestId + " to continue");
+		}
+		return print(console, reply);
+	}
+
+	private static String write(Map<String, String> body) {
+		try {
+			return new ObjectMapper().writeValueAsString(body);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("A map of strings could not be written as JSON", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/ShowCommand.java
@@ -0,0 +1,21 @@
+package io.fescuehold.daemon.cli;
+
+import org.kohsuke.args4j.Option;
+
+/**
+ * Prints the configuration of a share in force, in the form in which it is submitted.
+ */
+final class ShowCommand extends RemoteCommand {
+
+	@Option(name = "--share", metaVar = "NAME", usage = "the share", required = true)
+	private String share;
+
+	@Option(name = "--stale", usage = "print what the daemon has, without asking the leader")
+	private boolean stale;
+
+	@Override
+	public int run(Console console) {
+		return print(console, client().get("/fescuehold/v1/shares/" + this.share + (this.stale ? "?stale=true" : "")));
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line: one class per command.
+ */
+package io.fescuehold.daemon.cli;
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of a daemon and their checks.
+ */
+package io.fescuehold.daemon.settings;
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -0,0 +1,168 @@
+package io.fescuehold.daemon.wiring;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.config.PolicySpec;
+import io.fescuehold.config.ShareConfig;
+import io.fescuehold.core.drain.DrainSchedule;
+import io.fescuehold.core.placement.BoundedLoadPlacement;
+import io.fescuehold.core.placement.PlacementPolicy;
+import io.fescuehold.core.port.FleetViews;
+import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.port.SharedState;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.daemon.settings.DaemonSettings;
+import io.fescuehold.daemon.settings.EndpointSettings;
+import io.fescuehold.runtime.control.LoadExchange;
+import io.fescuehold.runtime.control.load.ModelServerPoller;
+import io.fescuehold.runtime.fleet.FleetMessage;
+import io.fescuehold.runtime.fleet.HostDirectory;
+import io.fescuehold.runtime.http.RouterOptions;
+import io.fescuehold.runtime.http.RouterPorts;
+import io.fescuehold.runtime.http.RouterServer;
+import io.fescuehold.runtime.http.SerialPlacement;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * The router role: serves callers.
+ */
+final class RouterRole {
+
+	private static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
+
+	// The other routers learn of a drain by a message that is sent at once and repeated
+	// each second; one that missed all of them for this long counts this host as dead.
+	private static final long DRAIN_NOTICE_MS = 3_000;
+
+	private final FleetViews views;
+
+	private final HostDirectory hosts;
+
+	private final Scheduler scheduler;
+
+	private final LoadExchange loads;
+
+	private final PoolAdmission admission;
+
+	private final RouterServer server;
+
+	/**
+	 * Creates the router.
+	 * @param settings the settings
+	 * @param transport the connections to the other daemons
+	 * @param views the configuration in force
+	 * @param state the agreed state
+	 * @param hosts the other daemons
+	 * @param scheduler the clock and the timers
+	 * @param metrics the registry of the metrics
+	 * @param seed the seed of random choices
+	 */
+	RouterRole(DaemonSettings settings, PeerTransport transport, FleetViews views, SharedState state,
+			HostDirectory hosts, Scheduler scheduler, MetricRegistry metrics, long seed) {
+		this.views = views;
+		this.hosts = hosts;
+		this.scheduler = scheduler;
+		PlacementPolicy placement = new SerialPlacement(
+				new BoundedLoadPlacement(settings.hostId(), hosts::liveRouters, seed));
+		this.loads = new LoadExchange(settings.hostId(), views, transport, hosts::alive,
+				new ModelServerPoller(HttpClient.create(), POLL_TIMEOUT),
+				(event) -> placement.cacheEvent(event, nowMs()), scheduler);
+		this.admission = new PoolAdmission(views, this.loads, hosts::liveRouters, scheduler, seed);
+		SharedRetryBudget retries = new SharedRetryBudget();
+		metrics.register("router.retry-amplification", (Gauge<Double>) retries::amplification);
+		RouterPorts ports = new RouterPorts(settings.hostId(), views, this.loads, state, placement, this.admission,
+				retries, new FleetEntrySelection(hosts, this::shortestEntryMs, seed),
+				new PeerStreamHandover(transport));
+		this.server = new RouterServer(options(settings.callers()), ports, metrics, scheduler, this::nowMs, seed);
+		transport.onMessage(FleetMessage.StreamTaken.class, (from, taken) -> {
+			this.server.streamTaken(taken.serverId(), taken.streamId());
+			return Mono.just(new FleetMessage.StreamTakenNoted());
+		});
+	}
+
+	private static RouterOptions options(EndpointSettings callers) {
+		RouterOptions options = RouterOptions.of(callers.address(), callers.port());
+		return (callers.tls() != null) ? options
+			.withTls(new RouterOptions.Tls(callers.tls().certificateFile(), callers.tls().keyFile())) : options;
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Returns how long entry responses hold: the shortest time of all shares, because the
+	 * share of a caller is not known when it asks.
+	 */
+	private long shortestEntryMs() {
+		return this.views.current()
+			.shares()
+			.values()
+			.stream()
+			.map(ShareConfig::policy)
+			.mapToLong(PolicySpec::entryAnswerMs)
+			.min()
+			.orElse(PolicySpec.DEFAULT.entryAnswerMs());
+	}
+
+	/**
+	 * Returns the longest time for which a response of any router may still hold. A router
+	 * without a configuration uses the default.
+	 */
+	private long longestEntryMs() {
+		return this.views.current()
+			.shares()
+			.values()
+			.stream()
+			.mapToLong((config) -> config.policy().entryAnswerMs())
+			.max()
+			.orElse(PolicySpec.DEFAULT.entryAnswerMs());
+	}
+
+	/**
+	 * Starts to serve callers.
+	 */
+	void start() {
+		this.loads.start();
+		this.admission.start();
+		this.server.start();
+	}
+
+	/**
+	 * Leaves the entry responses, waits until the last one that names this host has
+	 * expired and then until no request is in flight.
+	 * @return completes when the router can stop without cutting off a request
+	 */
+	Mono<Void> drain() {
+		return Mono.defer(() -> {
+			this.hosts.drainSelf();
+			DrainSchedule schedule = new DrainSchedule(nowMs(), longestEntryMs(), DRAIN_NOTICE_MS);
+			return Mono.delay(Duration.ofMillis(schedule.lastAnswerExpiresAtMs() - nowMs()), this.scheduler)
+				.then(this.server.drain());
+		});
+	}
+
+	/**
+	 * Stops to serve callers.
+	 */
+	void stop() {
+		this.server.stop();
+		this.admission.stop();
+		this.loads.stop();
+	}
+
+	/**
+	 * Returns the sections of the state dump.
+	 * @return the sections
+	 */
+	List<StateDump> dumps() {
+		return List.of(this.server, this.loads, this.admission);
+	}
+
+}
