Add the disk store and the runtime of a replica

ReplicaRuntime drives AgreementNode with one event loop, a disk thread and a transport.

Reactor schedulers read the wall clock, whose corrections could make a lease outlast the promises of the followers; MonotonicScheduler replaces the clock.

--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/PendingAnswers.java
@@ -0,0 +1,91 @@
+package io.fescuehold.runtime.replica;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * Callers that wait for the outcome of a proposal, read or membership change. Used on the
+ * event loop only.
+ */
+final class PendingAnswers {
+
+	private static final long RETRY_AFTER_MS = 1_000;
+
+	private final Map<Long, MonoSink<byte[]>> proposals = new HashMap<>();
+
+	private final Map<Long, MonoSink<Void>> others = new HashMap<>();
+
+	private final String group;
+
+	private long lastId;
+
+	PendingAnswers(String group) {
+		this.group = group;
+	}
+
+	long addProposal(MonoSink<byte[]> sink) {
+		this.proposals.put(++this.lastId, sink);
+		return this.lastId;
+	}
+
+	long add(MonoSink<Void> sink) {
+		this.others.put(++this.lastId, sink);
+		return this.lastId;
+	}
+
+	int size() {
+		return this.proposals.size() + this.others.size();
+	}
+
+	void answerProposal(long id, byte[] outcome) {
+		MonoSink<byte[]> sink = this.proposals.remove(id);
+		if (sink != null) {
+			sink.success(outcome);
+		}
+	}
+
+	void answer(long id) {
+		MonoSink<Void> sink = this.others.remove(id);
+		if (sink != null) {
+			sink.success();
+		}
+	}
+
+	void fail(long id, FescueholdException error) {
+		MonoSink<byte[]> proposal = this.proposals.remove(id);
+		if (proposal != null) {
+			proposal.error(error);
+		}
+		MonoSink<Void> other = this.others.remove(id);
+		if (other != null) {
+			other.error(error);
+		}
+	}
+
+	void failAll(String reason) {
+		Map<Long, MonoSink<byte[]>> waiting = Map.copyOf(this.proposals);
+		waiting.keySet().forEach((id) -> fail(id, error(ErrorCode.OUTCOME_UNKNOWN, reason)));
+		Map<Long, MonoSink<Void>> rest = Map.copyOf(this.others);
+		rest.keySet().forEach((id) -> fail(id, error(ErrorCode.NOT_LEADER, null)));
+	}
+
+	FescueholdException error(ErrorCode code, String detail) {
+		return switch (code) {
+			case NOT_LEADER -> create(code, RunStatus.NO, 0, (detail != null) ? detail : "unknown");
+			case NO_QUORUM -> create(code, RunStatus.NO, RETRY_AFTER_MS, this.group);
+			case OUTCOME_UNKNOWN -> create(code, RunStatus.UNKNOWN, 0, detail);
+			default -> create(code, RunStatus.NO, 0, detail);
+		};
+	}
+
+	private static FescueholdException create(ErrorCode code, RunStatus run, long retryAfterMs, String detail) {
+		// With plain varargs the call would be ambiguous with the other constructor.
+		return new FescueholdException(code, run, retryAfterMs, new Object[] { detail });
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The disk store of a replica.
+ */
+package io.fescuehold.runtime.storage;
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaRuntimeTests.java
@@ -0,0 +1,149 @@
+package io.fescuehold.runtime.replica;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.agreement.AgreementTiming;
+import io.fescuehold.core.agreement.Role;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import reactor.core.scheduler.Schedulers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Guards the way from a proposal over disk and transport to the state machines.
+ */
+class ReplicaRuntimeTests {
+
+	private static final Duration LIMIT = Duration.ofSeconds(10);
+
+	private static final List<String> HOSTS = List.of("a", "b", "c");
+
+	private static final Map<String, String> DOMAINS = Map.of("a", "d1", "b", "d2", "c", "d3", "d", "d1");
+
+	private final MemoryNetwork network = new MemoryNetwork();
+
+	private final Map<String, ReplicaRuntime> replicas = new HashMap<>();
+
+	private final Map<String, TextMachine> machines = new HashMap<>();
+
+	@TempDir
+	private Path folder;
+
+	@AfterEach
+	void stopAll() {
+		this.network.heal();
+		this.replicas.values().forEach((replica) -> replica.stop().block(LIMIT));
+	}
+
+	@Test
+	void proposalIsAppliedEverywhere() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		byte[] outcome = leader.propose(bytes("x")).block(LIMIT);
+		assertThat(new String(outcome, StandardCharsets.UTF_8)).isEqualTo("x;");
+		leader.readBarrier().block(LIMIT);
+		HOSTS.forEach((hostId) -> await(() -> this.machines.get(hostId).state().equals("x;")));
+	}
+
+	@Test
+	void restartKeepsStateWithSnapshotAndLog() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		StringBuilder expected = new StringBuilder();
+		for (int i = 0; i < 120; i++) {
+			leader.propose(bytes("p" + i)).block(LIMIT);
+			expected.append('p').append(i).append(';');
+		}
+		HOSTS.forEach((hostId) -> this.replicas.remove(hostId).stop().block(LIMIT));
+		HOSTS.forEach(this::start);
+		awaitLeader().readBarrier().block(LIMIT);
+		HOSTS.forEach((hostId) -> await(() -> this.machines.get(hostId).state().contentEquals(expected)));
+	}
+
+	@Test
+	void stoppingLeaderHandsOver() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		String old = leader.status().hostId();
+		long term = leader.status().term();
+		this.replicas.remove(old).stop().block(LIMIT);
+		assertThat(awaitLeader().status().term()).isEqualTo(term + 1);
+	}
+
+	@Test
+	void lostDiskIsReplaced() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		leader.propose(bytes("x")).block(LIMIT);
+		String lost = HOSTS.stream().filter((hostId) -> !hostId.equals(leader.status().hostId())).findFirst().get();
+		this.replicas.remove(lost).stop().block(LIMIT);
+		start("d");
+		leader.replace("r1", lost, "d").block(LIMIT);
+		leader.replace("r1", lost, "d").block(LIMIT);
+		assertThat(leader.status().members()).extracting(ReplicaStatus.MemberStatus::hostId)
+			.contains("d")
+			.doesNotContain(lost);
+		assertThat(this.machines.get("d").state()).isEqualTo("x;");
+	}
+
+	@Test
+	void cutOffLeaderRefusesReadsAndProposals() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		this.network.cutOff(leader.status().hostId());
+		await(() -> leader.status().role() != Role.LEADER);
+		assertThatThrownBy(() -> leader.readBarrier().block(LIMIT)).isInstanceOfSatisfying(FescueholdException.class,
+				(ex) -> assertThat(ex.code()).isEqualTo(ErrorCode.NOT_LEADER));
+		assertThatThrownBy(() -> leader.propose(bytes("x")).block(LIMIT)).isInstanceOfSatisfying(
+				FescueholdException.class, (ex) -> assertThat(ex.code()).isEqualTo(ErrorCode.NOT_LEADER));
+	}
+
+	private void start(String hostId) {
+		ReplicaOptions options = new ReplicaOptions("g", hostId, this.folder.resolve(hostId), HOSTS, DOMAINS,
+				new AgreementTiming(20, 200, 160, 50));
+		TextMachine machine = new TextMachine();
+		ReplicaRuntime replica = new ReplicaRuntime(options, new AgreementTransport(this.network.transport(hostId)),
+				machine, new MonotonicScheduler(Schedulers.parallel()), new MetricRegistry(), hostId.hashCode());
+		this.machines.put(hostId, machine);
+		this.replicas.put(hostId, replica);
+		replica.start().block(LIMIT);
+	}
+
+	private ReplicaRuntime awaitLeader() {
+		ReplicaRuntime[] found = new ReplicaRuntime[1];
+		await(() -> {
+			found[0] = this.replicas.values()
+				.stream()
+				.filter((replica) -> replica.status().role() == Role.LEADER)
+				.findFirst()
+				.orElse(null);
+			return found[0] != null;
+		});
+		return found[0];
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long endNs = System.nanoTime() + LIMIT.toNanos();
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("time limit").isLessThan(endNs);
+			Thread.onSpinWait();
+		}
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/TextMachine.java
@@ -0,0 +1,34 @@
+package io.fescuehold.runtime.replica;
+
+import java.nio.charset.StandardCharsets;
+
+import io.fescuehold.core.port.ReplicatedStateMachine;
+
+/**
+ * A state machine that concatenates commands.
+ */
+final class TextMachine implements ReplicatedStateMachine {
+
+	private volatile String state = "";
+
+	@Override
+	public byte[] apply(long index, byte[] command) {
+		this.state += new String(command, StandardCharsets.UTF_8) + ";";
+		return this.state.getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Override
+	public byte[] snapshot() {
+		return this.state.getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Override
+	public void restore(byte[] snapshot) {
+		this.state = new String(snapshot, StandardCharsets.UTF_8);
+	}
+
+	String state() {
+		return this.state;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of replicas over an in-memory transport.
+ */
+package io.fescuehold.runtime.replica;
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the disk store.
+ */
+package io.fescuehold.runtime.storage;
