--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
@@ -0,0 +1,266 @@
+package io.fescuehold.runtime.admin;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.config.ConfigException;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.runtime.control.ConfigFeed;
+import io.fescuehold.runtime.control.SharedStateClient;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.Http11SslContextSpec;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves the administration API. Every daemon serves it; requests about a share are
+ * answered by the leader of its group.
+ */
+public final class AdminServer {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final String PREFIX = "/fescuehold/v1/";
+
+	private static final int CLOSE_TIMEOUT_MS = 2_000;
+
+	private static final int SHARE_SEGMENTS = 2;
+
+	private static final int SHARE_ACTION_SEGMENTS = 3;
+
+	private final AdminOptions options;
+
+	private final AdminOperations operations;
+
+	private final TokenCheck tokens;
+
+	private final ObjectMapper mapper = JsonMapper.builder()
+		.enable(SerializationFeature.INDENT_OUTPUT)
+		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
+		.build();
+
+	private volatile DisposableServer server;
+
+	/**
+	 * Creates a server.
+	 * @param options the address, tokens and limits
+	 * @param client reaches the leaders of the shares
+	 * @param feed the configurations at this daemon
+	 * @param shares returns the names of all shares, for the status
+	 * @param dumps returns the components whose state is dumped
+	 * @param metrics the metrics of this daemon
+	 * @param drain starts the planned stop of this daemon
+	 */
+	public AdminServer(AdminOptions options, SharedStateClient client, ConfigFeed feed,
+			Supplier<Collection<String>> shares, Supplier<Collection<StateDump>> dumps, MetricRegistry metrics,
+			Runnable drain) {
+		this.options = options;
+		this.tokens = new TokenCheck(options.tokens());
+		this.operations = new AdminOperations(client, feed, shares, dumps, metrics, drain);
+	}
+
+	/**
+	 * Starts to accept requests.
+	 * @return completes when the port is bound; errors if it cannot be bound or the
+	 * certificate cannot be read
+	 */
+	public Mono<Void> start() {
+		return Mono.defer(() -> {
+			HttpServer http = HttpServer.create()
+				.host(this.options.address())
+				.port(this.options.port())
+				.idleTimeout(Duration.ofMillis(this.options.limits().idleMs()))
+				.requestTimeout(Duration.ofMillis(this.options.limits().bodyMs()))
+				.handle(this::handle);
+			if (this.options.tls() != null) {
+				Http11SslContextSpec certificate = Http11SslContextSpec
+					.forServer(this.options.tls().certificateFile().toFile(), this.options.tls().keyFile().toFile());
+				http = http.secure((spec) -> spec.sslContext(certificate));
+			}
+			return http.bind();
+		}).doOnNext((bound) -> this.server = bound).then();
+	}
+
+	/**
+	 * Returns the port on which requests are accepted.
+	 * @return the port
+	 */
+	public int port() {
+		return this.server.port();
+	}
+
+	/** Stops accepting requests and finishes those in flight. */
+	public void close() {
+		if (this.server != null) {
+			this.server.disposeNow(Duration.ofMillis(CLOSE_TIMEOUT_MS));
+		}
+	}
+
+	private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+		QueryStringDecoder uri = new QueryStringDecoder(request.uri());
+		return Mono.defer(() -> answer(request, uri))
+			.onErrorResume((error) -> Mono.just(refusal(request, error)))
+			.flatMap((answer) -> send(response, answer));
+	}
+
+	private Mono<AdminAnswer> answer(HttpServerRequest request, QueryStringDecoder uri) {
+		String action = request.method() + " " + uri.path();
+		AdminToken token = this.tokens.authenticate(request.requestHeaders().get(HttpHeaderNames.AUTHORIZATION),
+				action);
+		List<String> segments = uri.path().startsWith(PREFIX)
+				? List.of(uri.path().substring(PREFIX.length()).split("/")) : List.of();
+		Mono<AdminAnswer> answer = route(new Call(request, uri, token, action, segments));
+		boolean membership = segments.size() == SHARE_ACTION_SEGMENTS && segments.getLast().equals("replicas");
+		AdminOptions.Limits limits = this.options.limits();
+		return answer.timeout(Duration.ofMillis(membership ? limits.membershipMs() : limits.requestMs()));
+	}
+
+	private Mono<AdminAnswer> route(Call call) {
+		return switch (String.join(" ", call.method(), call.pattern())) {
+			case "POST shares/*/submit" -> call.has("dryRun")
+					? read(call, AdminToken.Role.VIEWER, (body) -> this.operations.dryRun(call.share(), body))
+					: read(call, AdminToken.Role.ADMIN,
+							(body) -> this.operations.submit(call.share(), body, call.token().name()));
+			case "POST shares/*/replicas" ->
+				read(call, AdminToken.Role.ADMIN, (body) -> this.operations.changeMembership(call.share(), body));
+			case "GET shares/*" -> {
+				call.allow(AdminToken.Role.VIEWER);
+				yield call.has("stale") ? this.operations.readStale(call.share()) : this.operations.read(call.share());
+			}
+			case "GET status" -> {
+				call.allow(AdminToken.Role.VIEWER);
+				yield this.operations.status();
+			}
+			case "GET dump" -> {
+				call.allow(AdminToken.Role.VIEWER);
+				yield this.operations.dump().subscribeOn(Schedulers.boundedElastic());
+			}
+			case "GET metrics" -> {
+				call.allow(AdminToken.Role.VIEWER);
+				yield this.operations.metrics();
+			}
+			case "POST drain" -> {
+				call.allow(AdminToken.Role.ADMIN);
+				yield this.operations.drain();
+			}
+			default -> throw new FescueholdException(ErrorCode.NOT_FOUND, call.action());
+		};
+	}
+
+	private Mono<AdminAnswer> read(Call call, AdminToken.Role role, BodyHandler handler) {
+		call.allow(role);
+		int limit = this.options.limits().maxBodyBytes();
+		String announced = call.request().requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH);
+		if (announced != null && announced.matches("\\d{1,18}") && Long.parseLong(announced) > limit) {
+			throw new FescueholdException(ErrorCode.BODY_TOO_LARGE, announced, limit);
+		}
+		return call.request().receive().asByteArray().reduceWith(ByteArrayOutputStream::new, (body, part) -> {
+			if (body.size() + part.length > limit) {
+				throw new FescueholdException(ErrorCode.BODY_TOO_LARGE, "more than " + limit, limit);
+			}
+			body.writeBytes(part);
+			return body;
+		})
+			.timeout(Duration.ofMillis(this.options.limits().bodyMs()))
+			.flatMap((body) -> handler.handle(body.toByteArray()));
+	}
+
+	private static AdminAnswer refusal(HttpServerRequest request, Throwable error) {
+		return switch (error) {
+			case FescueholdException expected -> AdminAnswer.problem(expected);
+			case ConfigException invalid -> AdminOperations.invalid(invalid);
+			case TimeoutException late -> AdminAnswer
+				.problem(unknown("the answer to " + request.method() + " " + request.path() + " took too long"));
+			default -> {
+				logger.atSevere().withCause(error).log("%s %s failed", request.method(), request.path());
+				yield AdminAnswer.problem(unknown("the request failed inside this host; see its log"));
+			}
+		};
+	}
+
+	private static FescueholdException unknown(String reason) {
+		return FescueholdException.withMessage(ErrorCode.OUTCOME_UNKNOWN, RunStatus.UNKNOWN, 0,
+				ErrorCode.OUTCOME_UNKNOWN.message(reason));
+	}
+
+	private Mono<Void> send(HttpServerResponse response, AdminAnswer answer) {
+		response.status(answer.status()).header(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+		answer.headers().forEach(response::header);
+		if (answer.status() == ErrorCode.BODY_TOO_LARGE.httpStatus()) {
+			// The rest of the body is not read.
+			response.header(HttpHeaderNames.CONNECTION, "close");
+		}
+		return response.sendString(Mono.fromCallable(() -> text(answer.body()))).then();
+	}
+
+	private String text(Object body) throws IOException {
+		return (body instanceof String text) ? text : this.mapper.writeValueAsString(body) + "\n";
+	}
+
+	/** Answers a request whose body has arrived. */
+	@FunctionalInterface
+	private interface BodyHandler {
+
+		Mono<AdminAnswer> handle(byte[] body);
+
+	}
+
+	/**
+	 * A request with a known token.
+	 *
+	 * @param request the request
+	 * @param uri the path and the query
+	 * @param token the token
+	 * @param action the method and path, for messages
+	 * @param segments the path below the prefix
+	 */
+	private record Call(HttpServerRequest request, QueryStringDecoder uri, AdminToken token, String action,
+			List<String> segments) {
+
+		String method() {
+			return this.request.method().name();
+		}
+
+		String pattern() {
+			if (share() == null) {
+				return String.join("/", this.segments);
+			}
+			return (this.segments.size() == SHARE_SEGMENTS) ? "shares/*" : "shares/*/" + this.segments.getLast();
+		}
+
+		String share() {
+			boolean shared = this.segments.size() >= SHARE_SEGMENTS && this.segments.size() <= SHARE_ACTION_SEGMENTS
+					&& this.segments.getFirst().equals("shares");
+			return shared ? this.segments.get(1) : null;
+		}
+
+		boolean has(String parameter) {
+			return this.uri.parameters().getOrDefault(parameter, List.of()).contains("true");
+		}
+
+		void allow(AdminToken.Role role) {
+			TokenCheck.allow(this.token, share(), role, this.action);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The administration API of a daemon.
+ */
+package io.fescuehold.runtime.admin;
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the administration API.
+ */
+package io.fescuehold.runtime.admin;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/Configs.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/Configs.java
@@ -14,12 +14,19 @@
 /**
  * Configurations for tests.
  */
-final class Configs {
+public final class Configs {
 
 	private Configs() {
 	}
 
-	static ShareConfig teams(String share, long number, String... teams) {
+	/**
+	 * Returns a configuration with teams.
+	 * @param share the share
+	 * @param number the number
+	 * @param teams the teams
+	 * @return the configuration
+	 */
+	public static ShareConfig teams(String share, long number, String... teams) {
 		return config(share, number, List.of(), List.of(), teams);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FakeAgreement.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FakeAgreement.java
@@ -15,7 +15,7 @@
 /**
  * An agreement group in memory that applies each proposal to all replicas at once.
  */
-class FakeAgreement {
+public class FakeAgreement {
 
 	final Map<String, ShareStateMachine> machines = new TreeMap<>();
 
@@ -27,11 +27,29 @@
 
 	private long index;
 
-	FakeAgreement(String share) {
+	/**
+	 * Creates a group.
+	 * @param share the share
+	 */
+	public FakeAgreement(String share) {
 		this.share = share;
 	}
 
-	void addTo(ControlService service, String hostId, Consumer<ShareConfig> onConfig) {
+	/**
+	 * Sets the leader.
+	 * @param hostId the host id of the leader, or null
+	 */
+	public void lead(String hostId) {
+		this.leader = hostId;
+	}
+
+	/**
+	 * Adds a replica.
+	 * @param service the service that hosts it
+	 * @param hostId the host id
+	 * @param onConfig is told the configurations in force
+	 */
+	public void addTo(ControlService service, String hostId, Consumer<ShareConfig> onConfig) {
 		ShareStateMachine machine = new ShareStateMachine(this.share, new MessagePackStateCodec(), onConfig);
 		this.machines.put(hostId, machine);
 		service.host(machine, new Replica(hostId), new MembershipOperations() {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/InMemoryNetwork.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/InMemoryNetwork.java
@@ -21,7 +21,7 @@
 /**
  * Connects the daemons of a test. Messages are written and read as on the wire.
  */
-class InMemoryNetwork {
+public class InMemoryNetwork {
 
 	final Set<String> refused = new HashSet<>();
 
@@ -35,11 +35,20 @@
 
 	private final Scheduler scheduler;
 
-	InMemoryNetwork(Scheduler scheduler) {
+	/**
+	 * Creates a network.
+	 * @param scheduler runs time-outs
+	 */
+	public InMemoryNetwork(Scheduler scheduler) {
 		this.scheduler = scheduler;
 	}
 
-	Node node(String hostId) {
+	/**
+	 * Returns the transport of a daemon.
+	 * @param hostId the host id of the daemon
+	 * @return the transport
+	 */
+	public Node node(String hostId) {
 		return this.nodes.computeIfAbsent(hostId, Node::new);
 	}
 
@@ -52,7 +61,8 @@
 		}
 	}
 
-	class Node implements PeerTransport {
+	/** The transport of one daemon. */
+	public class Node implements PeerTransport {
 
 		private final String hostId;
 
