Add the placement experiment with fakes, baselines and an upper bound

The experiment drives one policy instance per router against fake model servers in virtual time, with returning chats, lagging reports, churn and a surging team. The chat memory now grows up to its limit, so that 350 instances fit into one process.

--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/LeastLoadedPolicy.java
@@ -0,0 +1,26 @@
+package io.fescuehold.bench.experiment.baseline;
+
+import java.util.List;
+import java.util.Map;
+
+import io.fescuehold.core.placement.PlacementRequest;
+import io.fescuehold.core.placement.ServerLoad;
+import io.fescuehold.core.view.FleetView;
+
+/**
+ * Chooses the server with the least reported load per speed.
+ */
+final class LeastLoadedPolicy extends BaselinePolicy {
+
+	@Override
+	String choose(List<String> usable, PlacementRequest request, FleetView view, Map<String, ServerLoad> loads) {
+		String best = usable.getFirst();
+		for (String id : usable) {
+			if (loadS(view, loads, id) < loadS(view, loads, best)) {
+				best = id;
+			}
+		}
+		return best;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/PolicyKind.java
@@ -0,0 +1,91 @@
+package io.fescuehold.bench.experiment.baseline;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+
+import io.fescuehold.bench.experiment.FakeServer;
+import io.fescuehold.core.placement.BoundedLoadPlacement;
+import io.fescuehold.core.placement.PlacementPolicy;
+import io.fescuehold.core.placement.PlacementTuning;
+import io.fescuehold.core.view.FleetView;
+
+/**
+ * The policies that the placement experiment compares.
+ */
+public enum PolicyKind {
+
+	/** The policy of the router. */
+	BOUNDED_LOAD,
+
+	/** Any server. */
+	RANDOM,
+
+	/** The servers in turn. */
+	ROUND_ROBIN,
+
+	/** The least reported load. */
+	LEAST_LOADED,
+
+	/** The less loaded of two random servers. */
+	TWO_CHOICES,
+
+	/** Rendezvous hashing. */
+	RENDEZVOUS,
+
+	/** Rendezvous hashing that passes over servers above the bound. */
+	BOUNDED_HASH,
+
+	/** One router that knows everything. */
+	FULL_KNOWLEDGE;
+
+	/**
+	 * Returns the name as used on the command line.
+	 * @return the name
+	 */
+	public String optionName() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+	/**
+	 * Finds a kind by its name.
+	 * @param name the name
+	 * @return the kind
+	 */
+	public static PolicyKind of(String name) {
+		return valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+	}
+
+	/**
+	 * Tells whether all routers use one instance.
+	 * @return whether the policy stands for a single router
+	 */
+	public boolean isShared() {
+		return this == FULL_KNOWLEDGE;
+	}
+
+	/**
+	 * Creates the policy of a router.
+	 * @param router the number of the router
+	 * @param routers the number of routers
+	 * @param servers the servers, for the policy that knows everything
+	 * @param newestView the newest configuration, for the policy that knows everything
+	 * @param tuning the constants of the router's policy
+	 * @param seed the seed
+	 * @return the policy
+	 */
+	public PlacementPolicy create(int router, int routers, List<FakeServer> servers, Supplier<FleetView> newestView,
+			PlacementTuning tuning, long seed) {
+		return switch (this) {
+			case BOUNDED_LOAD -> new BoundedLoadPlacement("r" + router, () -> routers, seed, tuning);
+			case RANDOM -> new RandomPolicy(seed * routers + router);
+			case ROUND_ROBIN -> new RoundRobinPolicy(router * servers.size() / routers);
+			case LEAST_LOADED -> new LeastLoadedPolicy();
+			case TWO_CHOICES -> new TwoChoicesPolicy(seed * routers + router);
+			case RENDEZVOUS -> new HashPolicy(false);
+			case BOUNDED_HASH -> new HashPolicy(true);
+			case FULL_KNOWLEDGE -> new FullKnowledgePolicy(servers, newestView);
+		};
+	}
+
+}
--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Placement policies for comparison.
+ */
+package io.fescuehold.bench.experiment.baseline;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/ChatMemory.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/ChatMemory.java
@@ -7,14 +7,14 @@
 import java.util.Map;
 
 /**
- * Remembers where chats were last served. The memory is a table of fixed size with small
- * sets; within a full set the chat that was seen least recently is forgotten. A chat
- * takes 20 bytes.
+ * Remembers where chats were last served. The memory is a table with small sets that
+ * grows up to a limit; then the chat of a full set that was seen least recently is
+ * forgotten. A slot takes 20 bytes.
  */
 public final class ChatMemory {
 
-	/** The bytes that one chat takes. */
-	public static final int BYTES_PER_CHAT = Long.BYTES + 3 * Integer.BYTES;
+	/** The bytes that one slot takes. */
+	public static final int BYTES_PER_SLOT = Long.BYTES + 3 * Integer.BYTES;
 
 	private static final int WAYS = 8;
 
@@ -22,15 +22,19 @@
 
 	private static final int MAX_SERVERS = 65_536;
 
-	private final long[] keys;
+	private static final int START_SLOTS = 1 << 10;
 
-	private final int[] servers;
+	private final int maxSlots;
 
-	private final int[] tokens;
+	private long[] keys;
 
-	private final int[] seenTicks;
+	private int[] servers;
 
-	private final int setMask;
+	private int[] tokens;
+
+	private int[] seenTicks;
+
+	private int setMask;
 
 	private final Map<String, Integer> serverNumbers = new HashMap<>();
 
@@ -45,7 +49,11 @@
 	 * @param capacity the chats kept at most, rounded up to a power of two
 	 */
 	public ChatMemory(int capacity) {
-		int slots = Integer.highestOneBit(Math.max(WAYS, capacity) * 2 - 1);
+		this.maxSlots = Integer.highestOneBit(Math.max(WAYS, capacity) * 2 - 1);
+		allocate(Math.min(START_SLOTS, this.maxSlots));
+	}
+
+	private void allocate(int slots) {
 		this.keys = new long[slots];
 		this.servers = new int[slots];
 		this.tokens = new int[slots];
@@ -54,6 +62,27 @@
 		Arrays.fill(this.servers, -1);
 	}
 
+	private void grow() {
+		long[] oldKeys = this.keys;
+		int[] oldServers = this.servers;
+		int[] oldTokens = this.tokens;
+		int[] oldTicks = this.seenTicks;
+		allocate(oldKeys.length * 2);
+		for (int old = 0; old < oldKeys.length; old++) {
+			if (oldServers[old] >= 0) {
+				int slot = slotToWrite(oldKeys[old], oldTicks[old]);
+				write(slot, oldKeys[old], oldServers[old], oldTokens[old], oldTicks[old]);
+			}
+		}
+	}
+
+	private void write(int slot, long key, int server, int cachedTokens, int ticks) {
+		this.keys[slot] = key;
+		this.servers[slot] = server;
+		this.tokens[slot] = cachedTokens;
+		this.seenTicks[slot] = ticks;
+	}
+
 	/**
 	 * Remembers a chat.
 	 * @param chatHash the hash of the chat id
@@ -66,11 +95,12 @@
 			this.baseMs = nowMs;
 		}
 		int slot = slotToWrite(chatHash, ticks(nowMs));
+		while (this.servers[slot] >= 0 && this.keys[slot] != chatHash && this.keys.length < this.maxSlots) {
+			grow();
+			slot = slotToWrite(chatHash, ticks(nowMs));
+		}
 		this.size += (this.servers[slot] < 0) ? 1 : 0;
-		this.keys[slot] = chatHash;
-		this.servers[slot] = number(serverId);
-		this.tokens[slot] = (int) Math.min(cachedTokens, Integer.MAX_VALUE);
-		this.seenTicks[slot] = ticks(nowMs);
+		write(slot, chatHash, number(serverId), (int) Math.min(cachedTokens, Integer.MAX_VALUE), ticks(nowMs));
 	}
 
 	/**
@@ -110,7 +140,7 @@
 	 * @return the size in bytes
 	 */
 	public long sizeBytes() {
-		return (long) this.keys.length * BYTES_PER_CHAT;
+		return (long) this.keys.length * BYTES_PER_SLOT;
 	}
 
 	private int find(long chatHash) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/PlacementTuning.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PlacementTuning.java
@@ -1,5 +1,7 @@
 package io.fescuehold.core.placement;
 
+import java.util.stream.Stream;
+
 /**
  * Constants of the placement policy that the placement experiment varies.
  *
@@ -17,4 +19,14 @@
 	/** The constants in use. */
 	public static final PlacementTuning DEFAULT = new PlacementTuning(6_000, 3, 7, 1.0, 1.2);
 
+	/**
+	 * Reads constants.
+	 * @param text the five numbers in the order of the components, separated by commas
+	 * @return the constants
+	 */
+	public static PlacementTuning parse(String text) {
+		double[] values = Stream.of(text.split(",")).mapToDouble(Double::parseDouble).toArray();
+		return new PlacementTuning(values[0], values[1], values[2], values[3], values[4]);
+	}
+
 }
