--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/http/JsonHttp.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/http/JsonHttp.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -126,10 +125,9 @@
 	 * @return never completes normally
 	 */
 	public static Mono<Void> reset(HttpServerResponse response) {
-		return Mono.<Void>fromRunnable(() -> response.withConnection((connection) -> {
-			connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-			connection.channel().close();
-		})).then(Mono.never());
+		return Mono
+			.<Void>fromRunnable(() -> response.withConnection((connection) -> ChannelReset.reset(connection.channel())))
+			.then(Mono.never());
 	}
 
 }
--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/http/LoopbackServer.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/http/LoopbackServer.java
@@ -83,8 +83,7 @@
 	 * Resets all open connections.
 	 */
 	public void resetConnections() {
-		this.connections.forEach((channel) -> channel.config().setOption(ChannelOption.SO_LINGER, 0));
-		this.connections.close();
+		this.connections.forEach(ChannelReset::reset);
 	}
 
 	@Override
--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/modelserver/SseWriter.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/modelserver/SseWriter.java
@@ -8,10 +8,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
+import io.fescuehold.standin.http.ChannelReset;
 import io.fescuehold.standin.http.JsonHttp;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOption;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerResponse;
@@ -135,10 +135,10 @@
 		}
 
 		private Mono<String> reset() {
-			return Mono.<String>fromRunnable(() -> this.response.withConnection((connection) -> {
-				connection.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-				connection.channel().close();
-			})).then(Mono.never());
+			return Mono
+				.<String>fromRunnable(
+						() -> this.response.withConnection((connection) -> ChannelReset.reset(connection.channel())))
+				.then(Mono.never());
 		}
 
 		Mono<String> end() {
--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/service/ExecutionLog.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/service/ExecutionLog.java
@@ -37,7 +37,12 @@
 			}
 			this.channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 					StandardOpenOption.APPEND);
-			for (String line : Files.readAllLines(file)) {
+			byte[] content = Files.readAllBytes(file);
+			int end = completeLines(content);
+			if (end < content.length) {
+				this.channel.truncate(end);
+			}
+			for (String line : new String(content, 0, end, StandardCharsets.UTF_8).lines().toList()) {
 				count(JsonHttp.MAPPER.readValue(line, Execution.class));
 			}
 		}
@@ -46,6 +51,20 @@
 		}
 	}
 
+	/**
+	 * Returns where the last complete line ends. A process that was killed while it wrote
+	 * leaves an incomplete line, whose execution was never reported.
+	 * @param content the content of the file
+	 * @return the length of the complete lines in bytes
+	 */
+	private static int completeLines(byte[] content) {
+		int end = content.length;
+		while (end > 0 && content[end - 1] != '\n') {
+			end--;
+		}
+		return end;
+	}
+
 	/**
 	 * Appends an execution and syncs it if it changes something.
 	 * @param execution the execution
--- /dev/null
+++ b/fescuehold-standin/src/test/java/io/fescuehold/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the stand-ins.
+ */
+package io.fescuehold.standin;
