Continue an answer that its router moved to another server's stream

A router that moves an answer to another model server names the new stream in the comment ": fescuehold-stream". The positions of that stream start at the token where it took over, so a resume with Last-Event-ID at another router would skip tokens, and a resume of the first stream could join two different texts. The client therefore continues the text so far in this case.

Ruled out: resuming the named stream, because the reference carries no offset.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/ChatExchange.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ChatExchange.java
@@ -189,7 +189,7 @@
 	 * new start
 	 */
 	private boolean mayStartAgain() {
-		if (this.stream != null && this.resumeFailures < MAX_RESUME_FAILURES) {
+		if (this.stream != null && !this.reader.moved() && this.resumeFailures < MAX_RESUME_FAILURES) {
 			this.resumeFailures++;
 			return true;
 		}
--- a/fescuehold-client/src/main/java/io/fescuehold/client/ChatStreamReader.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ChatStreamReader.java
@@ -157,6 +157,17 @@
 		return (this.head != null && accepted()) ? this.head.headers().get(name) : null;
 	}
 
+	/**
+	 * Returns whether the router moved the answer to another server's stream. The
+	 * positions of that stream do not start at the caller's first token, so it cannot be
+	 * resumed by position.
+	 * @return whether the stream in the response header no longer serves the answer
+	 */
+	boolean moved() {
+		String movedTo = this.parser.movedTo();
+		return movedTo != null && !movedTo.equals(header("Fescuehold-Stream"));
+	}
+
 	String finishReason() {
 		return this.finishReason;
 	}
--- a/fescuehold-client/src/main/java/io/fescuehold/client/SseParser.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/SseParser.java
@@ -7,10 +7,12 @@
 
 /**
  * Reads server-sent events from chunks of bytes that may end anywhere, even inside a
- * character. Comments are skipped.
+ * character. Comments are skipped, but for one that names the stream that took over.
  */
 final class SseParser {
 
+	private static final String MOVED_COMMENT = ": fescuehold-stream ";
+
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
 	private final StringBuilder data = new StringBuilder();
@@ -21,6 +23,8 @@
 
 	private String type;
 
+	private String movedTo;
+
 	/**
 	 * Reads the next bytes.
 	 * @param bytes the bytes
@@ -48,11 +52,22 @@
 		if (text.isEmpty()) {
 			endEvent(events);
 		}
+		else if (text.startsWith(MOVED_COMMENT)) {
+			this.movedTo = text.substring(MOVED_COMMENT.length()).strip();
+		}
 		else if (!text.startsWith(":")) {
 			field(text);
 		}
 	}
 
+	/**
+	 * Returns the stream that took over from the one in the response header.
+	 * @return the stream as named by the last comment, or null
+	 */
+	String movedTo() {
+		return this.movedTo;
+	}
+
 	private void field(String text) {
 		int colon = text.indexOf(':');
 		String name = (colon < 0) ? text : text.substring(0, colon);
--- a/fescuehold-client/src/test/java/io/fescuehold/client/FescueholdClientChatTests.java
+++ b/fescuehold-client/src/test/java/io/fescuehold/client/FescueholdClientChatTests.java
@@ -162,6 +162,20 @@
 		assertThat(this.second.received().getLast().header("Fescuehold-Stream")).isNull();
 	}
 
+	/**
+	 * Guards against a resume by position of a stream that took over in mid-answer, whose
+	 * positions start elsewhere.
+	 */
+	@Test
+	void movedStreamIsContinuedAndNotResumed() {
+		this.first.then(ScriptedRouter.moved("s1", "s2", 1, 2));
+		this.second.then(ScriptedRouter.complete("s3", 1));
+		assertThat(text()).isEqualTo(ScriptedRouter.text(1, 2) + ScriptedRouter.text(1, 1));
+		ScriptedRouter.Received next = this.second.received().getFirst();
+		assertThat(next.header("Fescuehold-Stream")).isNull();
+		assertThat(next.body()).contains("\"continue_final_message\":true");
+	}
+
 	/** Guards against lost cache reuse because the hint is not sent back. */
 	@Test
 	void hintOfLastAnswerIsSentWithNextRequest() {
--- a/fescuehold-client/src/test/java/io/fescuehold/client/ScriptedRouter.java
+++ b/fescuehold-client/src/test/java/io/fescuehold/client/ScriptedRouter.java
@@ -99,6 +99,11 @@
 		return (response) -> sse(response, stream, events(positions));
 	}
 
+	/** Sends events and the comment that another stream took over. */
+	static Script moved(String stream, String newStream, int... positions) {
+		return (response) -> sse(response, stream, events(positions) + ": fescuehold-stream " + newStream + "\n\n");
+	}
+
 	/** Sends events, the final chunk and the end marker. */
 	static Script complete(String stream, int... positions) {
 		return (response) -> sse(response, stream, events(positions) + FINAL);
