Connect the administration API and run the whole path as separate processes

The quick start submits a configuration and sends chats and calls through 7 routers, 3 of them replicas. The non-idempotent calls still run on every request, because the router does not yet record them; the quick start reports this and ends with exit code 1.

--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/FleetControl.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/FleetControl.java
@@ -94,8 +94,8 @@
 
 	private Result command(int index, String name, String... options) {
 		ByteArrayOutputStream out = new ByteArrayOutputStream();
-		List<String> args = new ArrayList<>(List.of(name, "--endpoint",
-				"http://" + FleetFiles.operatorAddress(index), "--token-file", this.folder.resolve("token").toString()));
+		List<String> args = new ArrayList<>(List.of(name, "--endpoint", "http://" + FleetFiles.operatorAddress(index),
+				"--token-file", this.folder.resolve("token").toString()));
 		args.addAll(List.of(options));
 		int code = new CommandLine(new PrintStream(out, true, StandardCharsets.UTF_8),
 				new PrintStream(new ByteArrayOutputStream()))
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/FleetFiles.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/FleetFiles.java
@@ -17,6 +17,7 @@
 import io.fescuehold.daemon.settings.EndpointSettings;
 import io.fescuehold.daemon.settings.FleetHostSettings;
 import io.fescuehold.daemon.settings.OperatorSettings;
+import io.fescuehold.daemon.settings.PeerSettings;
 import io.fescuehold.daemon.settings.Role;
 import io.fescuehold.daemon.settings.ShareSettings;
 import io.fescuehold.daemon.settings.TokenSettings;
@@ -105,7 +106,7 @@
 		return new DaemonSettings(hostId(index), domain(index), roles(index),
 				this.folder.resolve("data").resolve(hostId(index)).toString(),
 				new EndpointSettings(LOOPBACK, port(CALLER_PORT, index), null),
-				new EndpointSettings(LOOPBACK, port(PEER_PORT, index), null),
+				new PeerSettings(LOOPBACK, port(PEER_PORT, index)),
 				new OperatorSettings(LOOPBACK, port(OPERATOR_PORT, index), null,
 						List.of(new TokenSettings("quick-start", sha256(TOKEN), share, TokenSettings.ADMIN))),
 				fleet, List.of(new ShareSettings(share, replicas)), null, null, null);
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStart.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStart.java
@@ -85,8 +85,9 @@
 		long submittedAtNs = System.nanoTime();
 		control.submit(START_LIMIT_MS);
 		control.awaitInForce(this.deployment.config(), START_LIMIT_MS);
-		print("Configuration %s number %d accepted and in force at %d routers after %d ms", this.deployment.config().share(),
-				this.deployment.config().number(), FleetFiles.HOSTS, elapsedMs(submittedAtNs));
+		print("Configuration %s number %d accepted and in force at %d routers after %d ms",
+				this.deployment.config().share(), this.deployment.config().number(), FleetFiles.HOSTS,
+				elapsedMs(submittedAtNs));
 		long startedAtNs = System.nanoTime();
 		Mono.when(chats(), calls()).block(LIMIT);
 		print("Chats: %d answers of %d, %d recovered after a failure, %.0f %% of prompt tokens from cache",
@@ -110,7 +111,8 @@
 	}
 
 	private Mono<Void> turn(FescueholdClient client, String chatId, List<ChatMessage> history, int turn) {
-		history.add(ChatMessage.user("Question " + turn + " of " + chatId + ". " + "The history of this case. ".repeat(20)));
+		history.add(ChatMessage
+			.user("Question " + turn + " of " + chatId + ". " + "The history of this case. ".repeat(20)));
 		ChatRequest request = ChatRequest.of(this.deployment.model(), chatId, history.toArray(new ChatMessage[0]))
 			.withMaxTokens(MAX_TOKENS);
 		return client.chatAnswer(request)
@@ -134,10 +136,8 @@
 		return Flux.range(0, CALLS).flatMap(this::call, CONCURRENCY).then();
 	}
 
-	/**
-	 * Makes a call and makes it again under the same key, as a caller does that has lost
-	 * the answer.
-	 */
+	// Makes a call and makes it again under the same key, as a caller does that has lost
+	// the answer.
 	private Mono<Void> call(int index) {
 		FescueholdClient client = client(index);
 		String key = "quick-start-" + index;
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStartMain.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStartMain.java
@@ -58,7 +58,8 @@
 				yield 0;
 			}
 			case "drive" -> new QuickStart(this.folder, chosen, this.killPid).run();
-			default -> throw new IllegalArgumentException("Step \"" + this.step + "\" does not exist; use prepare or drive");
+			default ->
+				throw new IllegalArgumentException("Step \"" + this.step + "\" does not exist; use prepare or drive");
 		};
 	}
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/Daemon.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/Daemon.java
@@ -10,8 +10,8 @@
 import org.slf4j.MDC;
 
 /**
- * Runs a daemon until it has drained. A termination signal starts a drain, and the process
- * ends when the drain is complete.
+ * Runs a daemon until it has drained. A termination signal starts a drain, and the
+ * process ends when the drain is complete.
  */
 public final class Daemon {
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/ReplicaCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/ReplicaCommand.java
@@ -35,9 +35,16 @@
 	public int run(Console console) {
 		Map<String, String> body = new LinkedHashMap<>();
 		body.put("requestId", this.requestId);
-		body.put("action", this.action);
-		body.put("lostHostId", this.lostHostId);
-		body.put("newHostId", this.newHostId);
+		body.put("kind", this.action);
+		boolean isRemoval = "remove".equals(this.action);
+		if ((isRemoval ? this.lostHostId : this.newHostId) == null) {
+			console.message("the host is missing; name it with " + (isRemoval ? "--lost" : "--with"));
+			return ExitCode.USAGE;
+		}
+		body.put("hostId", isRemoval ? this.lostHostId : this.newHostId);
+		if ("replace".equals(this.action)) {
+			body.put("replacedHostId", (this.lostHostId != null) ? this.lostHostId : this.newHostId);
+		}
 		AdminClient.Reply reply = client().post("/fescuehold/v1/shares/" + this.share + "/replicas", write(body));
 		if (!reply.isSuccess()) {
 			console.message("not done; run again with --request-id " + this.requestId + " to continue");
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/settings/DaemonSettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/settings/DaemonSettings.java
@@ -23,7 +23,7 @@
  * @param seed the seed of random choices, or null for one drawn at start
  */
 public record DaemonSettings(String hostId, String failureDomain, List<Role> roles, String dataFolder,
-		EndpointSettings callers, EndpointSettings peers, OperatorSettings operators, List<FleetHostSettings> fleet,
+		EndpointSettings callers, PeerSettings peers, OperatorSettings operators, List<FleetHostSettings> fleet,
 		List<ShareSettings> shares, String hostListUrl, TimingSettings timing, Long seed) {
 
 	public DaemonSettings {
@@ -57,7 +57,7 @@
 		}
 	}
 
-	private static void checkPorts(EndpointSettings callers, EndpointSettings peers, OperatorSettings operators) {
+	private static void checkPorts(EndpointSettings callers, PeerSettings peers, OperatorSettings operators) {
 		Set<String> addresses = new HashSet<>();
 		if (callers != null) {
 			addresses.add(callers.address() + ":" + callers.port());
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/AdminRole.java
@@ -0,0 +1,74 @@
+package io.fescuehold.daemon.wiring;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.daemon.settings.DaemonSettings;
+import io.fescuehold.daemon.settings.OperatorSettings;
+import io.fescuehold.daemon.settings.ShareSettings;
+import io.fescuehold.daemon.settings.TlsSettings;
+import io.fescuehold.daemon.settings.TokenSettings;
+import io.fescuehold.runtime.admin.AdminOptions;
+import io.fescuehold.runtime.admin.AdminServer;
+import io.fescuehold.runtime.admin.AdminToken;
+import io.fescuehold.runtime.control.ConfigFeed;
+import io.fescuehold.runtime.control.SharedStateClient;
+
+/**
+ * The administration API, which every daemon serves.
+ */
+final class AdminRole {
+
+	private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+
+	private final AdminServer server;
+
+	/**
+	 * Creates the server.
+	 * @param settings the settings
+	 * @param state reaches the leaders of the shares
+	 * @param feed the configurations in force
+	 * @param metrics the registry of the metrics
+	 * @param dumps the sections of the state dump
+	 * @param drain starts the drain of this daemon
+	 */
+	AdminRole(DaemonSettings settings, SharedStateClient state, ConfigFeed feed, MetricRegistry metrics,
+			List<StateDump> dumps, Runnable drain) {
+		List<String> shares = settings.shares().stream().map(ShareSettings::share).toList();
+		this.server = new AdminServer(options(settings.operators()), state, feed, () -> shares, () -> dumps, metrics,
+				drain);
+	}
+
+	private static AdminOptions options(OperatorSettings operators) {
+		return new AdminOptions(operators.address(), operators.port(), tls(operators.tls()),
+				operators.tokens().stream().map(AdminRole::token).toList(), AdminOptions.Limits.DEFAULT);
+	}
+
+	private static AdminOptions.Tls tls(TlsSettings tls) {
+		return (tls != null) ? new AdminOptions.Tls(Path.of(tls.certificateFile()), Path.of(tls.keyFile())) : null;
+	}
+
+	private static AdminToken token(TokenSettings token) {
+		return new AdminToken(token.name(), token.sha256(), token.share(),
+				AdminToken.Role.valueOf(token.role().toUpperCase(Locale.ROOT)));
+	}
+
+	/**
+	 * Starts to accept requests.
+	 */
+	void start() {
+		this.server.start().block(START_TIMEOUT);
+	}
+
+	/**
+	 * Stops to accept requests.
+	 */
+	void stop() {
+		this.server.close();
+	}
+
+}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -124,10 +124,9 @@
 		return (settings.dataFolder() != null) ? new FeedStore(Path.of(settings.dataFolder()).resolve("feed")) : null;
 	}
 
-	/**
-	 * Returns the hosts that may hold replicas of a share: its first ones, then all others
-	 * with the role, because membership changes may have moved the group.
-	 */
+	// Returns the hosts that may hold replicas of a share: its first ones, then all
+	// others
+	// with the role, because membership changes may have moved the group.
 	private List<String> replicaHosts(String share) {
 		Set<String> hostIds = new LinkedHashSet<>();
 		this.settings.shares()
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/PoolAdmission.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/PoolAdmission.java
@@ -135,7 +135,7 @@
 				refuse(displaced.displaced(), displaced.retryAfterMs());
 				waiting.sink.onDispose(() -> cancel(pool, waiting));
 			}
-			case QueueOffer.Queued<Waiting>() -> waiting.sink.onDispose(() -> cancel(pool, waiting));
+			case QueueOffer.Queued<Waiting> queued -> waiting.sink.onDispose(() -> cancel(pool, waiting));
 		}
 	}
 
@@ -154,10 +154,8 @@
 		};
 	}
 
-	/**
-	 * Returns this router's part of the requests that a pool can run. A router that sees
-	 * an uneven part of the traffic may use twice its part.
-	 */
+	// Returns this router's part of the requests that a pool can run. A router that sees
+	// an uneven part of the traffic may use twice its part.
 	private int capacity(FleetView view, PoolKey key) {
 		int slots = 0;
 		for (FleetView.Owned<ModelServerSpec> server : view.modelServers().values()) {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/ReplicaRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/ReplicaRole.java
@@ -102,12 +102,10 @@
 	 * @return completes when all stores are closed
 	 */
 	Mono<Void> stop() {
-		return Flux.fromIterable(this.replicas.values())
-			.flatMap(ReplicaRuntime::stop)
-			.then(Mono.fromRunnable(() -> {
-				this.service.stop();
-				this.loops.forEach(Scheduler::dispose);
-			}));
+		return Flux.fromIterable(this.replicas.values()).flatMap(ReplicaRuntime::stop).then(Mono.fromRunnable(() -> {
+			this.service.stop();
+			this.loops.forEach(Scheduler::dispose);
+		}));
 	}
 
 	/**
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -88,18 +88,17 @@
 
 	private static RouterOptions options(EndpointSettings callers) {
 		RouterOptions options = RouterOptions.of(callers.address(), callers.port());
-		return (callers.tls() != null) ? options
-			.withTls(new RouterOptions.Tls(callers.tls().certificateFile(), callers.tls().keyFile())) : options;
+		return (callers.tls() != null)
+				? options.withTls(new RouterOptions.Tls(callers.tls().certificateFile(), callers.tls().keyFile()))
+				: options;
 	}
 
 	private long nowMs() {
 		return this.scheduler.now(TimeUnit.MILLISECONDS);
 	}
 
-	/**
-	 * Returns how long entry responses hold: the shortest time of all shares, because the
-	 * share of a caller is not known when it asks.
-	 */
+	// Returns how long entry responses hold: the shortest time of all shares, because the
+	// share of a caller is not known when it asks.
 	private long shortestEntryMs() {
 		return this.views.current()
 			.shares()
@@ -111,10 +110,9 @@
 			.orElse(PolicySpec.DEFAULT.entryAnswerMs());
 	}
 
-	/**
-	 * Returns the longest time for which a response of any router may still hold. A router
-	 * without a configuration uses the default.
-	 */
+	// Returns the longest time for which a response of any router may still hold. A
+	// router
+	// without a configuration uses the default.
 	private long longestEntryMs() {
 		return this.views.current()
 			.shares()
--- /dev/null
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/PagesTests.java
@@ -0,0 +1,132 @@
+package io.fescuehold.it;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.reflect.ParameterizedType;
+import java.lang.reflect.RecordComponent;
+import java.lang.reflect.Type;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.daemon.cli.CommandLine;
+import io.fescuehold.daemon.settings.DaemonSettings;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against pages that name a test, script, command, setting or error code that does
+ * not exist, or that leave one out.
+ */
+class PagesTests {
+
+	private static final Path ROOT = Path.of("..");
+
+	@Test
+	void namedTestsExist() throws IOException {
+		Set<String> existing;
+		try (Stream<Path> files = Files.walk(ROOT)) {
+			existing = files.map((file) -> file.getFileName().toString())
+				.filter((name) -> name.endsWith("Tests.java"))
+				.map((name) -> name.replace(".java", ""))
+				.collect(Collectors.toSet());
+		}
+		assertThat(existing).containsAll(named("`([A-Za-z]+Tests)[`#]"));
+	}
+
+	@Test
+	void namedScriptsExist() throws IOException {
+		for (String script : named("\\b(bin/[a-z-]+)")) {
+			assertThat(ROOT.resolve(script)).as(script).exists();
+		}
+	}
+
+	@Test
+	void namedMainClassesExist() throws IOException {
+		for (String type : named("\\b(io\\.fescuehold\\.[a-z.]+\\.[A-Z][A-Za-z]+Main)\\b")) {
+			try (Stream<Path> files = Files.walk(ROOT)) {
+				String suffix = "src/main/java/" + type.replace('.', '/') + ".java";
+				assertThat(files.anyMatch((file) -> file.toString().endsWith(suffix))).as(type).isTrue();
+			}
+		}
+	}
+
+	@Test
+	void namedCommandsAreTheCommandsThatExist() throws IOException {
+		ByteArrayOutputStream help = new ByteArrayOutputStream();
+		new CommandLine(System.out, new PrintStream(help, true, StandardCharsets.UTF_8)).run("help");
+		Set<String> existing = find(help.toString(StandardCharsets.UTF_8), "(?m)^  ([a-z]+) ");
+		assertThat(existing).containsAll(named("`(?:bin/)?fescuehold ([a-z]+)"));
+		assertThat(find(operations(), "(?m)^\\| `fescuehold ([a-z]+)` ")).isEqualTo(existing);
+	}
+
+	@Test
+	void settingsTableListsEverySetting() throws IOException {
+		Set<String> documented = find(operations(), "(?m)^\\| `(/[A-Za-z0-9/]+)` ");
+		assertThat(documented).isEqualTo(pointers("", DaemonSettings.class));
+	}
+
+	@Test
+	void errorTableListsEveryCode() throws IOException {
+		Set<String> existing = Arrays.stream(ErrorCode.values()).map(ErrorCode::name).collect(Collectors.toSet());
+		assertThat(find(operations(), "(?m)^\\| `([A-Z_]+)` ")).isEqualTo(new TreeSet<>(existing));
+	}
+
+	private static Set<String> pointers(String parent, Class<?> type) {
+		Set<String> pointers = new TreeSet<>();
+		for (RecordComponent component : type.getRecordComponents()) {
+			Class<?> content = content(component);
+			String pointer = parent + "/" + component.getName();
+			if (content.isRecord()) {
+				pointers.addAll(pointers(pointer, content));
+			}
+			else {
+				pointers.add(pointer);
+			}
+		}
+		return pointers;
+	}
+
+	private static Class<?> content(RecordComponent component) {
+		if (component.getType() != List.class) {
+			return component.getType();
+		}
+		Type argument = ((ParameterizedType) component.getGenericType()).getActualTypeArguments()[0];
+		return (Class<?>) argument;
+	}
+
+	private static String operations() throws IOException {
+		return Files.readString(ROOT.resolve("docs/OPERATIONS.md"));
+	}
+
+	private static Set<String> named(String pattern) throws IOException {
+		Set<String> found = find(Files.readString(ROOT.resolve("README.md")), pattern);
+		try (Stream<Path> pages = Files.list(ROOT.resolve("docs"))) {
+			for (Path page : pages.filter((file) -> file.toString().endsWith(".md")).toList()) {
+				found.addAll(find(Files.readString(page), pattern));
+			}
+		}
+		return found;
+	}
+
+	private static Set<String> find(String text, String pattern) {
+		Set<String> found = new TreeSet<>();
+		Matcher matcher = Pattern.compile(pattern).matcher(text);
+		while (matcher.find()) {
+			found.add(matcher.group(1));
+		}
+		return found;
+	}
+
+}
