Test the replicated log under random faults

A seeded schedule crashes hosts with loss of unsynced writes, loses, repeats, delays and reorders messages, cuts links in one or both directions, freezes processes, loses disks and changes the membership, then checks one leader per term, one entry and one state per index, reads and acknowledged proposals. The seed is part of every failure message; other seeds run with -Dfescuehold.seeds=FIRST-LAST. Three tests break a rule on purpose (votes or appends acknowledged before their sync, clock drift beyond the lease margin) and expect the checker to find it.

Found by it and corrected: a replace that names an existing voter shrank the group and is now refused; a change whose new member lost its disk blocked all later changes and may now be superseded; the replacement of a lost learner was refused because the learner had already been dropped.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
@@ -114,7 +114,10 @@
 		MembershipChange change = command.change;
 		Membership base = membership;
 		if (membership.pending() != null) {
-			base = membership.withoutMember(membership.pending().addId()).withPending(null);
+			// A member that was promoted already stays until a change removes it.
+			ReplicaId abandoned = membership.pending().addId();
+			base = membership.hasVoter(abandoned) ? membership : membership.withoutMember(abandoned);
+			base = base.withPending(null);
 		}
 		ReplicaId addId = null;
 		if (change.addHostId() != null) {
@@ -125,7 +128,7 @@
 			addId = answer.from();
 		}
 		ReplicaId removeId = this.rules.resolveRemoved(base, change, addId);
-		MembershipRules.Verdict verdict = this.rules.check(base, change, addId, removeId);
+		MembershipRules.Verdict verdict = this.rules.check(membership, base, change, addId, removeId);
 		if (verdict.waits()) {
 			return;
 		}
@@ -198,8 +201,8 @@
 	}
 
 	/**
-	 * Returns whether the learner of a change is silent or the removal is no longer safe,
-	 * so that another change may take its place.
+	 * Returns whether the member that a change adds is silent or the removal is no longer
+	 * safe, so that another change may take its place.
 	 * @param membership the membership
 	 * @param pending the change in progress
 	 * @return whether the change may be replaced
@@ -210,7 +213,7 @@
 			return !this.rules.isRemovalSafe(membership, pending.removeId());
 		}
 		long settledMs = this.leadership.electedAtMs() + this.context.timing().electionTimeoutMs();
-		return !membership.hasVoter(addId) && this.context.nowMs > settledMs && !this.leadership.isLive(addId);
+		return this.context.nowMs > settledMs && !this.leadership.isLive(addId);
 	}
 
 	private static boolean isSame(Waiting command, ChangeRecord pending) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipRules.java
@@ -39,8 +39,19 @@
 			.orElse(null);
 	}
 
-	Verdict check(Membership membership, MembershipChange change, ReplicaId addId, ReplicaId removeId) {
-		String refusal = checkHosts(membership, change, addId, removeId);
+	/**
+	 * Checks a change.
+	 * @param current the membership in force
+	 * @param membership the membership in force without the learner of an abandoned
+	 * change
+	 * @param change the command
+	 * @param addId the identity that is added, or null
+	 * @param removeId the identity that is removed, or null
+	 * @return the verdict
+	 */
+	Verdict check(Membership current, Membership membership, MembershipChange change, ReplicaId addId,
+			ReplicaId removeId) {
+		String refusal = checkHosts(current, membership, change, addId, removeId);
 		if (refusal != null) {
 			return Verdict.refused(refusal);
 		}
@@ -73,14 +84,20 @@
 		return hasLiveMajority(membership.withoutMember(removeId), null);
 	}
 
-	private String checkHosts(Membership membership, MembershipChange change, ReplicaId addId, ReplicaId removeId) {
+	private String checkHosts(Membership current, Membership membership, MembershipChange change, ReplicaId addId,
+			ReplicaId removeId) {
 		boolean added = addId != null && membership.hasVoter(addId);
-		if (change.removeHostId() != null && removeId == null && !added) {
+		boolean known = change.removeHostId() == null || current.findHost(change.removeHostId()) != null;
+		if (!known && !added) {
 			return "host \"" + change.removeHostId() + "\" is not a member; name one of " + hostIds(membership);
 		}
 		if (addId == null) {
 			return null;
 		}
+		if (added && removeId != null) {
+			return "host \"" + addId.hostId() + "\" is a voter already, so the group would shrink; add another host or"
+					+ " remove \"" + change.removeHostId() + "\"";
+		}
 		boolean otherStore = membership.members()
 			.stream()
 			.map(Member::id)
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/HistoryChecker.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/HistoryChecker.java
@@ -13,7 +13,9 @@
 
 	final TreeMap<Long, LogEntry> committed = new TreeMap<>();
 
-	private final Map<Long, ReplicaId> leaders = new HashMap<>();
+	int installs;
+
+	private final Map<Long, AgreementNode> leaders = new HashMap<>();
 
 	private final Map<Long, Long> hashes = new HashMap<>();
 
@@ -24,9 +26,12 @@
 
 	void observe(AgreementNode node) {
 		if (node.role() == Role.LEADER) {
-			ReplicaId other = this.leaders.putIfAbsent(node.term(), node.self());
-			if (other != null && !other.equals(node.self())) {
-				throw new AssertionError("Term " + node.term() + " has two leaders: " + other + ", " + node.self());
+			// A replica that restarts and leads the same term again counts as another
+			// one.
+			AgreementNode other = this.leaders.putIfAbsent(node.term(), node);
+			if (other != null && other != node) {
+				throw new AssertionError(
+						"Term " + node.term() + " has two leaders: " + other.self() + ", " + node.self());
 			}
 		}
 	}
@@ -43,6 +48,7 @@
 	}
 
 	void restored(SnapshotMeta snapshot, long stateHash) {
+		this.installs++;
 		checkState(snapshot.index(), stateHash);
 	}
 
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
@@ -0,0 +1,204 @@
+package io.fescuehold.core.agreement;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against votes of lost identities and against membership changes that the group
+ * would not survive.
+ */
+class MembershipTests {
+
+	private Simulation simulation;
+
+	private SimHost leader;
+
+	private void settle(int initialHosts, int spareHosts) {
+		this.simulation = new Simulation(5, Simulation.Faults.NONE, initialHosts, spareHosts);
+		this.simulation.startAll();
+		this.leader = this.simulation.awaitLeader();
+		this.simulation.run(300);
+	}
+
+	@Test
+	void groupDoesNotFormWhileAnInitialHostIsDown() {
+		this.simulation = new Simulation(5, Simulation.Faults.NONE, 3, 0);
+		this.simulation.host("h1").start();
+		this.simulation.host("h2").start();
+		this.simulation.run(5_000);
+		assertThat(this.simulation.host("h1").node.lastIndex()).isZero();
+		this.simulation.host("h3").start();
+		assertThat(this.simulation.awaitLeader()).isNotNull();
+	}
+
+	@Test
+	void lostDiskIdentityNeitherVotesNorStartsElections() {
+		settle(3, 0);
+		List<SimHost> others = others();
+		others.getFirst().loseDisk();
+		others.getFirst().start();
+		others.getLast().crash();
+		this.simulation.run(5_000);
+		assertThat(this.simulation.leader()).as("one of three voters is left").isNull();
+		assertThat(others.getFirst().node.term()).isZero();
+		assertThat(others.getFirst().node.membership().members()).isEmpty();
+		others.getLast().start();
+		assertThat(this.simulation.awaitLeader()).isNotSameAs(others.getFirst());
+	}
+
+	@Test
+	void replaceIsDoneOnlyWhenTheNewVoterHasEverythingAndTheLostOneIsRemoved() {
+		settle(3, 1);
+		for (int i = 0; i < 100; i++) {
+			this.simulation.clients.propose(this.leader);
+			this.simulation.run(5);
+		}
+		SimHost lost = others().getFirst();
+		lost.crash();
+		MembershipChange change = MembershipChange.replace("r1", lost.hostId, "h4");
+		long command = this.simulation.clients.change(this.leader, change);
+		assertThat(await(command)).isTrue();
+		assertThat(voters()).contains("h4").doesNotContain(lost.hostId);
+		assertThat(this.simulation.host("h4").disk.load().entries().getLast().index()).as("durable at the new voter")
+			.isGreaterThanOrEqualTo(this.leader.node.commitIndex());
+		others().stream().filter((host) -> host != lost && !host.hostId.equals("h4")).forEach(SimHost::crash);
+		long proposal = this.simulation.clients.propose(this.simulation.awaitLeader());
+		assertThat(this.simulation.runUntil(1_000, () -> this.simulation.clients.acknowledged.containsKey(proposal)))
+			.as("a second host may be lost right after the repair")
+			.isTrue();
+	}
+
+	@Test
+	void replaceIsNotDoneWhileTheNewVoterDoesNotSync() {
+		settle(3, 1);
+		SimHost lost = others().getFirst();
+		lost.crash();
+		this.simulation.host("h4").syncsHang = true;
+		long command = this.simulation.clients.change(this.leader, MembershipChange.replace("r1", lost.hostId, "h4"));
+		this.simulation.run(3_000);
+		assertThat(this.simulation.clients.changesDone).isEmpty();
+		assertThat(voters()).contains(lost.hostId).doesNotContain("h4");
+		assertThat(this.simulation.clients.changesFailed).doesNotContain(command);
+	}
+
+	@Test
+	void replaceIsSafeToResendAndContinuesUnderTheNextLeader() {
+		settle(3, 2);
+		SimHost lost = others().getFirst();
+		lost.crash();
+		MembershipChange change = MembershipChange.replace("r1", lost.hostId, "h4");
+		this.simulation.clients.change(this.leader, change);
+		this.simulation.runUntil(2_000, () -> this.leader.node.membership().pending() != null);
+		SimHost old = this.leader;
+		old.crash();
+		this.simulation.run(50);
+		old.start();
+		SimHost next = this.simulation.awaitLeader();
+		long again = this.simulation.clients.change(next, change);
+		assertThat(await(again)).isTrue();
+		long third = this.simulation.clients.change(this.simulation.awaitLeader(), change);
+		assertThat(await(third)).isTrue();
+		this.leader = this.simulation.awaitLeader();
+		assertThat(voters()).hasSize(3).contains("h4");
+		long reused = this.simulation.clients.change(this.leader, MembershipChange.add("r1", "h5"));
+		this.simulation.run(200);
+		assertThat(this.simulation.clients.changesFailed).as("the id was used for another change").contains(reused);
+	}
+
+	@Test
+	void returnedHostWithEmptyDiskReplacesItself() {
+		settle(3, 0);
+		SimHost lost = others().getFirst();
+		lost.loseDisk();
+		lost.start();
+		long command = this.simulation.clients.change(this.leader,
+				MembershipChange.replace("r1", lost.hostId, lost.hostId));
+		assertThat(await(command)).isTrue();
+		assertThat(this.leader.node.membership().hasVoter(lost.node.self())).isTrue();
+		assertThat(voters()).hasSize(3);
+	}
+
+	@Test
+	void removalOfTheLeaderHandsOverFirst() {
+		settle(5, 0);
+		SimHost old = this.leader;
+		this.simulation.clients.change(old, MembershipChange.remove("r1", old.hostId));
+		boolean removed = this.simulation.runUntil(5_000,
+				() -> this.simulation.leader() != null && this.simulation.leader() != old
+						&& this.simulation.leader().node.membership().findDone("r1") != null);
+		assertThat(removed).isTrue();
+		this.leader = this.simulation.leader();
+		assertThat(voters()).hasSize(4).doesNotContain(old.hostId);
+	}
+
+	@Test
+	void removalThatLosesTheMajorityIsRefused() {
+		settle(3, 0);
+		others().getFirst().crash();
+		this.simulation.run(500);
+		refused(MembershipChange.remove("r1", others().getLast().hostId));
+	}
+
+	@Test
+	void changeToOneFailureDomainIsRefusedWhenItCanBeAvoided() {
+		// Domains: h1 d1, h2 d2, h3 d0, h4 d1, h5 d2.
+		settle(1, 4);
+		long second = this.simulation.clients.change(this.leader, MembershipChange.add("r1", "h2"));
+		assertThat(await(second)).isTrue();
+		refused(MembershipChange.replace("r2", "h2", "h4"));
+		long other = this.simulation.clients.change(this.leader, MembershipChange.replace("r3", "h2", "h3"));
+		assertThat(await(other)).isTrue();
+	}
+
+	@Test
+	void hostThatDoesNotAnswerIsRefused() {
+		settle(3, 1);
+		this.simulation.host("h4").crash();
+		refused(MembershipChange.add("r1", "h4"));
+	}
+
+	@Test
+	void deadLearnerDoesNotBlockTheNextChange() {
+		settle(3, 2);
+		SimHost lost = others().getFirst();
+		lost.crash();
+		this.simulation.host("h4").syncsHang = true;
+		this.simulation.clients.change(this.leader, MembershipChange.replace("r1", lost.hostId, "h4"));
+		this.simulation.run(300);
+		this.simulation.host("h4").crash();
+		this.simulation.run(500);
+		long command = this.simulation.clients.change(this.leader, MembershipChange.replace("r2", lost.hostId, "h5"));
+		assertThat(await(command)).isTrue();
+		assertThat(voters()).hasSize(3).contains("h5");
+	}
+
+	private void refused(MembershipChange change) {
+		Set<String> before = voters();
+		long command = this.simulation.clients.change(this.leader, change);
+		assertThat(this.simulation.runUntil(3_000, () -> this.simulation.clients.changesFailed.contains(command)))
+			.isTrue();
+		assertThat(voters()).isEqualTo(before);
+	}
+
+	private boolean await(long command) {
+		return this.simulation.runUntil(5_000, () -> this.simulation.clients.changesDone.contains(command));
+	}
+
+	private List<SimHost> others() {
+		return this.simulation.hosts.values().stream().filter((host) -> host != this.leader).toList();
+	}
+
+	private Set<String> voters() {
+		return this.leader.node.membership()
+			.voters()
+			.stream()
+			.map((member) -> member.id().hostId())
+			.collect(Collectors.toSet());
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/RandomScheduleTests.java
@@ -0,0 +1,89 @@
+package io.fescuehold.core.agreement;
+
+import java.util.List;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Guards the safety rules of the replicated log under random faults, and checks that the
+ * checker itself detects a replica that acknowledges before its sync. Other seeds are run
+ * with {@code -Dfescuehold.seeds=FIRST-LAST}.
+ */
+class RandomScheduleTests {
+
+	private static final String DEFAULT_SEEDS = "1-1000";
+
+	private static final long FAULT_SEEDS = 500;
+
+	@Test
+	void rulesHoldUnderRandomFaults() {
+		String[] range = System.getProperty("fescuehold.seeds", DEFAULT_SEEDS).split("-");
+		RandomSchedule.Totals totals = LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[1]))
+			.mapToObj((seed) -> new RandomSchedule(seed, Simulation.Faults.NONE).run())
+			.reduce(RandomSchedule.Totals.ZERO, RandomSchedule.Totals::plus);
+		System.out.println("Seeds " + range[0] + "-" + range[1] + ": " + totals);
+		assertThat(totals.acknowledged()).isPositive();
+		assertThat(totals.reads()).isPositive();
+		assertThat(totals.changes()).isPositive();
+		assertThat(totals.installs()).isPositive();
+	}
+
+	@Test
+	void acknowledgingAppendsBeforeTheirSyncIsDetected() {
+		Simulation.Faults faults = new Simulation.Faults(false, true);
+		assertThatThrownBy(
+				() -> LongStream.rangeClosed(1, FAULT_SEEDS).forEach((seed) -> new RandomSchedule(seed, faults).run()))
+			.isInstanceOf(AssertionError.class)
+			.hasMessageMatching("(?s).*(is lost|changed from|differ).*");
+	}
+
+	@Test
+	void acknowledgingVotesBeforeTheirSyncIsDetected() {
+		assertThatThrownBy(() -> loseVoteInCrash(new Simulation.Faults(true, false)))
+			.hasMessageContaining("has two leaders");
+		loseVoteInCrash(Simulation.Faults.NONE);
+	}
+
+	@Test
+	void clockDriftBeyondTheLeaseMarginIsDetected() {
+		assertThatThrownBy(() -> readAtCutOffLeader(0.2)).hasMessageContaining("Stale read");
+		readAtCutOffLeader(1);
+	}
+
+	private static void loseVoteInCrash(Simulation.Faults faults) {
+		Simulation simulation = new Simulation(1, faults, 3, 0);
+		simulation.startAll();
+		SimHost old = simulation.awaitLeader();
+		simulation.run(100);
+		List<SimHost> others = simulation.hosts.values().stream().filter((host) -> host != old).toList();
+		others.getLast().syncsHang = true;
+		simulation.network.cutOff(old.hostId);
+		simulation.run(1_000);
+		others.getLast().crashLosingAll();
+		others.getLast().syncsHang = false;
+		others.getLast().start();
+		simulation.network.heal();
+		simulation.network.cutOff(others.getFirst().hostId);
+		simulation.run(2_000);
+	}
+
+	private static void readAtCutOffLeader(double clockRate) {
+		Simulation simulation = new Simulation(1, Simulation.Faults.NONE, 3, 0);
+		simulation.startAll();
+		SimHost old = simulation.awaitLeader();
+		simulation.run(100);
+		old.setClockRate(clockRate);
+		simulation.network.cutOff(old.hostId);
+		boolean replaced = simulation.runUntil(2_000, () -> simulation.leader() != null && simulation.leader() != old);
+		assertThat(replaced).isTrue();
+		long id = simulation.clients.propose(simulation.leader());
+		assertThat(simulation.runUntil(100, () -> simulation.clients.acknowledged.containsKey(id))).isTrue();
+		simulation.clients.read(old);
+		simulation.run(10);
+	}
+
+}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimDisk.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimDisk.java
@@ -59,6 +59,14 @@
 		this.unsynced.clear();
 	}
 
+	void forgetUnsynced() {
+		this.unsynced.clear();
+	}
+
+	boolean hasUnsyncedEntries() {
+		return this.unsynced.stream().anyMatch((output) -> !(output instanceof Output.SaveVote));
+	}
+
 	StoredState load() {
 		return new StoredState(this.hardState, this.snapshot, List.copyOf(this.entries.values()));
 	}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimHost.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimHost.java
@@ -25,11 +25,13 @@
 
 	long pausedUntilMs;
 
+	boolean syncsHang;
+
 	private final Simulation simulation;
 
-	private final double clockRate;
+	private double clockRate;
 
-	private final long clockOffsetMs;
+	private double clockOffsetMs;
 
 	private int stores;
 
@@ -48,7 +50,12 @@
 	}
 
 	long clockMs() {
-		return this.clockOffsetMs + (long) (this.simulation.nowMs * this.clockRate);
+		return (long) (this.clockOffsetMs + this.simulation.nowMs * this.clockRate);
+	}
+
+	void setClockRate(double rate) {
+		this.clockOffsetMs += this.simulation.nowMs * (this.clockRate - rate);
+		this.clockRate = rate;
 	}
 
 	boolean isUp() {
@@ -75,6 +82,11 @@
 		this.disk.crash(this.simulation.random);
 	}
 
+	void crashLosingAll() {
+		this.disk.forgetUnsynced();
+		crash();
+	}
+
 	void loseDisk() {
 		crash();
 		this.stores++;
@@ -141,7 +153,8 @@
 		switch (output) {
 			case Output.Send send -> this.simulation.network.send(this.hostId, send.hostId(), send.message());
 			case Output.SaveVote vote -> {
-				return write(vote, vote.sequence(), this.simulation.faults.voteBeforeSync());
+				boolean early = this.simulation.faults.voteBeforeSync() && !this.disk.hasUnsyncedEntries();
+				return write(vote, vote.sequence(), early);
 			}
 			case Output.Append append -> {
 				return write(append, append.sequence(), this.simulation.faults.appendBeforeSync());
@@ -183,7 +196,7 @@
 	}
 
 	private void scheduleSync() {
-		if (this.syncScheduled) {
+		if (this.syncScheduled || this.syncsHang) {
 			return;
 		}
 		this.syncScheduled = true;
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/Simulation.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/Simulation.java
@@ -129,7 +129,7 @@
 			}
 			text.append(node.self() + " " + node.role() + " term " + node.term() + " last " + node.lastIndex()
 					+ " committed " + node.commitIndex() + " compacted " + node.compactedIndex() + " "
-					+ node.membership());
+					+ node.membership().members() + " pending " + node.membership().pending());
 		}
 		return text.toString();
 	}
