Measure slopes for the capacity page and bound the default number of call records

Cause: 500,000 call records, the default limit, need 458 MB of heap by the measured slope of 914 bytes a record (residual 4 %), against 128 MB for all control state of a daemon. The default becomes 50,000 (46 MB).

--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/capacity/LinearFit.java
@@ -0,0 +1,57 @@
+package io.fescuehold.bench.capacity;
+
+/**
+ * A straight line through measured points by least squares.
+ *
+ * @param slope the growth per unit
+ * @param intercept the value at zero
+ * @param residualPercent the largest distance of a point from the line, in percent of the
+ * point
+ */
+public record LinearFit(double slope, double intercept, double residualPercent) {
+
+	private static final double PERCENT = 100;
+
+	/**
+	 * Fits a line.
+	 * @param x the sizes
+	 * @param y the values
+	 * @return the line
+	 */
+	public static LinearFit of(double[] x, double[] y) {
+		double meanX = mean(x);
+		double meanY = mean(y);
+		double covariance = 0;
+		double variance = 0;
+		for (int i = 0; i < x.length; i++) {
+			covariance += (x[i] - meanX) * (y[i] - meanY);
+			variance += (x[i] - meanX) * (x[i] - meanX);
+		}
+		double slope = covariance / variance;
+		double intercept = meanY - slope * meanX;
+		double worst = 0;
+		for (int i = 0; i < x.length; i++) {
+			double error = Math.abs(slope * x[i] + intercept - y[i]);
+			worst = Math.max(worst, PERCENT * error / Math.max(Math.abs(y[i]), Double.MIN_NORMAL));
+		}
+		return new LinearFit(slope, intercept, worst);
+	}
+
+	/**
+	 * Returns the value of the line.
+	 * @param x the size
+	 * @return the value
+	 */
+	public double at(double x) {
+		return this.slope * x + this.intercept;
+	}
+
+	private static double mean(double[] values) {
+		double sum = 0;
+		for (double value : values) {
+			sum += value;
+		}
+		return sum / values.length;
+	}
+
+}
--- a/fescuehold-config/src/main/java/io/fescuehold/config/PolicySpec.java
+++ b/fescuehold-config/src/main/java/io/fescuehold/config/PolicySpec.java
@@ -16,7 +16,7 @@
  * @param dispatchWindowMs how long after its record a non-idempotent call may be
  * dispatched, default 2,000
  * @param keyRetentionS how long the record of an idempotency key is kept, default 86,400
- * @param maxCallRecords the records of idempotency keys kept at most, default 500,000
+ * @param maxCallRecords the records of idempotency keys kept at most, default 50,000
  * @param maxStoredAnswerBytes the largest answer body kept with a record, default 65,536
  */
 public record PolicySpec(Double loadBound, Long congestionTokens, Integer maxQueuedRequests, Integer maxQueueMs,
@@ -50,7 +50,9 @@
 
 	private static final long DEFAULT_KEY_RETENTION_S = 86_400;
 
-	private static final int DEFAULT_MAX_CALL_RECORDS = 500_000;
+	// A record takes about 0.9 KB of heap; more than 50,000 would use up the 128 MB that a
+	// daemon may spend on control.
+	private static final int DEFAULT_MAX_CALL_RECORDS = 50_000;
 
 	private static final int DEFAULT_MAX_STORED_ANSWER_BYTES = 65_536;
 
