--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * An open-loop load on running processes.
+ */
+package io.fescuehold.bench.load;
