Count transfers of items so that a release is claimed once

The property test of random releases and claims found two groups that own one team. First cause: a claim on an item that the other share merely no longer lists was accepted although that share may list it again; now the release must be observed. Ruled out: remembering that a release was claimed until a number without it is observed, which never ends if that number is missed.

Each claim now raises the item's epoch; a claim needs a release with a higher epoch than the share has seen.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
@@ -114,7 +114,8 @@
 		if (refusal.isPresent()) {
 			return refusal.get();
 		}
-		publish(config, this.published.observed(), this.published.transfers().accept(config(), config, this.nowMs));
+		publish(config, this.published.observed(),
+				this.published.transfers().accept(config(), config, this.published.observed(), this.nowMs));
 		return this.submissions.accept(new AcceptedSubmission(config.number(), digest, command.operator(), this.nowMs));
 	}
 
@@ -172,26 +173,26 @@
 	}
 
 	private CommandOutcome observe(StateCommand.ObserveShare command) {
-		ShareConfig other;
+		ObservedShare other;
 		try {
-			other = ConfigJson.read(command.configJson());
+			other = ObservedShare.of(command);
 		}
 		catch (ConfigException ex) {
 			return refused(ex.pointer(), ex.getMessage().substring(ex.pointer().length() + ": ".length()));
 		}
-		ShareConfig known = this.published.observed().get(other.share());
-		if (!other.share().equals(this.share) && (known == null || known.number() < other.number())) {
-			SortedMap<String, ShareConfig> observed = new TreeMap<>(this.published.observed());
-			observed.put(other.share(), other);
+		String otherShare = other.config().share();
+		if (!otherShare.equals(this.share) && observedNumber(otherShare) < other.config().number()) {
+			SortedMap<String, ObservedShare> observed = new TreeMap<>(this.published.observed());
+			observed.put(otherShare, other);
 			publish(config(), observed, this.published.transfers());
 		}
 		return new StateOutcome.Done();
 	}
 
-	private void publish(ShareConfig config, SortedMap<String, ShareConfig> observed, Transfers transfers) {
+	private void publish(ShareConfig config, SortedMap<String, ObservedShare> observed, Transfers transfers) {
 		FleetView view = FleetView.EMPTY.with(config);
-		for (ShareConfig other : observed.values()) {
-			view = view.with(other);
+		for (ObservedShare other : observed.values()) {
+			view = view.with(other.config());
 		}
 		boolean changed = this.published == null || this.published.config() != config;
 		this.published = new Published(config, observed, transfers, view);
@@ -202,7 +203,11 @@
 
 	@Override
 	public byte[] snapshot() {
-		List<byte[]> observed = this.published.observed().values().stream().map(ConfigJson::canonicalBytes).toList();
+		List<StateCommand.ObserveShare> observed = this.published.observed()
+			.values()
+			.stream()
+			.map(ObservedShare::command)
+			.toList();
 		return this.codec.encodeSnapshot(new StateSnapshot(this.nowMs, ConfigJson.canonicalBytes(config()), observed,
 				this.submissions.entries(), this.calls.entries(), this.leases.entries(),
 				this.leases.lastFencingNumber(), this.published.transfers().entries()));
@@ -215,10 +220,10 @@
 		this.submissions.restore(state.submissions());
 		this.calls.restore(state.calls());
 		this.leases.restore(state.leases(), state.lastLeaseNumber());
-		SortedMap<String, ShareConfig> observed = new TreeMap<>();
-		for (byte[] json : state.observedJson()) {
-			ShareConfig other = ConfigJson.read(json);
-			observed.put(other.share(), other);
+		SortedMap<String, ObservedShare> observed = new TreeMap<>();
+		for (StateCommand.ObserveShare command : state.observed()) {
+			ObservedShare other = ObservedShare.of(command);
+			observed.put(other.config().share(), other);
 		}
 		publish(ConfigJson.read(state.configJson()), observed, Transfers.of(state.transfers()));
 	}
@@ -246,8 +251,23 @@
 	 * @return the number, or -1 if the share has not been observed
 	 */
 	public long observedNumber(String otherShare) {
-		ShareConfig other = this.published.observed().get(otherShare);
-		return (other != null) ? other.number() : -1;
+		ObservedShare other = this.published.observed().get(otherShare);
+		return (other != null) ? other.config().number() : -1;
+	}
+
+	/**
+	 * Returns what other shares need to know of this share. May be called by any thread.
+	 * @return the command that tells it to their state machines
+	 */
+	public StateCommand.ObserveShare observation() {
+		Published state = this.published;
+		List<StateCommand.ItemEpoch> epochs = state.config()
+			.releases()
+			.stream()
+			.map((release) -> new ItemId(release.kind(), release.id()))
+			.map((item) -> new StateCommand.ItemEpoch(item, state.transfers().epoch(item)))
+			.toList();
+		return new StateCommand.ObserveShare(ConfigJson.canonicalBytes(state.config()), epochs);
 	}
 
 	/**
@@ -271,11 +291,11 @@
 	 * What other threads may read.
 	 *
 	 * @param config the configuration in force
-	 * @param observed the observed configurations of other shares
+	 * @param observed the observed other shares
 	 * @param transfers what the share has given up and taken over
 	 * @param view what follows from the configurations
 	 */
-	private record Published(ShareConfig config, SortedMap<String, ShareConfig> observed, Transfers transfers,
+	private record Published(ShareConfig config, SortedMap<String, ObservedShare> observed, Transfers transfers,
 			FleetView view) {
 
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
@@ -22,7 +22,7 @@
 
 	private final ShareConfig current;
 
-	private final Map<String, ShareConfig> observed;
+	private final Map<String, ObservedShare> observed;
 
 	private final Transfers transfers;
 
@@ -31,11 +31,11 @@
 	/**
 	 * Creates a validator.
 	 * @param current the configuration in force
-	 * @param observed the observed configurations of other shares by share
+	 * @param observed the observed other shares by name
 	 * @param transfers what the share has given up and taken over
 	 * @param nowMs the time in milliseconds since the epoch
 	 */
-	ShareValidator(ShareConfig current, Map<String, ShareConfig> observed, Transfers transfers, long nowMs) {
+	ShareValidator(ShareConfig current, Map<String, ObservedShare> observed, Transfers transfers, long nowMs) {
 		this.current = current;
 		this.observed = observed;
 		this.transfers = transfers;
@@ -131,7 +131,8 @@
 		if (claim.fromShare().equals(share)) {
 			return violation(pointer + "/fromShare", "is the claiming share \"%s\"; name the releasing share", share);
 		}
-		ShareConfig from = this.observed.get(claim.fromShare());
+		ObservedShare observation = this.observed.get(claim.fromShare());
+		ShareConfig from = (observation != null) ? observation.config() : null;
 		if (from == null || from.number() < claim.releaseNumber()) {
 			return violation(pointer + "/releaseNumber",
 					"is %s but share \"%s\" has been observed here at number %s only; wait for the release to arrive"
@@ -139,16 +140,19 @@
 					claim.releaseNumber(), claim.fromShare(), (from != null) ? from.number() : "none");
 		}
 		ItemId item = new ItemId(claim.kind(), claim.id());
-		if (item.isListedIn(from) && !from.releases().contains(new Release(claim.kind(), claim.id(), share))) {
+		// An item that the other share merely no longer lists is not enough: without a
+		// release that share may list it again at any time.
+		if (!from.releases().contains(new Release(claim.kind(), claim.id(), share))) {
 			return violation(pointer + "/id",
 					"is \"%s\", which share \"%s\" has not released to share \"%s\" at number %s; have it released"
-							+ " first",
+							+ " and keep the release until it is claimed",
 					claim.id(), claim.fromShare(), share, from.number());
 		}
-		String givenUpTo = this.transfers.givenUpTo(item);
-		if (givenUpTo != null && !givenUpTo.equals(claim.fromShare())) {
-			return violation(pointer + "/fromShare",
-					"is \"%s\" but the item was released to \"%s\"; claim it from there", claim.fromShare(), givenUpTo);
+		if (observation.epoch(item) <= this.transfers.epoch(item)) {
+			return violation(pointer + "/releaseNumber",
+					"is %s but that release of \"%s\" was claimed here before (transfer %s, known here %s); wait for a"
+							+ " new release",
+					claim.releaseNumber(), claim.id(), observation.epoch(item), this.transfers.epoch(item));
 		}
 		return Optional.empty();
 	}
@@ -162,9 +166,9 @@
 			if (claim.kind() != ItemKind.TEAM || !stillOwned || config.claims().contains(claim)) {
 				continue;
 			}
-			ShareConfig from = this.observed.get(claim.fromShare());
+			ObservedShare from = this.observed.get(claim.fromShare());
 			long retentionS = Math.max(config.policy().keyRetentionS(),
-					(from != null) ? from.policy().keyRetentionS() : 0);
+					(from != null) ? from.config().policy().keyRetentionS() : 0);
 			long neededUntilMs = this.transfers.claimedAtMs(item) + retentionS * MS_PER_S;
 			if (this.nowMs < neededUntilMs) {
 				return violation("/claims",
@@ -184,7 +188,7 @@
 			if (!seen.add(prefix)) {
 				return violation(pointer, "is \"%s\", which is listed twice; keep one rule", prefix);
 			}
-			for (ShareConfig other : this.observed.values()) {
+			for (ShareConfig other : others()) {
 				if (other.chats().stream().anyMatch((rule) -> rule.idPrefix().equals(prefix))) {
 					return violation(pointer, "is \"%s\", which share \"%s\" lists too; have it removed there first",
 							prefix, other.share());
@@ -220,7 +224,7 @@
 			if (item.isListedIn(this.current)) {
 				continue;
 			}
-			for (ShareConfig other : this.observed.values()) {
+			for (ShareConfig other : others()) {
 				if (item.isListedIn(other)) {
 					return violation(pointer + id,
 							"is listed by share \"%s\" too; have it released there and add a" + " claim",
@@ -231,6 +235,10 @@
 		return Optional.empty();
 	}
 
+	private List<ShareConfig> others() {
+		return this.observed.values().stream().map(ObservedShare::config).toList();
+	}
+
 	private static boolean isClaimed(ShareConfig config, ItemKind kind, String id) {
 		return config.claims().stream().anyMatch((claim) -> claim.kind() == kind && claim.id().equals(id));
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
@@ -1,5 +1,7 @@
 package io.fescuehold.core.state;
 
+import java.util.List;
+
 /**
  * A command of the replicated state machine. Commands carry the proposer's time, so that
  * applying them is the same on every replica.
@@ -138,11 +140,37 @@
 
 	/**
 	 * Tells the state machine the configuration of another share, so that claims can be
-	 * checked against it.
+	 * checked against it. Created by {@link ShareStateMachine#observation()} of the other
+	 * share.
 	 *
 	 * @param configJson the canonical JSON of the other share's accepted configuration
+	 * @param releaseEpochs the ownership epochs of the items that it releases; items
+	 * without an entry have epoch 0
+	 */
+	record ObserveShare(byte[] configJson, List<ItemEpoch> releaseEpochs) implements StateCommand {
+
+		public ObserveShare {
+			releaseEpochs = (releaseEpochs != null) ? List.copyOf(releaseEpochs) : List.of();
+		}
+
+		/**
+		 * Creates an observation of a share whose items were never transferred before.
+		 * @param configJson the canonical JSON of the configuration
+		 */
+		public ObserveShare(byte[] configJson) {
+			this(configJson, List.of());
+		}
+
+	}
+
+	/**
+	 * How often an item had been transferred when its owner released it. A claim raises
+	 * the epoch by one, which tells a new release from one that was claimed before.
+	 *
+	 * @param item the item
+	 * @param epoch the number of transfers, 0 at the share that listed the item first
 	 */
-	record ObserveShare(byte[] configJson) implements StateCommand {
+	record ItemEpoch(ItemId item, long epoch) {
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateSnapshot.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateSnapshot.java
@@ -7,14 +7,14 @@
  *
  * @param nowMs the time of the last command in milliseconds since the epoch
  * @param configJson the canonical JSON of the configuration in force
- * @param observedJson the canonical JSON of the observed configurations of other shares
+ * @param observed what was observed of other shares
  * @param submissions the submissions whose outcome is kept
  * @param calls the call records
  * @param leases the order leases
  * @param lastLeaseNumber the highest fencing number granted with a lease
  * @param transfers the items given up and taken over
  */
-public record StateSnapshot(long nowMs, byte[] configJson, List<byte[]> observedJson,
+public record StateSnapshot(long nowMs, byte[] configJson, List<StateCommand.ObserveShare> observed,
 		List<AcceptedSubmission> submissions, List<CallRecord> calls, List<OrderLease> leases, long lastLeaseNumber,
 		List<Transfers.Entry> transfers) {
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/Transfers.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/Transfers.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -11,45 +12,53 @@
 
 /**
  * What a share has given up and taken over. An item that was given up stays given up
- * until the receiving share releases it again: if the share could take it back by itself,
- * the receiving share might own it at the same time.
+ * until it is claimed again: if the share could take it back by itself, the receiving
+ * share might own it at the same time. Every claim raises the epoch of the item, so that
+ * a release that was claimed before cannot be claimed again.
  */
 public final class Transfers {
 
-	static final Transfers NONE = new Transfers(new TreeMap<>(), new TreeMap<>());
+	static final Transfers NONE = new Transfers(new TreeMap<>());
 
-	private final SortedMap<ItemId, String> givenUpTo;
+	private static final long NEVER_OWNED = -1;
 
-	private final SortedMap<ItemId, Long> claimedAtMs;
+	private final SortedMap<ItemId, Entry> entries;
 
-	private Transfers(SortedMap<ItemId, String> givenUpTo, SortedMap<ItemId, Long> claimedAtMs) {
-		this.givenUpTo = givenUpTo;
-		this.claimedAtMs = claimedAtMs;
+	private Transfers(SortedMap<ItemId, Entry> entries) {
+		this.entries = entries;
 	}
 
 	/**
 	 * Adds the transfers of an accepted configuration.
 	 * @param previous the configuration that was in force
 	 * @param config the accepted configuration
+	 * @param observed the observed other shares
 	 * @param nowMs the time of acceptance in milliseconds since the epoch
 	 * @return the transfers after the acceptance
 	 */
-	Transfers accept(ShareConfig previous, ShareConfig config, long nowMs) {
-		SortedMap<ItemId, String> newGivenUpTo = new TreeMap<>(this.givenUpTo);
-		SortedMap<ItemId, Long> newClaimedAtMs = new TreeMap<>(this.claimedAtMs);
+	Transfers accept(ShareConfig previous, ShareConfig config, Map<String, ObservedShare> observed, long nowMs) {
+		SortedMap<ItemId, Entry> changed = new TreeMap<>(this.entries);
 		for (Claim claim : config.claims()) {
-			ItemId item = new ItemId(claim.kind(), claim.id());
-			newGivenUpTo.remove(item);
 			if (!previous.claims().contains(claim)) {
-				newClaimedAtMs.put(item, nowMs);
+				ItemId item = new ItemId(claim.kind(), claim.id());
+				changed.put(item, new Entry(item, observed.get(claim.fromShare()).epoch(item) + 1, "", nowMs));
 			}
 		}
 		for (Release release : config.releases()) {
 			ItemId item = new ItemId(release.kind(), release.id());
-			newGivenUpTo.put(item, release.toShare());
-			newClaimedAtMs.remove(item);
+			changed.put(item, new Entry(item, Math.max(0, epoch(item)), release.toShare(), Long.MIN_VALUE));
 		}
-		return new Transfers(newGivenUpTo, newClaimedAtMs);
+		return new Transfers(changed);
+	}
+
+	/**
+	 * Returns the epoch of an item.
+	 * @param item the item
+	 * @return the epoch, or -1 if the item was never transferred here
+	 */
+	long epoch(ItemId item) {
+		Entry entry = this.entries.get(item);
+		return (entry != null) ? entry.epoch() : NEVER_OWNED;
 	}
 
 	/**
@@ -58,7 +67,8 @@
 	 * @return the share, or null if the item was not given up or was taken back
 	 */
 	String givenUpTo(ItemId item) {
-		return this.givenUpTo.get(item);
+		Entry entry = this.entries.get(item);
+		return (entry != null && !entry.givenUpTo().isEmpty()) ? entry.givenUpTo() : null;
 	}
 
 	/**
@@ -67,7 +77,8 @@
 	 * @return the time in milliseconds since the epoch, or {@link Long#MIN_VALUE}
 	 */
 	long claimedAtMs(ItemId item) {
-		return this.claimedAtMs.getOrDefault(item, Long.MIN_VALUE);
+		Entry entry = this.entries.get(item);
+		return (entry != null) ? entry.claimedAtMs() : Long.MIN_VALUE;
 	}
 
 	/**
@@ -75,10 +86,7 @@
 	 * @return one entry per item
 	 */
 	List<Entry> entries() {
-		List<Entry> entries = new ArrayList<>();
-		this.givenUpTo.forEach((item, share) -> entries.add(new Entry(item, share, 0)));
-		this.claimedAtMs.forEach((item, atMs) -> entries.add(new Entry(item, "", atMs)));
-		return entries;
+		return new ArrayList<>(this.entries.values());
 	}
 
 	/**
@@ -87,26 +95,21 @@
 	 * @return the transfers
 	 */
 	static Transfers of(List<Entry> entries) {
-		Transfers transfers = new Transfers(new TreeMap<>(), new TreeMap<>());
-		for (Entry entry : entries) {
-			if (entry.givenUpTo().isEmpty()) {
-				transfers.claimedAtMs.put(entry.item(), entry.claimedAtMs());
-			}
-			else {
-				transfers.givenUpTo.put(entry.item(), entry.givenUpTo());
-			}
-		}
-		return transfers;
+		SortedMap<ItemId, Entry> restored = new TreeMap<>();
+		entries.forEach((entry) -> restored.put(entry.item(), entry));
+		return new Transfers(restored);
 	}
 
 	/**
-	 * A transfer in a snapshot.
+	 * The last transfer of an item.
 	 *
 	 * @param item the item
+	 * @param epoch the number of transfers before
 	 * @param givenUpTo the receiving share, or empty if the item was taken over
-	 * @param claimedAtMs the time of taking over in milliseconds since the epoch
+	 * @param claimedAtMs the time of taking over in milliseconds since the epoch, or
+	 * {@link Long#MIN_VALUE} if the item was given up
 	 */
-	public record Entry(ItemId item, String givenUpTo, long claimedAtMs) {
+	public record Entry(ItemId item, long epoch, String givenUpTo, long claimedAtMs) {
 
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlMessage.java
@@ -113,4 +113,21 @@
 	record GroupStatus(String leaderHostId, long number, List<String> members) implements ControlMessage {
 	}
 
+	/**
+	 * Asks any replica what other shares need to know of its share. Answered by
+	 * {@link Observation}.
+	 *
+	 * @param share the share
+	 */
+	record ReadObservation(String share) implements ControlMessage {
+	}
+
+	/**
+	 * Carries what other shares need to know of a share.
+	 *
+	 * @param command the command that tells it to their state machines
+	 */
+	record Observation(StateCommand.ObserveShare command) implements ControlMessage {
+	}
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlService.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlService.java
@@ -1,11 +1,14 @@
 package io.fescuehold.runtime.control;
 
+import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.config.ConfigException;
@@ -24,6 +27,7 @@
 import io.fescuehold.core.state.StateOutcome;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -37,8 +41,14 @@
 
 	private static final int OBSERVE_INTERVAL_MS = 1_000;
 
+	private static final Duration OBSERVE_TIMEOUT = Duration.ofMillis(1_000);
+
 	private final String hostId;
 
+	private final PeerTransport transport;
+
+	private final Function<String, List<String>> replicas;
+
 	private final StateCodec codec;
 
 	private final Scheduler scheduler;
@@ -55,13 +65,16 @@
 	 * Creates the service and registers its handlers.
 	 * @param hostId the host id of this daemon
 	 * @param transport receives the requests
+	 * @param replicas returns the host ids of a share's replicas
 	 * @param codec writes commands and reads outcomes
 	 * @param views the configurations of the other shares, for {@code ObserveShare}
 	 * @param scheduler gives the wall-clock time and runs the check for changed shares
 	 */
-	public ControlService(String hostId, PeerTransport transport, StateCodec codec, FleetViews views,
-			Scheduler scheduler) {
+	public ControlService(String hostId, PeerTransport transport, Function<String, List<String>> replicas,
+			StateCodec codec, FleetViews views, Scheduler scheduler) {
 		this.hostId = hostId;
+		this.transport = transport;
+		this.replicas = replicas;
 		this.codec = codec;
 		this.views = views;
 		this.scheduler = scheduler;
@@ -70,6 +83,7 @@
 		transport.onMessage(ControlMessage.DryRun.class, (from, request) -> dryRun(request));
 		transport.onMessage(ControlMessage.ChangeMembership.class, (from, request) -> change(request));
 		transport.onMessage(ControlMessage.ReadGroup.class, (from, request) -> status(request));
+		transport.onMessage(ControlMessage.ReadObservation.class, (from, request) -> observation(request));
 	}
 
 	/**
@@ -115,8 +129,8 @@
 		if (!this.observing.add(task)) {
 			return;
 		}
-		hosted.group()
-			.propose(this.codec.encodeCommand(new StateCommand.ObserveShare(ConfigJson.canonicalBytes(other))))
+		observation(hosted, other.share())
+			.flatMap((command) -> hosted.group().propose(this.codec.encodeCommand(command)))
 			.doFinally((signal) -> this.observing.remove(task))
 			.subscribe((outcome) -> {
 			}, (error) -> logger.atFine()
@@ -125,6 +139,33 @@
 						other.share()));
 	}
 
+	// The configuration alone does not tell a new release from one that was claimed
+	// before, so the observation comes from a replica of the other share.
+	private Mono<StateCommand> observation(Hosted hosted, String otherShare) {
+		long known = hosted.machine().observedNumber(otherShare);
+		return Flux.fromIterable(this.replicas.apply(otherShare))
+			.concatMap((host) -> this.transport
+				.request(host, new ControlMessage.ReadObservation(otherShare), OBSERVE_TIMEOUT)
+				.cast(ControlMessage.Observation.class)
+				.map((reply) -> (StateCommand) reply.command())
+				.filter((command) -> numberOf(command) > known)
+				.onErrorResume((error) -> Mono.empty()))
+			.next();
+	}
+
+	private static long numberOf(StateCommand command) {
+		return (command instanceof StateCommand.ObserveShare observe) ? ConfigJson.read(observe.configJson()).number()
+				: -1;
+	}
+
+	private Mono<ControlMessage> observation(ControlMessage.ReadObservation request) {
+		Hosted hosted = this.hostedByShare.get(request.share());
+		if (hosted == null) {
+			return Mono.error(new FescueholdException(ErrorCode.NOT_FOUND, "replica of share " + request.share()));
+		}
+		return Mono.just(new ControlMessage.Observation(hosted.machine().observation()));
+	}
+
 	private Mono<ControlMessage> apply(ControlMessage.Apply request) {
 		return atLeader(request.share(), (hosted) -> {
 			StateCommand command = request.command().at(this.scheduler.now(TimeUnit.MILLISECONDS));
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
@@ -86,8 +86,8 @@
 			}
 
 		}, null, this.scheduler, FeedOptions.DEFAULT);
-		ControlService service = new ControlService("h1", this.network.node("h1"), new MessagePackStateCodec(), feed,
-				this.scheduler);
+		ControlService service = new ControlService("h1", this.network.node("h1"), (share) -> List.of("h1"),
+				new MessagePackStateCodec(), feed, this.scheduler);
 		this.agreement.addTo(service, "h1", feed::offer);
 		this.agreement.lead("h1");
 		SharedStateClient client = new SharedStateClient(this.network.node("h1"), (share) -> List.of("h1"), feed,
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
@@ -29,6 +29,9 @@
  */
 class SharedStateClientTests {
 
+	private static final Map<String, List<String>> REPLICAS = Map.of("north", List.of("n1", "n2", "n3"), "south",
+			List.of("s1"));
+
 	private static final CallKey KEY = new CallKey("parts", "order-1");
 
 	private final VirtualTimeScheduler time = VirtualTimeScheduler.create();
@@ -51,15 +54,14 @@
 		this.south.leader = "s1";
 		ConfigFeed feed = feed("router");
 		feed.start();
-		Map<String, List<String>> replicas = Map.of("north", List.of("n1", "n2", "n3"), "south", List.of("s1"));
-		this.client = new SharedStateClient(this.network.node("router"), replicas::get, feed, this.time);
+		this.client = new SharedStateClient(this.network.node("router"), REPLICAS::get, feed, this.time);
 		submit(Configs.teams("north", 1, "parts"));
 	}
 
 	private void start(String host, FakeAgreement agreement) {
 		ConfigFeed feed = feed(host);
-		ControlService service = new ControlService(host, this.network.node(host), new MessagePackStateCodec(), feed,
-				this.time);
+		ControlService service = new ControlService(host, this.network.node(host), REPLICAS::get,
+				new MessagePackStateCodec(), feed, this.time);
 		agreement.addTo(service, host, feed::offer);
 		feed.start();
 		service.start();
