--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -71,6 +71,7 @@
 			checkSpace();
 		}
 		catch (IOException ex) {
+			close();
 			throw failed(options.folder(), ex);
 		}
 	}
@@ -179,7 +180,9 @@
 	public void close() {
 		try {
 			this.log.close();
-			this.lockChannel.close();
+			if (this.lockChannel != null) {
+				this.lockChannel.close();
+			}
 		}
 		catch (IOException ex) {
 			throw failed(this.options.folder(), ex);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaRuntimeTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaRuntimeTests.java
@@ -9,6 +9,7 @@
 import java.util.function.BooleanSupplier;
 
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import io.fescuehold.core.agreement.AgreementTiming;
 import io.fescuehold.core.agreement.Role;
 import io.fescuehold.core.error.ErrorCode;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Schedulers;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -38,6 +40,8 @@
 
 	private final Map<String, TextMachine> machines = new HashMap<>();
 
+	private final Map<String, MetricRegistry> metrics = new HashMap<>();
+
 	@TempDir
 	private Path folder;
 
@@ -72,6 +76,17 @@
 		HOSTS.forEach((hostId) -> await(() -> this.machines.get(hostId).state().contentEquals(expected)));
 	}
 
+	@Test
+	void proposalsThatArriveTogetherShareSyncs() {
+		HOSTS.forEach(this::start);
+		ReplicaRuntime leader = awaitLeader();
+		Timer syncs = this.metrics.get(leader.status().hostId()).timer("agreement.g.disk.sync");
+		long before = syncs.getCount();
+		int proposals = 300;
+		Flux.range(0, proposals).flatMap((i) -> leader.propose(bytes("p")), proposals).blockLast(LIMIT);
+		assertThat(syncs.getCount() - before).isLessThan(proposals);
+	}
+
 	@Test
 	void stoppingLeaderHandsOver() {
 		HOSTS.forEach(this::start);
@@ -114,8 +129,10 @@
 		ReplicaOptions options = new ReplicaOptions("g", hostId, this.folder.resolve(hostId), HOSTS, DOMAINS,
 				new AgreementTiming(20, 200, 160, 50));
 		TextMachine machine = new TextMachine();
+		MetricRegistry registry = new MetricRegistry();
+		this.metrics.put(hostId, registry);
 		ReplicaRuntime replica = new ReplicaRuntime(options, new AgreementTransport(this.network.transport(hostId)),
-				machine, new MonotonicScheduler(Schedulers.parallel()), new MetricRegistry(), hostId.hashCode());
+				machine, new MonotonicScheduler(Schedulers.parallel()), registry, hostId.hashCode());
 		this.machines.put(hostId, machine);
 		this.replicas.put(hostId, replica);
 		replica.start().block(LIMIT);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/TextMachine.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/TextMachine.java
@@ -5,14 +5,19 @@
 import io.fescuehold.core.port.ReplicatedStateMachine;
 
 /**
- * A state machine that concatenates commands.
+ * A state machine that concatenates commands, and that can be made to fail.
  */
 final class TextMachine implements ReplicatedStateMachine {
 
+	volatile RuntimeException failure;
+
 	private volatile String state = "";
 
 	@Override
 	public byte[] apply(long index, byte[] command) {
+		if (this.failure != null) {
+			throw this.failure;
+		}
 		this.state += new String(command, StandardCharsets.UTF_8) + ";";
 		return this.state.getBytes(StandardCharsets.UTF_8);
 	}
