--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -91,7 +91,7 @@
 		this.feed = new ConfigFeed(settings.hostId(), this.transport, new FleetUpstreams(settings.hostId(), this.hosts),
 				feedStore(settings), this.scheduler, FeedOptions.DEFAULT);
 		this.state = new SharedStateClient(this.transport, this::replicaHosts, this.feed, this.scheduler);
-		this.replicas = settings.hasRole(Role.REPLICA) ? new ReplicaRole(settings, this.transport,
+		this.replicas = settings.hasRole(Role.REPLICA) ? new ReplicaRole(settings, this.transport, this::replicaHosts,
 				new MessagePackStateCodec(), this.feed, this.scheduler, this.metrics, seed) : null;
 		this.router = settings.hasRole(Role.ROUTER) ? new RouterRole(settings, this.transport, this.feed, this.state,
 				this.hosts, this.scheduler, this.metrics, seed) : null;
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/ReplicaRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/ReplicaRole.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
@@ -47,16 +48,17 @@
 	 * Creates the replicas of all shares.
 	 * @param settings the settings
 	 * @param transport the connections to the other daemons
+	 * @param replicaHosts the hosts that may hold replicas of a share
 	 * @param codec writes commands and outcomes
 	 * @param feed receives accepted configurations
 	 * @param scheduler the clock of the control service
 	 * @param metrics the registry of the metrics
 	 * @param seed the seed of the election timeouts
 	 */
-	ReplicaRole(DaemonSettings settings, PeerTransport transport, StateCodec codec, ConfigFeed feed,
-			Scheduler scheduler, MetricRegistry metrics, long seed) {
+	ReplicaRole(DaemonSettings settings, PeerTransport transport, Function<String, List<String>> replicaHosts,
+			StateCodec codec, ConfigFeed feed, Scheduler scheduler, MetricRegistry metrics, long seed) {
 		this.settings = settings;
-		this.service = new ControlService(settings.hostId(), transport, codec, feed, scheduler);
+		this.service = new ControlService(settings.hostId(), transport, replicaHosts, codec, feed, scheduler);
 		AgreementTransport agreement = new AgreementTransport(transport);
 		for (ShareSettings share : settings.shares()) {
 			ShareStateMachine machine = new ShareStateMachine(share.share(), codec, feed::offer);
