--- a/fescuehold-core/src/main/java/io/fescuehold/core/relay/PollAssignment.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/PollAssignment.java
@@ -37,6 +37,22 @@
 		return assigned;
 	}
 
+	/**
+	 * Tells whether a router is the first of the two that poll a server, for work that
+	 * one router does alone.
+	 * @param routerId the host id of the router
+	 * @param routerIds the host ids of all routers
+	 * @param serverId the server
+	 * @return whether it is
+	 */
+	public static boolean isFirst(String routerId, Collection<String> routerIds, String serverId) {
+		long serverHash = RendezvousHash.hash(serverId);
+		long own = RendezvousHash.combine(serverHash, RendezvousHash.hash(routerId));
+		return routerIds.stream()
+			.filter((id) -> !id.equals(routerId))
+			.noneMatch((id) -> RendezvousHash.combine(serverHash, RendezvousHash.hash(id)) < own);
+	}
+
 	private static boolean isAssigned(long serverHash, long ownHash, long[] others) {
 		long own = RendezvousHash.combine(serverHash, ownHash);
 		int ahead = 0;
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -10,6 +11,7 @@
 import io.fescuehold.config.ShareConfig;
 import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.placement.BoundedLoadPlacement;
+import io.fescuehold.core.placement.CacheEvent;
 import io.fescuehold.core.placement.PlacementPolicy;
 import io.fescuehold.core.port.FleetViews;
 import io.fescuehold.core.port.PeerTransport;
@@ -19,6 +21,7 @@
 import io.fescuehold.daemon.settings.EndpointSettings;
 import io.fescuehold.runtime.control.LoadExchange;
 import io.fescuehold.runtime.control.load.ModelServerPoller;
+import io.fescuehold.runtime.drain.KvMigrator;
 import io.fescuehold.runtime.fleet.FleetMessage;
 import io.fescuehold.runtime.fleet.HostDirectory;
 import io.fescuehold.runtime.http.RouterOptions;
@@ -48,6 +51,8 @@
 
 	private final LoadExchange loads;
 
+	private final KvMigrator migrator;
+
 	private final PoolAdmission admission;
 
 	private final RouterServer server;
@@ -70,9 +75,12 @@
 		this.scheduler = scheduler;
 		PlacementPolicy placement = new SerialPlacement(
 				new BoundedLoadPlacement(settings.hostId(), hosts::liveRouters, seed));
-		this.loads = new LoadExchange(settings.hostId(), views, transport, hosts::alive,
-				new ModelServerPoller(HttpClient.create(), POLL_TIMEOUT),
-				(event) -> placement.cacheEvent(event, nowMs()), scheduler);
+		Consumer<CacheEvent> cacheEvents = (event) -> placement.cacheEvent(event, nowMs());
+		ModelServerPoller poller = new ModelServerPoller(HttpClient.create(), POLL_TIMEOUT);
+		this.loads = new LoadExchange(settings.hostId(), views, transport, hosts::alive, poller, cacheEvents,
+				scheduler);
+		this.migrator = new KvMigrator(settings.hostId(), views, hosts::liveRouterIds, poller, HttpClient.create(),
+				cacheEvents, scheduler);
 		this.admission = new PoolAdmission(views, this.loads, hosts::liveRouters, scheduler, seed);
 		SharedRetryBudget retries = new SharedRetryBudget();
 		metrics.register("router.retry-amplification", (Gauge<Double>) retries::amplification);
@@ -128,6 +136,7 @@
 	 */
 	void start() {
 		this.loads.start();
+		this.migrator.start();
 		this.admission.start();
 		this.server.start();
 	}
@@ -152,6 +161,7 @@
 	void stop() {
 		this.server.stop();
 		this.admission.stop();
+		this.migrator.stop();
 		this.loads.stop();
 	}
 
@@ -160,7 +170,7 @@
 	 * @return the sections
 	 */
 	List<StateDump> dumps() {
-		return List.of(this.server, this.loads, this.admission);
+		return List.of(this.server, this.loads, this.admission, this.migrator);
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
@@ -27,6 +27,8 @@
 
 	private static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
 
+	private static final long COUNT_AGE_MS = 250;
+
 	private final String selfHostId;
 
 	private final List<FleetHost> hosts;
@@ -39,6 +41,8 @@
 
 	private Disposable pings;
 
+	private volatile Count count = new Count(1, 0);
+
 	/**
 	 * Creates a directory that is not started.
 	 * @param selfHostId the id of this host
@@ -157,11 +161,29 @@
 	}
 
 	/**
-	 * Returns the number of routers that are not dead.
+	 * Returns the routers that are not dead.
+	 * @return the host ids
+	 */
+	public List<String> liveRouterIds() {
+		return routers().stream()
+			.filter((host) -> host.state() != EntryHost.State.DEAD)
+			.map(EntryHost::hostId)
+			.toList();
+	}
+
+	/**
+	 * Returns the number of routers that are not dead. Every placement asks for it, so it
+	 * is counted again only after {@value #COUNT_AGE_MS} ms.
 	 * @return the number, at least 1
 	 */
 	public int liveRouters() {
-		return (int) Math.max(1, routers().stream().filter((host) -> host.state() != EntryHost.State.DEAD).count());
+		Count last = this.count;
+		long nowMs = nowMs();
+		if (nowMs - last.atMs >= COUNT_AGE_MS) {
+			last = new Count(Math.max(1, liveRouterIds().size()), nowMs);
+			this.count = last;
+		}
+		return last.routers;
 	}
 
 	private long nowMs() {
@@ -183,4 +205,8 @@
 		return states;
 	}
 
+	private record Count(int routers, long atMs) {
+
+	}
+
 }
