--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
@@ -168,8 +168,12 @@
 			return Mono.just(hasNews(this.current, fetch.n()) ? update(this.current, fetch.n()) : nothing);
 		}
 		Duration hold = Duration.ofMillis(Math.min(fetch.h(), MAX_HOLD_MS));
+		// The thread that offers a configuration may be the one that applies the log,
+		// which
+		// must not spend its time on the answers to many daemons.
 		return changes().filter((view) -> hasNews(view, fetch.n()))
 			.next()
+			.publishOn(this.scheduler)
 			.map((view) -> update(view, fetch.n()))
 			.timeout(hold, Mono.just(nothing), this.scheduler);
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlService.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ControlService.java
@@ -98,7 +98,7 @@
 
 	/** Starts to tell the hosted shares about changes of other shares. */
 	public void start() {
-		this.tasks.add(this.views.changes().subscribe((view) -> observeOthers()));
+		this.tasks.add(this.views.changes().publishOn(this.scheduler).subscribe((view) -> observeOthers()));
 		// The leader may have changed since the last change of a configuration.
 		this.tasks.add(this.scheduler.schedulePeriodically(this::observeOthers, OBSERVE_INTERVAL_MS,
 				OBSERVE_INTERVAL_MS, TimeUnit.MILLISECONDS));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/Outgoing.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/Outgoing.java
@@ -24,6 +24,8 @@
 
 	private final MonoSink<PeerMessage> sink;
 
+	private volatile FrameChannel writtenTo;
+
 	/**
 	 * Creates an outgoing message.
 	 * @param correlation the correlation id, or 0 for a message without reply
@@ -56,14 +58,21 @@
 
 	/**
 	 * Marks the message as written.
+	 * @param channel the connection it is written to
 	 * @return whether it may be written, which it may not after it was given up
 	 */
-	boolean startWriting() {
+	boolean startWriting(FrameChannel channel) {
+		this.writtenTo = channel;
 		return this.stage.compareAndSet(Stage.QUEUED, Stage.WRITTEN);
 	}
 
-	boolean isWritten() {
-		return this.stage.get() == Stage.WRITTEN;
+	/**
+	 * Tells whether the message was written to a connection.
+	 * @param channel the connection
+	 * @return whether it was
+	 */
+	boolean isWrittenTo(FrameChannel channel) {
+		return this.stage.get() == Stage.WRITTEN && this.writtenTo == channel;
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/PeerLink.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/PeerLink.java
@@ -115,7 +115,10 @@
 						Mono.defer(() -> Mono.error(request[0].giveUp(this.hostId,
 								"no reply arrived within " + timeout.toMillis() + " ms"))),
 						this.scheduler)
-				.doFinally((signal) -> this.pending.remove(correlation));
+				.doFinally((signal) -> {
+					this.pending.remove(correlation);
+					request[0].giveUp(this.hostId, "it is no longer waited for");
+				});
 		});
 	}
 
@@ -140,7 +143,7 @@
 		synchronized (this) {
 			while (this.channel != null && !this.queue.isEmpty() && this.channel.isWritable()) {
 				Outgoing next = this.queue.poll();
-				if (next.startWriting()) {
+				if (next.startWriting(this.channel)) {
 					this.channel.write(next.body(), next.group());
 					this.channel.messageSeen();
 				}
@@ -213,7 +216,7 @@
 		}
 		this.pending.values()
 			.stream()
-			.filter(Outgoing::isWritten)
+			.filter((request) -> request.isWrittenTo(lost))
 			.forEach((request) -> request.fail(this.hostId, "the connection was lost"));
 	}
 
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FeedTrafficTests.java
@@ -0,0 +1,140 @@
+package io.fescuehold.runtime.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.runtime.transport.PeerAddress;
+import io.fescuehold.runtime.transport.TcpPeerTransport;
+import io.fescuehold.runtime.transport.TransportOptions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.scheduler.Schedulers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against idle traffic that grows beyond its budget and against numbers that take
+ * long over real connections. Daemon 0 is the root; each other daemon prefers its parent
+ * in a tree of fan-out 8 and then the daemons after it.
+ */
+class FeedTrafficTests {
+
+	private static final int DAEMONS = 17;
+
+	private static final int FAN_OUT = 8;
+
+	private static final int SOURCES = 4;
+
+	private static final int IDLE_MS = 6_000;
+
+	private final List<TcpPeerTransport> transports = new ArrayList<>();
+
+	private final List<MetricRegistry> metrics = new ArrayList<>();
+
+	private final List<ConfigFeed> feeds = new ArrayList<>();
+
+	@AfterEach
+	void close() {
+		this.feeds.forEach(ConfigFeed::stop);
+		this.transports.forEach(TcpPeerTransport::close);
+	}
+
+	@Test
+	void idleTrafficStaysBelowOneKilobytePerSecondAndNewsArrivesWithinTwoSeconds() throws Exception {
+		for (int i = 0; i < DAEMONS; i++) {
+			start(i);
+		}
+		for (int i = 0; i < DAEMONS; i++) {
+			for (int j = 0; j < DAEMONS; j++) {
+				this.transports.get(i).setPeer("h" + j, new PeerAddress("127.0.0.1", this.transports.get(j).port()));
+			}
+		}
+		this.feeds.forEach(ConfigFeed::start);
+		this.feeds.getFirst().offer(Configs.servers("tarawera", 1, 12));
+		this.feeds.getFirst().offer(Configs.servers("fiji", 1, 6));
+		Thread.sleep(3_000);
+		List<Map<String, Long>> before = counters();
+		Thread.sleep(IDLE_MS);
+		List<Map<String, Long>> after = counters();
+		List<Long> bytesPerS = new ArrayList<>();
+		for (int i = 0; i < DAEMONS; i++) {
+			bytesPerS.add((total(after.get(i)) - total(before.get(i))) * 1_000 / IDLE_MS);
+		}
+		long delayMs = delayOfNews();
+		double meanBytesPerS = bytesPerS.stream().mapToLong(Long::longValue).average().orElseThrow();
+		System.out.printf("idle bytes/s sent and received: mean %.0f, root %d, max %d; news to %d daemons: %d ms%n",
+				meanBytesPerS, bytesPerS.getFirst(), bytesPerS.stream().max(Long::compare).orElseThrow(), DAEMONS,
+				delayMs);
+		assertThat(meanBytesPerS).isLessThan(1_000);
+		assertThat(delayMs).isLessThan(2_000);
+	}
+
+	private long delayOfNews() throws InterruptedException {
+		long startNanos = System.nanoTime();
+		this.feeds.getFirst().offer(Configs.servers("tarawera", 2, 13));
+		for (ConfigFeed feed : this.feeds) {
+			while (feed.current().number("tarawera") < 2 && System.nanoTime() - startNanos < 10_000_000_000L) {
+				Thread.sleep(1);
+			}
+		}
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+	}
+
+	private List<Map<String, Long>> counters() {
+		return this.metrics.stream().map((registry) -> {
+			Map<String, Long> values = new TreeMap<>();
+			registry.getCounters().forEach((name, counter) -> values.put(name, counter.getCount()));
+			return values;
+		}).toList();
+	}
+
+	private static long total(Map<String, Long> values) {
+		return values.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey().endsWith(".bytes"))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+	}
+
+	private void start(int i) {
+		MetricRegistry registry = new MetricRegistry();
+		TcpPeerTransport transport = new TcpPeerTransport(
+				new TransportOptions("h" + i, new PeerAddress("127.0.0.1", 0), Map.of()), registry,
+				Schedulers.parallel());
+		transport.start().block(Duration.ofSeconds(5));
+		this.metrics.add(registry);
+		this.transports.add(transport);
+		this.feeds.add(new ConfigFeed("h" + i, transport, new TreeCandidates(i), null, Schedulers.parallel(),
+				FeedOptions.DEFAULT));
+	}
+
+	/**
+	 * The places of daemons in a tree.
+	 *
+	 * @param index the index of the daemon
+	 */
+	private record TreeCandidates(int index) implements UpstreamCandidates {
+
+		@Override
+		public List<String> upstreams() {
+			List<String> hosts = new ArrayList<>();
+			int parent = (this.index - 1) / FAN_OUT;
+			for (int i = 0; this.index > 0 && i < Math.min(SOURCES, this.index); i++) {
+				hosts.add("h" + (parent + i) % this.index);
+			}
+			return hosts;
+		}
+
+		@Override
+		public List<String> roots() {
+			return List.of("h0");
+		}
+
+	}
+
+}
