Refuse unreadable messages singly and check commands when they are created

A command that failed while it was applied would stop every replica, and a message of another version closed the connection for all messages behind it.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/CallKey.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/CallKey.java
@@ -1,5 +1,7 @@
 package io.fescuehold.core.state;
 
+import java.util.Objects;
+
 /**
  * Identifies a non-idempotent call.
  *
@@ -8,4 +10,9 @@
  */
 public record CallKey(String team, String idempotencyKey) {
 
+	public CallKey {
+		Objects.requireNonNull(team, "team");
+		Objects.requireNonNull(idempotencyKey, "idempotencyKey");
+	}
+
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
@@ -1,10 +1,12 @@
 package io.fescuehold.core.state;
 
 import java.util.List;
+import java.util.Objects;
 
 /**
  * A command of the replicated state machine. Commands carry the proposer's time, so that
- * applying them is the same on every replica.
+ * applying them is the same on every replica. Missing values are refused when a command
+ * is created, because a command that fails when it is applied would stop every replica.
  */
 public sealed interface StateCommand {
 
@@ -43,6 +45,12 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 */
 	record Submit(byte[] configJson, String operator, long nowMs) implements StateCommand {
+
+		public Submit {
+			Objects.requireNonNull(configJson, "configJson");
+			Objects.requireNonNull(operator, "operator");
+		}
+
 	}
 
 	/**
@@ -62,6 +70,13 @@
 	record BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs, long nowMs,
 			String attemptId) implements StateCommand {
 
+		public BeginCall {
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(bodyDigest, "bodyDigest");
+			Objects.requireNonNull(routerId, "routerId");
+			attemptId = (attemptId != null) ? attemptId : "";
+		}
+
 		/**
 		 * Creates a command without an attempt id.
 		 * @param key the key of the call
@@ -89,6 +104,12 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 */
 	record LookupCall(CallKey key, String bodyDigest, long nowMs) implements StateCommand {
+
+		public LookupCall {
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(bodyDigest, "bodyDigest");
+		}
+
 	}
 
 	/**
@@ -100,6 +121,12 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 */
 	record CompleteCall(CallKey key, long fencingNumber, StoredAnswer answer, long nowMs) implements StateCommand {
+
+		public CompleteCall {
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(answer, "answer");
+		}
+
 	}
 
 	/**
@@ -110,6 +137,11 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 */
 	record MarkNotRun(CallKey key, long fencingNumber, long nowMs) implements StateCommand {
+
+		public MarkNotRun {
+			Objects.requireNonNull(key, "key");
+		}
+
 	}
 
 	/**
@@ -120,6 +152,11 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 */
 	record MarkUnknown(CallKey key, long fencingNumber, long nowMs) implements StateCommand {
+
+		public MarkUnknown {
+			Objects.requireNonNull(key, "key");
+		}
+
 	}
 
 	/**
@@ -136,6 +173,12 @@
 	 */
 	record AcquireOrderLease(String serverId, String holder, boolean checksFencing, long leaseMs,
 			long nowMs) implements StateCommand {
+
+		public AcquireOrderLease {
+			Objects.requireNonNull(serverId, "serverId");
+			Objects.requireNonNull(holder, "holder");
+		}
+
 	}
 
 	/**
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StoredAnswer.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StoredAnswer.java
@@ -13,7 +13,8 @@
 public record StoredAnswer(int status, Map<String, String> headers, byte[] body, boolean truncated) {
 
 	public StoredAnswer {
-		headers = Map.copyOf(headers);
+		headers = (headers != null) ? Map.copyOf(headers) : Map.of();
+		body = (body != null) ? body : new byte[0];
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -261,9 +261,7 @@
 			Class<? extends PeerMessage> type = TcpPeerTransport.this.types.typeOf(frame.t());
 			String group = (type != null) ? TcpPeerTransport.this.types.nameOf(type).group() : "unknown";
 			TcpPeerTransport.this.counters.received(group, bytes);
-			Mono<PeerMessage> reply = (type != null)
-					? dispatch(this.fromHostId, TcpPeerTransport.this.codec.message(frame))
-					: Mono.error(new FescueholdException(ErrorCode.NOT_FOUND, frame.t()));
+			Mono<PeerMessage> reply = read(frame, type).flatMap((message) -> dispatch(this.fromHostId, message));
 			if (frame.k() == Frame.SEND) {
 				reply.subscribe((ignored) -> {
 				}, (error) -> logger.atWarning()
@@ -279,6 +277,21 @@
 				.subscribe((answer) -> reply(answer, group));
 		}
 
+		// A message of another version is refused by itself; the messages after it on the
+		// same connection are not affected.
+		private Mono<PeerMessage> read(Frame frame, Class<? extends PeerMessage> type) {
+			if (type == null) {
+				return Mono.error(new FescueholdException(ErrorCode.NOT_FOUND, frame.t()));
+			}
+			try {
+				return Mono.just(TcpPeerTransport.this.codec.message(frame));
+			}
+			catch (IOException ex) {
+				return Mono.error(new FescueholdException(ErrorCode.BAD_REQUEST, "Message " + frame.t(),
+						ex.getMessage(), "use daemons of the same version"));
+			}
+		}
+
 		private FescueholdException describe(Frame frame, Throwable error) {
 			if (error instanceof FescueholdException expected) {
 				return expected;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/transport/TcpPeerTransportTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/transport/TcpPeerTransportTests.java
@@ -109,6 +109,20 @@
 		}
 	}
 
+	@Test
+	void callerThatGoesSilentIsDisconnected() throws Exception {
+		TcpPeerTransport a = start("a");
+		a.setPeer("b", new PeerAddress("127.0.0.1", 1));
+		try (Socket silent = new Socket(InetAddress.getLoopbackAddress(), a.port())) {
+			silent.setSoTimeout(3_000);
+			byte[] hello = new FrameCodec(new MessageTypes()).encode(new Frame(Frame.HELLO, 0, "b", new byte[0]));
+			silent.getOutputStream().write(new byte[] { 0, 0, 0, (byte) hello.length });
+			silent.getOutputStream().write(hello);
+			assertThat(silent.getInputStream().readAllBytes()).isNotEmpty();
+		}
+		assertThat(this.metrics.counter("transport.silentConnections").getCount()).isEqualTo(1);
+	}
+
 	@Test
 	void requestWithoutReplyTimesOutAsUnknown() {
 		TcpPeerTransport a = start("a");
@@ -149,6 +163,20 @@
 		assertThat(reply).isEqualTo(new TestMessage.Answer("back", null));
 	}
 
+	@Test
+	void messageThatCannotBeReadIsRefusedAndTheConnectionStays() {
+		TcpPeerTransport a = start("a");
+		TcpPeerTransport b = start("b");
+		connect(a, b);
+		b.onMessage(TestMessage.Ask.class, (from, ask) -> Mono.just(new TestMessage.Answer("", null)));
+		FescueholdException unknown = failure(a.request("b", new OtherMessage.Strange(), WAIT));
+		assertThat(unknown.code()).isEqualTo(ErrorCode.NOT_FOUND);
+		FescueholdException invalid = failure(a.request("b", new TestMessage.Odd(() -> {
+		}), WAIT));
+		assertThat(invalid.code()).isEqualTo(ErrorCode.BAD_REQUEST);
+		assertThat(a.request("b", new TestMessage.Ask("", null), WAIT).block(WAIT)).isNotNull();
+	}
+
 	@Test
 	void unknownHostIsNotHeard() {
 		TcpPeerTransport a = start("a");
@@ -195,11 +223,22 @@
 		record Ask(String text, Shape shape) implements TestMessage {
 		}
 
+		record Odd(Runnable canBeWrittenButNotRead) implements TestMessage {
+		}
+
 		record Answer(String text, Shape shape) implements TestMessage {
 		}
 
 	}
 
+	/** A group that the receiver does not know. */
+	sealed interface OtherMessage extends PeerMessage {
+
+		record Strange() implements OtherMessage {
+		}
+
+	}
+
 	/** A value of several kinds inside a message. */
 	sealed interface Shape {
 
