--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -105,6 +105,12 @@
 	/** The content breaks a rule. Arguments: JSON pointer, reason and remedy. */
 	SUBMISSION_INVALID(422, "%s: %s"),
 
+	/** Another order to the server may be on its way. Argument: holder. */
+	ORDER_HELD(409, "Host \"%s\" may be sending an order to this server; come back after Retry-After"),
+
+	/** The server refused an order. Arguments: server, reason. */
+	ORDER_REFUSED(409, "Server \"%s\" refused the order: %s; send the order again"),
+
 	/** A setting is wrong. Arguments: file, JSON pointer, value and remedy. */
 	BAD_SETTING(500, "%s: %s: %s"),
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
@@ -38,6 +38,7 @@
 		commands.put("server", new Entry("declare a backend server joining, active or leaving", ServerCommand::new));
 		commands.put("status", new Entry("print which configuration is in force where", StatusCommand::new));
 		commands.put("replica", new Entry("replace, add or remove a replica of a share", ReplicaCommand::new));
+		commands.put("order", new Entry("send an order to a model server", OrderCommand::new));
 		commands.put("drain", new Entry("stop a daemon gracefully", DrainCommand::new));
 		commands.put("dump", new Entry("print the state of a daemon", DumpCommand::new));
 		commands.put("metrics", new Entry("print the metrics of a daemon", MetricsCommand::new));
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/AdminRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/AdminRole.java
@@ -17,6 +17,7 @@
 import io.fescuehold.runtime.admin.AdminToken;
 import io.fescuehold.runtime.control.ConfigFeed;
 import io.fescuehold.runtime.control.SharedStateClient;
+import io.fescuehold.runtime.orders.OrderDispatcher;
 
 /**
  * The administration API, which every daemon serves.
@@ -35,12 +36,13 @@
 	 * @param metrics the registry of the metrics
 	 * @param dumps the sections of the state dump
 	 * @param drain starts the drain of this daemon
+	 * @param orders sends orders to model servers
 	 */
 	AdminRole(DaemonSettings settings, SharedStateClient state, ConfigFeed feed, MetricRegistry metrics,
-			List<StateDump> dumps, Runnable drain) {
+			List<StateDump> dumps, Runnable drain, OrderDispatcher orders) {
 		List<String> shares = settings.shares().stream().map(ShareSettings::share).toList();
 		this.server = new AdminServer(options(settings.operators()), state, feed, () -> shares, () -> dumps, metrics,
-				drain);
+				drain, orders);
 	}
 
 	private static AdminOptions options(OperatorSettings operators) {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -29,6 +29,7 @@
 import io.fescuehold.runtime.fleet.FleetMessage;
 import io.fescuehold.runtime.fleet.HostDirectory;
 import io.fescuehold.runtime.fleet.HostListPoller;
+import io.fescuehold.runtime.orders.OrderDispatcher;
 import io.fescuehold.runtime.transport.PeerAddress;
 import io.fescuehold.runtime.transport.TcpPeerTransport;
 import io.fescuehold.runtime.transport.TransportOptions;
@@ -95,7 +96,8 @@
 				new MessagePackStateCodec(), this.feed, this.scheduler, this.metrics, seed) : null;
 		this.router = settings.hasRole(Role.ROUTER) ? new RouterRole(settings, this.transport, this.feed, this.state,
 				this.hosts, this.scheduler, this.metrics, seed) : null;
-		this.admin = new AdminRole(settings, this.state, this.feed, this.metrics, dumps(), this::requestDrain);
+		this.admin = new AdminRole(settings, this.state, this.feed, this.metrics, dumps(), this::requestDrain,
+				new OrderDispatcher(settings.hostId(), this.feed, this.state, this.scheduler));
 	}
 
 	private static TransportOptions transportOptions(DaemonSettings settings) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
@@ -20,6 +20,7 @@
 import io.fescuehold.core.port.StateDump;
 import io.fescuehold.runtime.control.ConfigFeed;
 import io.fescuehold.runtime.control.SharedStateClient;
+import io.fescuehold.runtime.orders.OrderDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.reactivestreams.Publisher;
@@ -58,6 +59,8 @@
 		.disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
 		.build();
 
+	private final OrderOperations orders;
+
 	private volatile DisposableServer server;
 
 	/**
@@ -69,13 +72,15 @@
 	 * @param dumps returns the components whose state is dumped
 	 * @param metrics the metrics of this daemon
 	 * @param drain starts the planned stop of this daemon
+	 * @param orders sends orders to model servers
 	 */
 	public AdminServer(AdminOptions options, SharedStateClient client, ConfigFeed feed,
 			Supplier<Collection<String>> shares, Supplier<Collection<StateDump>> dumps, MetricRegistry metrics,
-			Runnable drain) {
+			Runnable drain, OrderDispatcher orders) {
 		this.options = options;
 		this.tokens = new TokenCheck(options.tokens());
 		this.operations = new AdminOperations(client, feed, shares, dumps, metrics, drain);
+		this.orders = new OrderOperations(orders);
 	}
 
 	/**
@@ -142,6 +147,8 @@
 							(body) -> this.operations.submit(call.share(), body, call.token().name()));
 			case "POST shares/*/replicas" ->
 				read(call, AdminToken.Role.ADMIN, (body) -> this.operations.changeMembership(call.share(), body));
+			case "POST shares/*/orders" ->
+				read(call, AdminToken.Role.ADMIN, (body) -> this.orders.send(call.share(), body));
 			case "GET shares/*" -> {
 				call.allow(AdminToken.Role.VIEWER);
 				yield call.has("stale") ? this.operations.readStale(call.share()) : this.operations.read(call.share());
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/orders/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Orders to model servers.
+ */
+package io.fescuehold.runtime.orders;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
@@ -35,6 +35,7 @@
 import io.fescuehold.runtime.control.MessagePackStateCodec;
 import io.fescuehold.runtime.control.SharedStateClient;
 import io.fescuehold.runtime.control.UpstreamCandidates;
+import io.fescuehold.runtime.orders.OrderDispatcher;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -97,7 +98,8 @@
 				token("sala", "other", "fiji", AdminToken.Role.ADMIN));
 		List<StateDump> dumps = List.of(feed, service, new BrokenDump());
 		this.server = new AdminServer(new AdminOptions("127.0.0.1", 0, tls, tokens, LIMITS), client, feed,
-				() -> List.of("tarawera"), () -> dumps, this.metrics, () -> this.drained.set(true));
+				() -> List.of("tarawera"), () -> dumps, this.metrics, () -> this.drained.set(true),
+				new OrderDispatcher("h1", feed, client, this.scheduler));
 		this.server.start().block(Duration.ofSeconds(5));
 	}
 
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/orders/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of orders to model servers.
+ */
+package io.fescuehold.runtime.orders;
