--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementMessage.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementMessage.java
@@ -179,9 +179,11 @@
 	 * @param empty whether the sender's store is empty
 	 * @param genesis the first membership written by {@link MembershipCodec}, or null if
 	 * the store is empty or the entry was compacted
+	 * @param membership the newest membership known to be committed, written by
+	 * {@link MembershipCodec}
 	 */
-	record ProbeReply(String group, ReplicaId from, ReplicaId to, String failureDomain, boolean empty,
-			byte[] genesis) implements AgreementMessage {
+	record ProbeReply(String group, ReplicaId from, ReplicaId to, String failureDomain, boolean empty, byte[] genesis,
+			byte[] membership) implements AgreementMessage {
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementOptions.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementOptions.java
@@ -17,7 +17,7 @@
  * @param maxBatchBytes the size in bytes above which no further entry is added to a
  * message, and the size of a snapshot chunk
  * @param maxInFlightEntries the number of entries that are sent to a follower before it
- * has acknowledged them
+ * has acknowledged them, and that a leader accepts before they are committed and durable
  */
 public record AgreementOptions(String group, ReplicaId self, List<String> initialHostIds,
 		Map<String, String> failureDomains, AgreementTiming timing, int keepEntries, int maxBatchBytes,
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Bootstrap.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Bootstrap.java
@@ -42,7 +42,8 @@
 		this.context.send(probe.from(),
 				new AgreementMessage.ProbeReply(this.context.group(), this.context.self, probe.from(),
 						this.context.options.failureDomain(this.context.self.hostId()), this.context.log.isEmpty(),
-						durable ? this.context.log.genesis() : null));
+						durable ? this.context.log.genesis() : null,
+						MembershipCodec.encode(this.context.log.membershipAt(this.context.commitIndex))));
 	}
 
 	void onReply(AgreementMessage.ProbeReply reply) {
@@ -55,11 +56,19 @@
 			writeIfAllEmpty();
 			return;
 		}
-		boolean listed = reply.genesis() != null
-				&& MembershipCodec.decode(reply.genesis()).find(this.context.self) != null;
-		if (listed) {
+		if (reply.genesis() != null && isListed(reply.genesis())) {
 			writeGenesis(reply.genesis());
 		}
+		else if (isListed(reply.membership())) {
+			// The first membership was compacted before this host got it. It may vote,
+			// and
+			// receives a snapshot from the leader.
+			this.context.listedByGroup = true;
+		}
+	}
+
+	private boolean isListed(byte[] membership) {
+		return MembershipCodec.decode(membership).find(this.context.self) != null;
 	}
 
 	private void probe(String hostId) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/LeaderReplication.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/LeaderReplication.java
@@ -114,7 +114,7 @@
 			case PROBE -> {
 				if (!member.probeSent || heartbeatDue) {
 					member.probeSent = true;
-					sendEntries(member, batch(member.nextIndex));
+					sendEntries(member, batch(member));
 				}
 			}
 			case PIPELINE -> sendPipelined(member, heartbeatDue);
@@ -129,10 +129,10 @@
 
 	private void sendPipelined(Progress member, boolean heartbeatDue) {
 		boolean sent = false;
-		long last = this.context.log.lastIndex();
+		long last = lastIndexFor(member);
 		while (member.nextIndex <= last
 				&& member.nextIndex - member.matchIndex <= this.context.options.maxInFlightEntries()) {
-			List<LogEntry> entries = batch(member.nextIndex);
+			List<LogEntry> entries = batch(member);
 			sendEntries(member, entries);
 			member.nextIndex += entries.size();
 			sent = true;
@@ -142,9 +142,20 @@
 		}
 	}
 
-	private List<LogEntry> batch(long fromIndex) {
-		long toIndex = fromIndex + this.context.options.maxInFlightEntries() - 1;
-		return this.context.log.slice(fromIndex, toIndex, this.context.options.maxBatchBytes());
+	/**
+	 * Returns the last index to send. A removed member gets its removal only once that is
+	 * committed, because until then the group may need it as a voter and it stops voting
+	 * when it has the entry.
+	 * @param member the member
+	 * @return the index
+	 */
+	private long lastIndexFor(Progress member) {
+		return (member.removedMs != Progress.NEVER) ? this.context.commitIndex : this.context.log.lastIndex();
+	}
+
+	private List<LogEntry> batch(Progress member) {
+		long toIndex = Math.min(lastIndexFor(member), member.nextIndex + this.context.options.maxInFlightEntries() - 1);
+		return this.context.log.slice(member.nextIndex, toIndex, this.context.options.maxBatchBytes());
 	}
 
 	private void sendEntries(Progress member, List<LogEntry> entries) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
@@ -148,7 +148,7 @@
 		String hostId = command.change.addHostId();
 		if (hostId.equals(this.context.self.hostId())) {
 			return new AgreementMessage.ProbeReply(this.context.group(), this.context.self, this.context.self,
-					this.context.options.failureDomain(hostId), false, null);
+					this.context.options.failureDomain(hostId), false, null, null);
 		}
 		boolean answered = this.identity != null && this.identity.from().hostId().equals(hostId)
 				&& command.probedMs != Progress.NEVER;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipRules.java
@@ -94,7 +94,8 @@
 		if (addId == null) {
 			return null;
 		}
-		if (added && removeId != null) {
+		boolean otherHost = removeId != null && !removeId.hostId().equals(addId.hostId());
+		if (added && otherHost) {
 			return "host \"" + addId.hostId() + "\" is a voter already, so the group would shrink; add another host or"
 					+ " remove \"" + change.removeHostId() + "\"";
 		}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/NodeContext.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/NodeContext.java
@@ -31,6 +31,9 @@
 
 	ReplicaId leader;
 
+	/** Whether the group lists this replica although its own log is empty. */
+	boolean listedByGroup;
+
 	long commitIndex;
 
 	long appliedIndex;
@@ -65,7 +68,8 @@
 	}
 
 	boolean isMember() {
-		return membership().find(this.self) != null;
+		boolean unknown = this.log.isEmpty();
+		return (unknown && this.listedByGroup) || membership().find(this.self) != null;
 	}
 
 	boolean isVoter() {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Proposals.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Proposals.java
@@ -26,7 +26,7 @@
 			this.context.emit(new Output.ProposalFailed(proposalId, ErrorCode.NOT_LEADER));
 			return;
 		}
-		if (!this.leadership.acceptsProposals()) {
+		if (!this.leadership.acceptsProposals() || isBacklogFull()) {
 			this.context.emit(new Output.ProposalFailed(proposalId, ErrorCode.NO_QUORUM));
 			return;
 		}
@@ -57,4 +57,13 @@
 		this.idByIndex.clear();
 	}
 
+	/**
+	 * Returns whether too many entries wait for a majority or for the own disk.
+	 * @return whether this is so
+	 */
+	private boolean isBacklogFull() {
+		long settled = Math.min(this.context.commitIndex, this.context.durable.durableIndex());
+		return this.context.log.lastIndex() - settled >= this.context.options.maxInFlightEntries();
+	}
+
 }
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
@@ -177,6 +177,49 @@
 		assertThat(voters()).hasSize(3).contains("h5");
 	}
 
+	@Test
+	void removedMemberStaysAVoterUntilItsRemovalIsCommitted() {
+		settle(5, 0);
+		SimHost removed = others().getFirst();
+		this.simulation.clients.change(this.leader, MembershipChange.remove("r1", removed.hostId));
+		boolean begun = this.simulation.runUntil(1_000, () -> this.leader.node.membership().pending() != null
+				&& others().stream().allMatch((host) -> host.node.lastIndex() == this.leader.node.lastIndex()));
+		assertThat(begun).isTrue();
+		others().stream()
+			.filter((host) -> host != removed)
+			.forEach((host) -> this.simulation.network.cut(this.leader.hostId, host.hostId));
+		this.simulation.run(60);
+		assertThat(voters()).as("removal is in the leader's log").doesNotContain(removed.hostId);
+		assertThat(removed.node.membership().hasVoter(removed.node.self())).isTrue();
+		this.leader.crash();
+		this.simulation.network.heal();
+		assertThat(this.simulation.awaitLeader()).isNotNull();
+	}
+
+	@Test
+	void replacementOfAHostByItselfCompletesAfterItWasSuperseded() {
+		settle(5, 1);
+		SimHost lost = others().getFirst();
+		lost.loseDisk();
+		lost.start();
+		this.simulation.clients.change(this.leader, MembershipChange.replace("r1", lost.hostId, lost.hostId));
+		ReplicaId returned = lost.node.self();
+		boolean promoted = this.simulation.runUntil(2_000, () -> this.leader.node.membership().hasVoter(returned));
+		assertThat(promoted).isTrue();
+		lost.crash();
+		this.simulation.run(500);
+		assertThat(await(this.simulation.clients.change(this.leader, MembershipChange.add("r2", "h6")))).isTrue();
+		lost.start();
+		this.simulation.run(200);
+		assertThat(await(
+				this.simulation.clients.change(this.leader, MembershipChange.replace("r3", lost.hostId, lost.hostId))))
+			.isTrue();
+		assertThat(this.leader.node.membership().voters()).hasSize(6)
+			.filteredOn((member) -> member.id().hostId().equals(lost.hostId))
+			.extracting(Member::id)
+			.containsExactly(returned);
+	}
+
 	private void refused(MembershipChange change) {
 		Set<String> before = voters();
 		long command = this.simulation.clients.change(this.leader, change);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
@@ -140,7 +140,9 @@
 			}
 		}
 		catch (FescueholdException ex) {
-			onError(ex, done);
+			if (!this.failed) {
+				onError(ex, done);
+			}
 			return;
 		}
 		catch (RuntimeException ex) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -250,6 +250,9 @@
 		if (Files.exists(file)) {
 			return Files.readString(file).strip();
 		}
+		// The log comes first, so that a store with an id but no log has lost its log and
+		// must not return under the same identity.
+		this.log.create();
 		String created = UUID.randomUUID().toString();
 		this.disk.replace(file, ByteBuffer.wrap(created.getBytes(StandardCharsets.UTF_8)));
 		return created;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
@@ -53,6 +53,19 @@
 		this.segmentBytes = segmentBytes;
 	}
 
+	/**
+	 * Creates the first segment if there is none.
+	 * @throws IOException if the file cannot be written
+	 */
+	void create() throws IOException {
+		if (list().isEmpty()) {
+			startSegment(1);
+			this.channel.close();
+			this.channel = null;
+			this.segments.clear();
+		}
+	}
+
 	/**
 	 * Reads all segments, cuts a torn tail and opens the last segment for writes.
 	 * @throws IOException if a file cannot be read or cut
@@ -63,8 +76,7 @@
 			readSegment(files.get(i), i == files.size() - 1);
 		}
 		if (this.segments.isEmpty()) {
-			startSegment(1);
-			return;
+			throw damaged(this.folder, 0, "the log is missing");
 		}
 		this.channel = FileChannel.open(this.segments.getLast().file, StandardOpenOption.WRITE);
 		this.position = this.channel.size();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/DiskStorageTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/DiskStorageTests.java
@@ -128,6 +128,8 @@
 			Files.delete(segments().getFirst());
 		}
 		assertCode(this::read, ErrorCode.STORAGE_DAMAGED);
+		Files.delete(segments().getFirst());
+		assertCode(this::read, ErrorCode.STORAGE_DAMAGED);
 	}
 
 	@Test
