--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/agreement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the replicated log.
+ */
+package io.fescuehold.bench.agreement;
