Restart an addition whose host lost its disk

A command now probes the host again when the member it adds is silent, and starts over if the host answers with another store.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
@@ -43,7 +43,7 @@
 			this.context.emit(new Output.ChangeFailed(commandId, ErrorCode.NOT_LEADER, "this replica does not lead"));
 			return;
 		}
-		this.waiting.add(new Waiting(commandId, change, this.context.nowMs));
+		this.waiting.add(new Waiting(commandId, change));
 	}
 
 	void onProbeReply(AgreementMessage.ProbeReply reply) {
@@ -74,7 +74,10 @@
 		this.waiting.removeIf((command) -> answerIfDecided(membership, command));
 		ChangeRecord pending = membership.pending();
 		boolean replaceable = pending == null || isAbandoned(membership, pending);
-		Waiting next = this.waiting.stream().filter((command) -> !isSame(command, pending)).findFirst().orElse(null);
+		Waiting next = this.waiting.stream()
+			.filter((command) -> !isSame(command, pending) || pending.addId() != null)
+			.findFirst()
+			.orElse(null);
 		if (replaceable && next != null) {
 			begin(membership, next);
 		}
@@ -126,6 +129,13 @@
 				return;
 			}
 			addId = answer.from();
+			boolean unchanged = isSame(command, membership.pending()) && addId.equals(membership.pending().addId());
+			if (unchanged) {
+				// The member is only silent; a later answer may name another store.
+				this.identity = null;
+				command.probingSinceMs = this.context.nowMs;
+				return;
+			}
 		}
 		ReplicaId removeId = this.rules.resolveRemoved(base, change, addId);
 		MembershipRules.Verdict verdict = this.rules.check(membership, base, change, addId, removeId);
@@ -142,6 +152,8 @@
 			base = base.withMember(new Member(addId, this.identity.failureDomain(), false));
 		}
 		append(base.withPending(record));
+		this.identity = null;
+		command.probedMs = Progress.NEVER;
 	}
 
 	private AgreementMessage.ProbeReply findIdentity(Waiting command) {
@@ -155,8 +167,11 @@
 		if (answered) {
 			return this.identity;
 		}
+		if (command.probedMs == Progress.NEVER) {
+			command.probingSinceMs = this.context.nowMs;
+		}
 		long timeoutMs = PROBE_TIMEOUT_FACTOR * this.context.timing().electionTimeoutMs();
-		if (this.context.nowMs >= command.requestedMs + timeoutMs) {
+		if (this.context.nowMs >= command.probingSinceMs + timeoutMs) {
 			refuse(command, "host \"" + hostId + "\" does not answer; start its daemon and send the change again");
 			this.waiting.remove(command);
 			return null;
@@ -238,14 +253,13 @@
 
 		private final MembershipChange change;
 
-		private final long requestedMs;
+		private long probingSinceMs;
 
 		private long probedMs = Progress.NEVER;
 
-		private Waiting(long commandId, MembershipChange change, long requestedMs) {
+		private Waiting(long commandId, MembershipChange change) {
 			this.commandId = commandId;
 			this.change = change;
-			this.requestedMs = requestedMs;
 		}
 
 	}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
@@ -220,6 +220,21 @@
 			.containsExactly(returned);
 	}
 
+	@Test
+	void hostThatLosesItsDiskWhileItIsAddedIsAddedUnderItsNewIdentity() {
+		settle(3, 1);
+		SimHost added = this.simulation.host("h4");
+		added.syncsHang = true;
+		long command = this.simulation.clients.change(this.leader, MembershipChange.add("r1", "h4"));
+		this.simulation.run(300);
+		added.loseDisk();
+		added.syncsHang = false;
+		added.start();
+		assertThat(await(command)).isTrue();
+		assertThat(this.leader.node.membership().hasVoter(added.node.self())).isTrue();
+		assertThat(this.leader.node.membership().members()).hasSize(4);
+	}
+
 	private void refused(MembershipChange change) {
 		Set<String> before = voters();
 		long command = this.simulation.clients.change(this.leader, change);
