--- a/fescuehold-core/src/main/java/io/fescuehold/core/port/PeerTransport.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/PeerTransport.java
@@ -23,9 +23,10 @@
 	 * @param hostId the host id of the receiver
 	 * @param message the message
 	 * @param timeout the longest wait
-	 * @return the reply, or an error if the host cannot be reached in time; a
-	 * {@link io.fescuehold.core.error.FescueholdException} raised by the handler arrives
-	 * with its code
+	 * @return the reply, or an error if the host cannot be reached in time, whose run
+	 * status is NO if the host cannot have received the message and UNKNOWN if it may
+	 * have; a {@link io.fescuehold.core.error.FescueholdException} raised by the handler
+	 * arrives with its code
 	 */
 	Mono<PeerMessage> request(String hostId, PeerMessage message, Duration timeout);
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
@@ -109,6 +109,7 @@
 		}
 		FleetView newer = this.current.with(config);
 		if (newer == this.current) {
+			warnIfContradicted(config);
 			return;
 		}
 		this.histories.computeIfAbsent(config.share(), (share) -> new ShareHistory()).add(config);
@@ -119,6 +120,16 @@
 		}
 	}
 
+	private void warnIfContradicted(ShareConfig config) {
+		ShareConfig known = this.current.shares().get(config.share());
+		if (known.number() == config.number() && !known.equals(config)) {
+			logger.atSevere()
+				.log("Share %s has two contents under number %d (%s and %s); the first is kept. Check whether a data"
+						+ " folder of another group was restored", config.share(), config.number(),
+						ConfigJson.digest(known), ConfigJson.digest(config));
+		}
+	}
+
 	private void save(String share) {
 		// Saves of one share may run in any order, so each writes the newest.
 		synchronized (this.store) {
