Count a request's own work against the load bound and speed up the scan

Weights are computed when reports are taken over instead of per decision, and most logarithms are avoided.

--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeRequest.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeRequest.java
@@ -45,8 +45,10 @@
 		return used;
 	}
 
-	void generate(double tokens) {
-		this.outputLeft = Math.max(0, this.outputLeft - tokens);
+	double generate(double tokens) {
+		double generated = Math.min(tokens, this.outputLeft);
+		this.outputLeft -= generated;
+		return generated;
 	}
 
 	boolean isPrefilled() {
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeServer.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeServer.java
@@ -40,6 +40,8 @@
 
 	private long cachedTokens;
 
+	private double outstanding;
+
 	private boolean up = true;
 
 	private boolean counted = true;
@@ -93,7 +95,7 @@
 	 * @return the tokens
 	 */
 	public long cached(String chatId) {
-		return this.cache.containsKey(chatId) ? this.cache.get(chatId) : 0;
+		return this.cache.getOrDefault(chatId, 0L);
 	}
 
 	/**
@@ -105,11 +107,7 @@
 	}
 
 	private double outstandingTokens() {
-		double total = 0;
-		for (FakeRequest request : this.requests) {
-			total += request.outstanding();
-		}
-		return total;
+		return this.outstanding;
 	}
 
 	ServerLoad report(long nowMs) {
@@ -138,6 +136,7 @@
 		}
 		FakeRequest accepted = new FakeRequest(this.id, chat, request, local + imported, outputTokens, startsAtMs);
 		this.requests.add(accepted);
+		this.outstanding += accepted.outstanding();
 		return accepted;
 	}
 
@@ -158,10 +157,12 @@
 				continue;
 			}
 			if (request.isPrefilled()) {
-				request.generate(perRequest);
+				this.outstanding -= request.generate(perRequest);
 			}
 			else {
-				prefillBudget -= request.prefill(prefillBudget);
+				double prefilled = request.prefill(prefillBudget);
+				prefillBudget -= prefilled;
+				this.outstanding -= prefilled;
 			}
 			if (request.isDone()) {
 				iterator.remove();
@@ -188,6 +189,7 @@
 	List<FakeRequest> crash() {
 		List<FakeRequest> lost = List.copyOf(this.requests);
 		this.requests.clear();
+		this.outstanding = 0;
 		this.cache.clear();
 		this.cachedTokens = 0;
 		this.up = false;
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/FullKnowledgePolicy.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/FullKnowledgePolicy.java
@@ -17,7 +17,8 @@
 
 /**
  * One router that knows the true load and cache of every server at once: the upper bound
- * for all others. It keeps to the load bound and otherwise prefers the cache.
+ * for all others. It keeps to the load bound and otherwise prefers the cache, or, as the
+ * lower bound of skew, always takes the least loaded server and imports the cache.
  */
 final class FullKnowledgePolicy implements PlacementPolicy {
 
@@ -25,7 +26,10 @@
 
 	private final Supplier<FleetView> newestView;
 
-	FullKnowledgePolicy(List<FakeServer> servers, Supplier<FleetView> newestView) {
+	private final boolean prefersCache;
+
+	FullKnowledgePolicy(List<FakeServer> servers, Supplier<FleetView> newestView, boolean prefersCache) {
+		this.prefersCache = prefersCache;
 		this.servers = servers;
 		this.newestView = newestView;
 	}
@@ -37,19 +41,24 @@
 		FakeServer home = null;
 		FakeServer least = null;
 		FakeServer source = null;
+		long homeTokens = 0;
+		long sourceTokens = 0;
 		double total = 0;
 		int count = 0;
 		for (FakeServer server : this.servers) {
-			if (server.isUp() && isMore(server, source, request)) {
+			long tokens = server.isUp() ? server.cached(request.chatId()) : 0;
+			if (tokens > sourceTokens) {
 				source = server;
+				sourceTokens = tokens;
 			}
 			if (!isUsable(server, newest, request)) {
 				continue;
 			}
 			total += server.loadS();
 			count++;
-			if (isMore(server, home, request)) {
+			if (tokens > homeTokens) {
 				home = server;
+				homeTokens = tokens;
 			}
 			if (least == null || server.loadS() < least.loadS()) {
 				least = server;
@@ -59,18 +68,12 @@
 			return new PlacementDecision.Full(1_000);
 		}
 		double bound = newest.shares().get(share).policy().loadBound();
-		FakeServer chosen = (home != null && home.loadS() * count <= bound * total) ? home : least;
+		FakeServer chosen = (this.prefersCache && home != null && home.loadS() * count <= bound * total) ? home : least;
 		long cached = chosen.cached(request.chatId());
-		boolean isImported = source != null && source != chosen
-				&& CacheCost.isImportCheaper(source.cached(request.chatId()) - cached);
+		boolean isImported = source != null && source != chosen && CacheCost.isImportCheaper(sourceTokens - cached);
 		return new PlacementDecision.Chosen(chosen.id(), cached, isImported ? source.id() : null, "full knowledge");
 	}
 
-	private static boolean isMore(FakeServer server, FakeServer best, PlacementRequest request) {
-		long cached = server.cached(request.chatId());
-		return cached > ((best != null) ? best.cached(request.chatId()) : 0);
-	}
-
 	private static boolean isUsable(FakeServer server, FleetView view, PlacementRequest request) {
 		return server.isUp() && !server.isFull() && view.modelServers().containsKey(server.id())
 				&& view.modelServers().get(server.id()).spec().state() != ServerState.LEAVING
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/PolicyKind.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/PolicyKind.java
@@ -37,7 +37,10 @@
 	BOUNDED_HASH,
 
 	/** One router that knows everything. */
-	FULL_KNOWLEDGE;
+	FULL_KNOWLEDGE,
+
+	/** One router that knows everything and always takes the least loaded server. */
+	FULL_BALANCE;
 
 	/**
 	 * Returns the name as used on the command line.
@@ -61,7 +64,7 @@
 	 * @return whether the policy stands for a single router
 	 */
 	public boolean isShared() {
-		return this == FULL_KNOWLEDGE;
+		return this == FULL_KNOWLEDGE || this == FULL_BALANCE;
 	}
 
 	/**
@@ -84,7 +87,8 @@
 			case TWO_CHOICES -> new TwoChoicesPolicy(seed * routers + router);
 			case RENDEZVOUS -> new HashPolicy(false);
 			case BOUNDED_HASH -> new HashPolicy(true);
-			case FULL_KNOWLEDGE -> new FullKnowledgePolicy(servers, newestView);
+			case FULL_KNOWLEDGE -> new FullKnowledgePolicy(servers, newestView, true);
+			case FULL_BALANCE -> new FullKnowledgePolicy(servers, newestView, false);
 		};
 	}
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -80,7 +80,7 @@
 		if (pool.servers().size() == 0) {
 			return new PlacementDecision.None();
 		}
-		pool.refresh(loads, this.joinRamp, this.flaps, nowMs);
+		pool.refresh(loads, this.joinRamp, this.flaps, this.routers.getAsInt(), nowMs);
 		Candidate candidate = choose(request, pool, nowMs);
 		if (candidate == null) {
 			return new PlacementDecision.Full(retryAfterMs(pool));
@@ -119,11 +119,14 @@
 		if (home >= 0 && pool.isUsable(home, request, nowMs) && mayStay(home, chatHash, context, request, pool)) {
 			return new Candidate(home, context, null, "cached");
 		}
-		int best = bestByHash(chatHash, request, pool, nowMs);
+		boolean isImportable = home >= 0 && CacheCost.isImportCheaper(context);
+		double work = request.promptTokens() - (isImportable ? context : 0)
+				+ this.outputLength.expected(request.maxOutputTokens());
+		int best = bestByHash(chatHash, work, request, pool, nowMs);
 		if (best < 0) {
 			return null;
 		}
-		if (home >= 0 && home != best && CacheCost.isImportCheaper(context)) {
+		if (isImportable && home != best) {
 			return new Candidate(best, context, place.serverId(), "moved");
 		}
 		return new Candidate(best, (home == best) ? context : 0, null, (home >= 0) ? "moved" : "hash");
@@ -140,39 +143,46 @@
 	}
 
 	private boolean mayStay(int home, long chatHash, long context, PlacementRequest request, PoolState pool) {
-		double load = pool.loads().relative(home, this.routers.getAsInt());
+		double load = pool.loads().relative(home);
 		double spread = RendezvousHash.unit(RendezvousHash.combine(chatHash, pool.servers().hash(home)));
 		double threshold = this.tuning.stayLow() + spread * (this.tuning.stayHigh() - this.tuning.stayLow())
 				+ pool.loads().increase(home, CacheCost.moveCost(context)) / 2;
 		return load <= Math.min(threshold, pool.loadBound());
 	}
 
-	private int bestByHash(long chatHash, PlacementRequest request, PoolState pool, long nowMs) {
-		int routerCount = this.routers.getAsInt();
+	private int bestByHash(long chatHash, double work, PlacementRequest request, PoolState pool, long nowMs) {
+		LoadEstimator loads = pool.loads();
 		int best = -1;
 		double bestScore = Double.POSITIVE_INFINITY;
+		// A request that is larger than the room below the bound on every server goes by
+		// hash to one at or below the mean. The least loaded server would draw all such
+		// requests of all routers at once.
+		int fallback = -1;
+		double fallbackScore = Double.POSITIVE_INFINITY;
 		int least = -1;
-		double leastLoad = Double.POSITIVE_INFINITY;
 		for (int index = 0; index < pool.servers().size(); index++) {
 			if (!pool.isUsable(index, request, nowMs)) {
 				continue;
 			}
-			double load = pool.loads().relative(index, routerCount);
-			if (load < leastLoad) {
-				least = index;
-				leastLoad = load;
-			}
-			if (load > pool.loadBound()) {
-				continue;
+			double load = loads.relative(index);
+			least = (least < 0 || load < loads.relative(least)) ? index : least;
+			if (load + loads.increase(index, work) <= pool.loadBound()) {
+				double score = RendezvousHash.scoreBelow(chatHash, pool.servers().hash(index), loads.weight(index),
+						bestScore);
+				best = (score < bestScore) ? index : best;
+				bestScore = Math.min(score, bestScore);
 			}
-			double weight = pool.loads().speed(index) * Math.exp(this.tuning.reportGain() * (1 - load));
-			double score = RendezvousHash.score(chatHash, pool.servers().hash(index), weight);
-			if (score < bestScore) {
-				best = index;
-				bestScore = score;
+			else if (best < 0 && load <= 1) {
+				double score = RendezvousHash.scoreBelow(chatHash, pool.servers().hash(index), loads.weight(index),
+						fallbackScore);
+				fallback = (score < fallbackScore) ? index : fallback;
+				fallbackScore = Math.min(score, fallbackScore);
 			}
 		}
-		return (best >= 0) ? best : least;
+		if (best >= 0) {
+			return best;
+		}
+		return (fallback >= 0) ? fallback : least;
 	}
 
 	private long retryAfterMs(PoolState pool) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/FlapHoldOff.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/FlapHoldOff.java
@@ -20,6 +20,8 @@
 
 	private final Map<String, Flaps> flaps = new HashMap<>();
 
+	private long changes;
+
 	/**
 	 * Records that a server failed or could not be reached.
 	 * @param serverId the server
@@ -34,6 +36,7 @@
 		if (this.flaps.size() >= MAX_SERVERS) {
 			this.flaps.values().removeIf((entry) -> nowMs - entry.untilMs >= FORGET_MS);
 		}
+		this.changes++;
 		long holdOffMs = BASE_MS << Math.min(count, MAX_DOUBLINGS);
 		this.flaps.put(serverId, new Flaps(count, nowMs + holdOffMs));
 	}
@@ -62,13 +65,21 @@
 		return (entry != null) ? Math.max(0, entry.untilMs - nowMs) : 0;
 	}
 
+	/**
+	 * Returns a number that grows with every new hold-off.
+	 * @return the number
+	 */
+	long changes() {
+		return this.changes;
+	}
+
 	/**
 	 * Returns when the last hold-off of a server ended or will end.
 	 * @param serverId the server
 	 * @return the time in milliseconds, or a negative number if the server never failed
 	 */
 	long endOfHoldOffMs(String serverId) {
-		Flaps entry = this.flaps.get(serverId);
+		Flaps entry = this.flaps.isEmpty() ? null : this.flaps.get(serverId);
 		return (entry != null) ? entry.untilMs : -1;
 	}
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/LoadEstimator.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/LoadEstimator.java
@@ -10,9 +10,6 @@
  */
 final class LoadEstimator {
 
-	/** Reports are taken over at most this often; digests arrive no faster. */
-	private static final long REFRESH_MS = 250;
-
 	/** The running requests of an older report no longer count. */
 	private static final long MAX_RUNNING_AGE_MS = 5_000;
 
@@ -36,7 +33,15 @@
 
 	private final long[] reportedAtMs;
 
-	private long refreshedAtMs = Long.MIN_VALUE;
+	private final double[] relative;
+
+	private final double[] weights;
+
+	private long refreshedAtMs = Long.MIN_VALUE / 2;
+
+	private double totalSpeed = 1;
+
+	private double ownScale = 1;
 
 	private long decayedAtMs;
 
@@ -55,6 +60,8 @@
 		this.running = new int[size];
 		this.ownSinceReport = new int[size];
 		this.reportedAtMs = new long[size];
+		this.relative = new double[size];
+		this.weights = new double[size];
 		for (int index = 0; index < size; index++) {
 			this.speeds[index] = pool.spec(index).tokensPerS();
 		}
@@ -81,16 +88,24 @@
 	 * Brings the estimates up to date.
 	 * @param loads the newest reports by server id
 	 * @param ramps the portion of its weight that each server may receive
+	 * @param routers the number of routers that share the pool
 	 * @param nowMs the time in milliseconds
 	 */
-	void refresh(Map<String, ServerLoad> loads, double[] ramps, long nowMs) {
+	void refresh(Map<String, ServerLoad> loads, double[] ramps, int routers, long nowMs) {
 		decayOwn(nowMs);
-		boolean isDue = nowMs - this.refreshedAtMs >= REFRESH_MS || this.refreshedAtMs == Long.MIN_VALUE;
-		if (!isDue) {
-			return;
-		}
 		this.refreshedAtMs = nowMs;
+		this.ownScale = Math.min(routers, this.tuning.ownGain());
 		takeOver(loads, ramps, nowMs);
+		for (int index = 0; index < this.relative.length; index++) {
+			estimate(index);
+		}
+	}
+
+	private void estimate(int index) {
+		double ownDeviationS = this.ownTokens[index] / this.speeds[index] - this.ownMeanS;
+		double load = Math.max(0, 1 + this.reported[index] + this.ownScale * ownDeviationS / this.meanS);
+		this.relative[index] = load;
+		this.weights[index] = this.speeds[index] * Math.exp(this.tuning.reportGain() * (1 - load));
 	}
 
 	private void takeOver(Map<String, ServerLoad> loads, double[] ramps, long nowMs) {
@@ -111,7 +126,8 @@
 			}
 		}
 		this.meanS = Math.max(MIN_MEAN_S, (knownSpeed > 0) ? total / knownSpeed : 0);
-		this.ownMeanS = (speed > 0) ? own / speed : 0;
+		this.totalSpeed = Math.max(1, speed);
+		this.ownMeanS = own / this.totalSpeed;
 		for (int index = 0; index < this.pool.size(); index++) {
 			double ageMs = Math.max(0, nowMs - this.reportedAtMs[index]);
 			double deviation = Double.isNaN(this.reported[index]) ? 0
@@ -144,32 +160,30 @@
 	/**
 	 * Returns the estimated load of a server relative to the mean.
 	 * @param index the server
-	 * @param routers the number of routers that share the pool
 	 * @return the load, where 1 is the mean
 	 */
-	double relative(int index, int routers) {
-		double ownDeviationS = this.ownTokens[index] / this.speeds[index] - this.ownMeanS;
-		double scale = Math.min(routers, this.tuning.ownGain());
-		return Math.max(0, 1 + this.reported[index] + scale * ownDeviationS / this.meanS);
+	double relative(int index) {
+		return this.relative[index];
 	}
 
 	/**
-	 * Returns what a request adds to the relative load of a server.
+	 * Returns the weight of a server in the hash, which follows its speed and falls with
+	 * its estimated load.
 	 * @param index the server
-	 * @param tokens the tokens to prefill and to generate
-	 * @return the increase, where 1 is the mean load
+	 * @return the weight
 	 */
-	double increase(int index, double tokens) {
-		return tokens / this.speeds[index] / this.meanS;
+	double weight(int index) {
+		return this.weights[index];
 	}
 
 	/**
-	 * Returns the speed of a server, reduced while it joins.
+	 * Returns what a request adds to the relative load of a server.
 	 * @param index the server
-	 * @return the speed in tokens per second
+	 * @param tokens the tokens to prefill and to generate
+	 * @return the increase, where 1 is the mean load
 	 */
-	double speed(int index) {
-		return this.speeds[index];
+	double increase(int index, double tokens) {
+		return tokens / this.speeds[index] / this.meanS;
 	}
 
 	/**
@@ -197,7 +211,8 @@
 		this.ownTokens[index] += tokens;
 		this.ownRunning[index]++;
 		this.ownSinceReport[index]++;
-		this.ownMeanS += tokens / totalSpeed();
+		this.ownMeanS += tokens / this.totalSpeed;
+		estimate(index);
 	}
 
 	void finished(int index) {
@@ -205,12 +220,4 @@
 		this.ownSinceReport[index] = Math.max(0, this.ownSinceReport[index] - 1);
 	}
 
-	private double totalSpeed() {
-		double total = 0;
-		for (double speed : this.speeds) {
-			total += speed;
-		}
-		return total;
-	}
-
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/PoolState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PoolState.java
@@ -9,6 +9,9 @@
  */
 final class PoolState {
 
+	/** Digests arrive no faster, so reports are taken over at most this often. */
+	private static final long REFRESH_MS = 250;
+
 	private final FleetView view;
 
 	private final ServerPool servers;
@@ -21,6 +24,10 @@
 
 	private final double loadBound;
 
+	private long refreshedAtMs = Long.MIN_VALUE / 2;
+
+	private long flapChanges = -1;
+
 	PoolState(FleetView view, String share, String model, PoolState earlier, PlacementTuning tuning) {
 		this.view = view;
 		this.servers = ServerPool.of(view, share, model);
@@ -33,13 +40,18 @@
 		}
 	}
 
-	void refresh(Map<String, ServerLoad> reports, JoinRamp joinRamp, FlapHoldOff flaps, long nowMs) {
+	void refresh(Map<String, ServerLoad> reports, JoinRamp joinRamp, FlapHoldOff flaps, int routers, long nowMs) {
+		if (nowMs - this.refreshedAtMs < REFRESH_MS && this.flapChanges == flaps.changes()) {
+			return;
+		}
+		this.refreshedAtMs = nowMs;
+		this.flapChanges = flaps.changes();
 		for (int index = 0; index < this.servers.size(); index++) {
 			String id = this.servers.id(index);
 			this.heldOffUntilMs[index] = flaps.endOfHoldOffMs(id);
 			this.ramps[index] = joinRamp.portion(id, this.heldOffUntilMs[index], nowMs);
 		}
-		this.loads.refresh(reports, this.ramps, nowMs);
+		this.loads.refresh(reports, this.ramps, routers, nowMs);
 	}
 
 	boolean isFor(FleetView other) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/RendezvousHash.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/RendezvousHash.java
@@ -66,6 +66,24 @@
 		return (weight > 0) ? -Math.log(unit(combine(keyHash, nodeHash))) / weight : Double.POSITIVE_INFINITY;
 	}
 
+	/**
+	 * Returns the weighted score of a node if it is below the best score so far. Most
+	 * nodes are ruled out by a lower bound of the logarithm, which makes a scan of many
+	 * nodes several times faster.
+	 * @param keyHash the hash of the key
+	 * @param nodeHash the hash of the node
+	 * @param weight the weight of the node
+	 * @param best the best score so far
+	 * @return the score, or infinity if it is not below the best
+	 */
+	static double scoreBelow(long keyHash, long nodeHash, double weight, double best) {
+		double unit = unit(combine(keyHash, nodeHash));
+		if (1 - unit >= best * weight) {
+			return Double.POSITIVE_INFINITY;
+		}
+		return -Math.log(unit) / weight;
+	}
+
 	private static long mix(long value) {
 		long mixed = (value ^ (value >>> 30)) * MIX_1;
 		mixed = (mixed ^ (mixed >>> 27)) * MIX_2;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/ServerPool.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/ServerPool.java
@@ -20,14 +20,18 @@
 
 	private final ModelServerSpec[] specs;
 
+	private final boolean[] leaving;
+
 	private final Map<String, Integer> indexes = new HashMap<>();
 
 	private ServerPool(List<String> ids, List<ModelServerSpec> specs) {
 		this.ids = ids.toArray(String[]::new);
 		this.specs = specs.toArray(ModelServerSpec[]::new);
 		this.hashes = new long[this.ids.length];
+		this.leaving = new boolean[this.ids.length];
 		for (int index = 0; index < this.ids.length; index++) {
 			this.hashes[index] = RendezvousHash.hash(this.ids[index]);
+			this.leaving[index] = this.specs[index].state() == ServerState.LEAVING;
 			this.indexes.put(this.ids[index], index);
 		}
 	}
@@ -61,7 +65,7 @@
 	}
 
 	boolean isLeaving(int index) {
-		return this.specs[index].state() == ServerState.LEAVING;
+		return this.leaving[index];
 	}
 
 	/**
