Run non-idempotent calls at most once and keep streams whole

A call under a non-idempotent rule begins its record before it is sent on a new connection within the dispatch window, checked again right before the first byte. A failure before sending is recorded as not run and may begin again under a new grant; any failure after it is recorded as unknown.

A caller that leaves may come back through any router; the router that served the stream first then no longer cancels it, which a test showed to fail when the caller came back before its old connection was noticed as closed.

--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/AtMostOnceCall.java
@@ -0,0 +1,225 @@
+package io.fescuehold.runtime.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Set;
+
+import io.fescuehold.core.call.CallFlow;
+import io.fescuehold.core.call.CallStep;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.state.CallKey;
+import io.fescuehold.core.state.StateCommand;
+import io.fescuehold.core.state.StateOutcome;
+import io.fescuehold.core.state.StoredAnswer;
+import io.fescuehold.runtime.backend.BackendAnswer;
+import io.fescuehold.runtime.backend.BackendExchange;
+import io.fescuehold.runtime.backend.BackendFailure;
+import io.fescuehold.runtime.backend.BackendPool;
+import io.fescuehold.runtime.backend.BackendRequest;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.util.retry.Retry;
+
+/**
+ * Runs one service call that must run at most once. Each dispatch uses a new connection,
+ * so that a refused connection proves that nothing was sent.
+ */
+final class AtMostOnceCall {
+
+	private static final int PRECONDITION_FAILED = 412;
+
+	private static final int MAX_GRANTS = 3;
+
+	private static final Duration FIRST_REPEAT = Duration.ofMillis(100);
+
+	private static final Duration LAST_REPEAT = Duration.ofSeconds(1);
+
+	private final RouterContext context;
+
+	private final ServiceServers servers;
+
+	private final ServiceCall call;
+
+	private final String ownerShare;
+
+	private final CallKey key;
+
+	private final Set<String> excluded = new HashSet<>();
+
+	private int grants;
+
+	AtMostOnceCall(RouterContext context, ServiceServers servers, ServiceCall call, String ownerShare) {
+		this.context = context;
+		this.servers = servers;
+		this.call = call;
+		this.ownerShare = ownerShare;
+		this.key = new CallKey(call.caller().team(), call.caller().idempotencyKey());
+	}
+
+	/**
+	 * Runs the call. Cancelling has no effect once the begin is sent, because a caller
+	 * that leaves must find the outcome when it asks again.
+	 * @return the response; refusals arrive as errors
+	 */
+	Mono<BackendAnswer> run() {
+		Sinks.One<BackendAnswer> result = Sinks.one();
+		return Mono.defer(() -> {
+			String workId = this.call.caller().requestId() + "-call";
+			this.context.inFlight().begin(workId, this.call.method() + " " + this.call.path().rawTarget());
+			begin().doFinally((signal) -> this.context.inFlight().end(workId))
+				.subscribe(result::tryEmitValue, result::tryEmitError);
+			return result.asMono();
+		});
+	}
+
+	private Mono<BackendAnswer> begin() {
+		return Mono.defer(() -> {
+			long nowMs = this.context.nowMs();
+			this.grants++;
+			CallFlow flow = new CallFlow(this.key, this.call.path().service(),
+					this.context.policy(this.ownerShare).dispatchWindowMs());
+			flow.beginSent(nowMs);
+			return this.context.ports()
+				.state()
+				.begin(this.ownerShare,
+						new StateCommand.BeginCall(this.key, digest(), this.call.path().service(),
+								this.context.ports().hostId(), recordDeadlineAtMs(), nowMs))
+				.timeout(this.context.until(this.call.deadlineAtMs()), this.context.scheduler())
+				.map((outcome) -> flow.beginAnswered(outcome, this.context.nowMs()))
+				.onErrorResume((error) -> Mono.just(flow.beginFailed(this.ownerShare)))
+				.flatMap((step) -> follow(flow, step));
+		});
+	}
+
+	private long recordDeadlineAtMs() {
+		return this.call.deadlineAtMs() + this.context.options().recordRepeatMs();
+	}
+
+	private Mono<BackendAnswer> follow(CallFlow flow, CallStep step) {
+		return switch (step) {
+			case CallStep.Dispatch dispatch -> dispatch(flow, dispatch.fencingNumber());
+			case CallStep.Record record -> record(flow, record.command());
+			case CallStep.Respond respond -> Mono.just(
+					new BackendAnswer(respond.answer().status(), respond.answer().headers(), respond.answer().body()));
+			case CallStep.Refuse refuse -> Mono.error(refusal(refuse));
+			case CallStep.BeginAgain again -> (mayBeginAgain()) ? begin() : Mono.error(refusal(again.otherwise()));
+		};
+	}
+
+	private boolean mayBeginAgain() {
+		boolean allowed = this.grants < MAX_GRANTS && this.context.nowMs() < this.call.deadlineAtMs()
+				&& this.context.ports().retries().tryRetry();
+		if (allowed) {
+			this.context.metrics().retry();
+		}
+		return allowed;
+	}
+
+	private Mono<BackendAnswer> dispatch(CallFlow flow, long fencingNumber) {
+		ServiceServers.Chosen chosen;
+		try {
+			chosen = this.servers.choose(this.call.path().service(), this.call.spec(this.context.view()),
+					this.excluded);
+		}
+		catch (FescueholdException ex) {
+			this.grants = MAX_GRANTS;
+			return follow(flow, flow.notSent()).onErrorMap((error) -> ex);
+		}
+		BackendPool pool = this.context.pools().pool(chosen.spec().host(), chosen.spec().port());
+		Duration remaining = this.context.until(this.call.deadlineAtMs());
+		Map<String, String> headers = new HashMap<>(this.call.headersFor(remaining.toMillis(), this.grants));
+		headers.put("idempotency-key", this.key.idempotencyKey());
+		headers.put("fescuehold-fencing-number", String.valueOf(fencingNumber));
+		headers.put("connection", "close");
+		this.context.metrics().dispatched(this.call.caller());
+		BackendRequest request = new BackendRequest(this.call.method(), this.call.path().rawTarget(), headers,
+				this.call.body(), () -> beforeSend(flow));
+		return BackendExchange.sendWhole(pool.fresh(), request, this.context.options().maxAnswerBytes())
+			.switchIfEmpty(Mono.error(() -> new BackendFailure(BackendFailure.Kind.LOST, "no response", null)))
+			.timeout(remaining, this.context.scheduler())
+			.doOnSuccess((answer) -> this.servers.ended(chosen, false))
+			.doOnError((error) -> this.servers.ended(chosen, true))
+			.map((answer) -> answered(flow, chosen, answer))
+			.onErrorResume((error) -> Mono.just(failed(flow, chosen, error)))
+			.flatMap((step) -> follow(flow, step));
+	}
+
+	private void beforeSend(CallFlow flow) {
+		synchronized (flow) {
+			if (!flow.mayDispatch(this.context.nowMs())) {
+				throw new BackendFailure(BackendFailure.Kind.NOT_SENT, "the dispatch window has passed", null);
+			}
+			flow.dispatched();
+		}
+	}
+
+	private CallStep answered(CallFlow flow, ServiceServers.Chosen chosen, BackendAnswer answer) {
+		if (answer.status() == PRECONDITION_FAILED && chosen.spec().checksFencing()) {
+			return flow.fencedOff();
+		}
+		Map<String, String> headers = new HashMap<>(answer.headers());
+		headers.keySet().removeIf((name) -> !ServiceCall.isPassedOn(name));
+		return flow.answered(new StoredAnswer(answer.status(), headers, answer.body(), false),
+				this.context.policy(this.ownerShare).maxStoredAnswerBytes());
+	}
+
+	private CallStep failed(CallFlow flow, ServiceServers.Chosen chosen, Throwable error) {
+		this.excluded.add(chosen.serverId());
+		synchronized (flow) {
+			boolean sent = flow.isDispatched();
+			this.context.log()
+				.backendFailed(this.call.caller(), chosen.serverId(), error,
+						(sent) ? "recording the call as unknown" : "recording the call as not run");
+			return (sent) ? flow.lost() : flow.notSent();
+		}
+	}
+
+	private Mono<BackendAnswer> record(CallFlow flow, StateCommand command) {
+		Sinks.One<StateOutcome> recorded = Sinks.one();
+		// The record is repeated in the background even if the caller has its response.
+		String workId = this.call.caller().requestId() + "-record" + this.grants;
+		this.context.inFlight().begin(workId, "record of " + this.call.path().rawTarget());
+		this.context.ports()
+			.state()
+			.apply(this.ownerShare, command)
+			.retryWhen(Retry.backoff(Long.MAX_VALUE, FIRST_REPEAT)
+				.maxBackoff(LAST_REPEAT)
+				.scheduler(this.context.scheduler()))
+			.timeout(this.context.until(recordDeadlineAtMs()), this.context.scheduler())
+			.doFinally((signal) -> this.context.inFlight().end(workId))
+			.subscribe(recorded::tryEmitValue, recorded::tryEmitError);
+		return recorded.asMono()
+			.timeout(Duration.ofMillis(this.context.options().recordLimitMs()), this.context.scheduler())
+			.map((outcome) -> flow.recorded())
+			.onErrorResume((error) -> Mono.just(flow.notRecorded()))
+			.flatMap((step) -> follow(flow, step));
+	}
+
+	private FescueholdException refusal(CallStep.Refuse refuse) {
+		Object[] arguments = switch (refuse.code()) {
+			case NOT_OWNER -> new Object[] { this.ownerShare, refuse.argument() };
+			case CALL_ANSWER_NOT_KEPT -> new Object[] { this.key.idempotencyKey(), refuse.argument() };
+			default -> new Object[] { refuse.argument() };
+		};
+		return Refusals.of(refuse.code(), refuse.run(), refuse.retryAfterMs(), arguments);
+	}
+
+	private String digest() {
+		try {
+			MessageDigest digest = MessageDigest.getInstance("SHA-256");
+			String head = this.call.method() + "\n" + this.call.path().service() + this.call.path().rawTarget() + "\n";
+			digest.update(head.getBytes(StandardCharsets.UTF_8));
+			return HexFormat.of().formatHex(digest.digest(this.call.body()));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is missing from this Java runtime", ex);
+		}
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -213,6 +213,9 @@
 		switch (part) {
 			case StreamPart.Head head -> {
 				this.streamId = (head.streamId() != null) ? head.streamId() : this.streamId;
+				if (this.streamId != null) {
+					this.context.cancels().serving(this.target.serverId(), this.streamId, this);
+				}
 				String source = this.target.serverId() + ";" + this.streamId;
 				if (!source.equals(this.announcedSource)) {
 					this.announcedSource = source;
@@ -342,7 +345,7 @@
 	}
 
 	private void leave(ModelPlacement.Target failed) {
-		if (this.streamId != null) {
+		if (this.streamId != null && this.context.cancels().ended(failed.serverId(), this.streamId, this)) {
 			ModelServerClient.cancel(failed.pool(), this.streamId).subscribe();
 		}
 		if (failed.request() != null) {
@@ -372,7 +375,8 @@
 		if (current == null || !this.ended.compareAndSet(false, true)) {
 			return;
 		}
-		if (!this.finished && this.streamId != null) {
+		boolean owned = this.streamId != null && this.context.cancels().ended(current.serverId(), this.streamId, this);
+		if (!this.finished && owned) {
 			boolean callerMayReturn = signal == SignalType.CANCEL && (this.body == null || this.body.isStreamed());
 			this.context.cancels()
 				.cancel(current, this.streamId, (callerMayReturn) ? this.context.options().callerGraceMs() : 0);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
@@ -1,5 +1,6 @@
 package io.fescuehold.runtime.http;
 
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.fescuehold.core.error.ErrorCode;
@@ -123,7 +124,8 @@
 		}
 		hint(exchange, response);
 		Flux<ByteBuf> frames = parts.map((part) -> this.encoder.encode(part, exchange))
-			.onErrorResume((error) -> Mono.just(this.encoder.encode(refusal(caller, error))));
+			.onErrorResume((error) -> (error instanceof CancellationException) ? Mono.empty()
+					: Mono.just(this.encoder.encode(refusal(caller, error))));
 		return response.status(OK).sse().send(this.encoder.withHeartbeats(frames), (frame) -> true).then();
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/PendingCancels.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/PendingCancels.java
@@ -17,12 +17,35 @@
 
 	private final Map<String, Disposable> pending = new ConcurrentHashMap<>();
 
+	private final Map<String, Object> owners = new ConcurrentHashMap<>();
+
 	private final Scheduler scheduler;
 
 	PendingCancels(Scheduler scheduler) {
 		this.scheduler = scheduler;
 	}
 
+	/**
+	 * Notes that an exchange serves a stream. Only the latest one may cancel it.
+	 * @param serverId the server
+	 * @param streamId the stream
+	 * @param owner the exchange
+	 */
+	void serving(String serverId, String streamId, Object owner) {
+		this.owners.put(key(serverId, streamId), owner);
+	}
+
+	/**
+	 * Notes that an exchange no longer serves a stream.
+	 * @param serverId the server
+	 * @param streamId the stream
+	 * @param owner the exchange
+	 * @return whether the stream has not been taken over in the meantime
+	 */
+	boolean ended(String serverId, String streamId, Object owner) {
+		return this.owners.remove(key(serverId, streamId), owner);
+	}
+
 	/**
 	 * Cancels a stream at its server.
 	 * @param target the server
@@ -50,6 +73,7 @@
 	 * @param streamId the stream
 	 */
 	void taken(String serverId, String streamId) {
+		this.owners.remove(key(serverId, streamId));
 		Disposable timer = this.pending.remove(key(serverId, streamId));
 		if (timer != null) {
 			timer.dispose();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterContext.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterContext.java
@@ -23,13 +23,14 @@
  * @param metrics the metrics
  * @param log the request log
  * @param cancels the streams whose callers have left
+ * @param inFlight the work in flight
  * @param scheduler the scheduler of timers
  * @param clockMs the time in milliseconds since the epoch
  * @param random the source of random choices
  */
 record RouterContext(RouterOptions options, RouterPorts ports, PlacementPolicy placement, BackendPools pools,
-		RouterMetrics metrics, RequestLog log, PendingCancels cancels, Scheduler scheduler, LongSupplier clockMs,
-		RandomGenerator random) {
+		RouterMetrics metrics, RequestLog log, PendingCancels cancels, InFlight inFlight, Scheduler scheduler,
+		LongSupplier clockMs, RandomGenerator random) {
 
 	/**
 	 * Returns the time.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGeneratorFactory;
@@ -29,6 +30,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
+import reactor.netty.channel.AbortedException;
 import reactor.netty.http.Http11SslContextSpec;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -88,8 +90,8 @@
 			LongSupplier clockMs, long seed) {
 		PlacementPolicy placement = new SerialPlacement(ports.placement());
 		this.context = new RouterContext(options, ports, placement, new BackendPools(options.backend()),
-				new RouterMetrics(metrics), new RequestLog(), new PendingCancels(scheduler), scheduler, clockMs,
-				RandomGeneratorFactory.of("SplittableRandom").create(seed));
+				new RouterMetrics(metrics), new RequestLog(), new PendingCancels(scheduler), this.inFlight, scheduler,
+				clockMs, RandomGeneratorFactory.of("SplittableRandom").create(seed));
 		this.chats = new ChatHandler(this.context);
 		this.services = new ServiceHandler(this.context);
 		this.requestIdPrefix = ports.hostId() + "-" + Long.toString(clockMs.getAsLong(), ID_RADIX) + "-";
@@ -195,6 +197,10 @@
 	}
 
 	private Mono<Void> refuse(CallerRequest caller, Throwable error, HttpServerResponse response) {
+		if (AbortedException.isConnectionReset(error) || error instanceof CancellationException) {
+			// The caller has left; its stream is cancelled or kept by the exchange.
+			return Mono.empty();
+		}
 		if (!(error instanceof FescueholdException refusal)) {
 			this.context.log().failed(caller, error);
 			return Mono.error(error);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
@@ -57,7 +57,15 @@
 					: spec.timeoutMs();
 			ServiceCall call = new ServiceCall(caller, share, method, path, headers, body,
 					this.context.nowMs() + allowedMs);
-			return new IdempotentCall(this.context, this.servers, call, response).run();
+			if (!spec.isNonIdempotent(method, path.path())) {
+				return new IdempotentCall(this.context, this.servers, call, response).run();
+			}
+			if (caller.idempotencyKey() == null) {
+				throw new FescueholdException(ErrorCode.KEY_MISSING, method, path.path());
+			}
+			this.context.ports().retries().requestStarted();
+			return new AtMostOnceCall(this.context, this.servers, call, view.teams().get(team).share()).run()
+				.flatMap((answer) -> write(response, answer));
 		});
 	}
 
