--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementLog.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementLog.java
@@ -192,4 +192,25 @@
 		this.memberships.put(installed.index(), MembershipCodec.decode(installed.membership()));
 	}
 
+	/**
+	 * Returns the first of at most a number of entries up to an index whose size stays
+	 * within a limit.
+	 * @param index the index of the last entry
+	 * @param maxEntries the number of entries
+	 * @param maxBytes the size limit in bytes
+	 * @return the index of the first entry, or the index after the last if there is none
+	 */
+	long firstWithin(long index, int maxEntries, long maxBytes) {
+		long first = index + 1;
+		long size = 0;
+		while (first - 1 > this.baseIndex && index + 1 - first < maxEntries) {
+			size += get(first - 1).data().length;
+			if (size > maxBytes) {
+				break;
+			}
+			first--;
+		}
+		return first;
+	}
+
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
@@ -15,6 +15,8 @@
  */
 public final class AgreementNode {
 
+	private static final int KEPT_PART = 4;
+
 	private final NodeContext context;
 
 	private final Election election;
@@ -338,9 +340,11 @@
 		SnapshotMeta newest = this.context.log.snapshot();
 		long snapshotIndex = (newest != null) ? newest.index() : 0;
 		long applied = this.context.appliedIndex;
-		boolean due = applied - snapshotIndex >= this.context.timing().snapshotEveryEntries();
+		boolean tooLarge = this.context.appliedBytes >= this.context.options.maxLogBytes();
+		boolean due = tooLarge || applied - snapshotIndex >= this.context.timing().snapshotEveryEntries();
 		if (due && this.snapshotRequestedAt == 0) {
 			this.snapshotRequestedAt = applied;
+			this.context.appliedBytes = 0;
 			SnapshotMeta snapshot = new SnapshotMeta(applied, this.context.log.termAt(applied),
 					MembershipCodec.encode(this.context.log.membershipAt(applied)));
 			this.context.emit(new Output.TakeSnapshot(snapshot, keepFromIndex(applied)));
@@ -348,7 +352,8 @@
 	}
 
 	private long keepFromIndex(long snapshotIndex) {
-		return Math.max(1, snapshotIndex - this.context.options.keepEntries() + 1);
+		return this.context.log.firstWithin(snapshotIndex, this.context.options.keepEntries(),
+				this.context.options.maxLogBytes() / KEPT_PART);
 	}
 
 	private boolean isForSelf(ReplicaId to) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementOptions.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementOptions.java
@@ -16,12 +16,14 @@
  * followers that are slightly behind
  * @param maxBatchBytes the size in bytes above which no further entry is added to a
  * message, and the size of a snapshot chunk
+ * @param maxLogBytes the size in bytes of the entries applied since the last snapshot
+ * from which on another one is taken; a quarter of it may be kept before the snapshot
  * @param maxInFlightEntries the number of entries that are sent to a follower before it
  * has acknowledged them, and that a leader accepts before they are committed and durable
  */
 public record AgreementOptions(String group, ReplicaId self, List<String> initialHostIds,
 		Map<String, String> failureDomains, AgreementTiming timing, int keepEntries, int maxBatchBytes,
-		int maxInFlightEntries) {
+		long maxLogBytes, int maxInFlightEntries) {
 
 	/** The default of {@link #keepEntries()}. */
 	public static final int DEFAULT_KEEP_ENTRIES = 1_000;
@@ -29,6 +31,9 @@
 	/** The default of {@link #maxBatchBytes()}, well below the largest frame of 8 MiB. */
 	public static final int DEFAULT_MAX_BATCH_BYTES = 1 << 20;
 
+	/** The default of {@link #maxLogBytes()}, a part of the 128 MB of a daemon. */
+	public static final long DEFAULT_MAX_LOG_BYTES = 16L << 20;
+
 	/** The default of {@link #maxInFlightEntries()}. */
 	public static final int DEFAULT_MAX_IN_FLIGHT_ENTRIES = 4_096;
 
@@ -41,9 +46,9 @@
 		Objects.requireNonNull(timing, "timing");
 		initialHostIds = initialHostIds.stream().distinct().sorted().toList();
 		failureDomains = Map.copyOf(failureDomains);
-		if (keepEntries < 0 || maxBatchBytes < 1 || maxInFlightEntries < 1) {
-			throw new IllegalArgumentException(
-					"keepEntries must not be negative, and maxBatchBytes and" + " maxInFlightEntries must be positive");
+		if (keepEntries < 0 || maxBatchBytes < 1 || maxLogBytes < 1 || maxInFlightEntries < 1) {
+			throw new IllegalArgumentException("keepEntries must not be negative, maxBatchBytes, maxLogBytes and"
+					+ " maxInFlightEntries must be positive");
 		}
 	}
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/MembershipChanges.java
@@ -15,7 +15,8 @@
 
 	private static final int PROBE_TIMEOUT_FACTOR = 5;
 
-	private static final int CATCH_UP_ENTRIES = 64;
+	/** At full load several hundred entries are on their way to a member at any time. */
+	private static final int CATCH_UP_ENTRIES = 1_000;
 
 	private final NodeContext context;
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/NodeContext.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/NodeContext.java
@@ -38,6 +38,9 @@
 
 	long appliedIndex;
 
+	/** The size of the entries applied since the last snapshot. */
+	long appliedBytes;
+
 	private final Deque<HeldMessage> held = new ArrayDeque<>();
 
 	private List<Output> outputs = new ArrayList<>();
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Proposals.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Proposals.java
@@ -41,6 +41,7 @@
 		while (this.context.appliedIndex < this.context.commitIndex) {
 			LogEntry entry = this.context.log.get(this.context.appliedIndex + 1);
 			this.context.appliedIndex = entry.index();
+			this.context.appliedBytes += entry.data().length;
 			Long proposalId = this.idByIndex.remove(entry.index());
 			this.context.emit(new Output.Apply(entry, (proposalId != null) ? proposalId : 0));
 		}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/Simulation.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/Simulation.java
@@ -53,7 +53,7 @@
 	}
 
 	AgreementOptions options(ReplicaId self) {
-		return new AgreementOptions(GROUP, self, this.initialHostIds, this.failureDomains, TIMING, 10, 20, 50);
+		return new AgreementOptions(GROUP, self, this.initialHostIds, this.failureDomains, TIMING, 10, 20, 400, 50);
 	}
 
 	void startAll() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -117,7 +117,8 @@
 		ReplicaId self = new ReplicaId(this.options.hostId(), this.storage.storeId());
 		AgreementOptions nodeOptions = new AgreementOptions(this.options.group(), self, this.options.initialHostIds(),
 				this.options.failureDomains(), this.options.timing(), AgreementOptions.DEFAULT_KEEP_ENTRIES,
-				AgreementOptions.DEFAULT_MAX_BATCH_BYTES, AgreementOptions.DEFAULT_MAX_IN_FLIGHT_ENTRIES);
+				AgreementOptions.DEFAULT_MAX_BATCH_BYTES, AgreementOptions.DEFAULT_MAX_LOG_BYTES,
+				AgreementOptions.DEFAULT_MAX_IN_FLIGHT_ENTRIES);
 		this.writer = new DiskWriter(this.storage, diskScheduler, new DiskListener(), metrics, metricPrefix);
 		this.node = new AgreementNode(nodeOptions, opened.state(), new Random(seed), this.loop.nowMs());
 		this.running = true;
