Hand over when the leader's disk hangs

A leader whose sync neither completes nor fails commits through the others, but refuses proposals once its backlog is full. It now hands over when its durable index has not moved for an election timeout while entries were committed.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
@@ -69,6 +69,7 @@
 		this.election.tick();
 		if (this.context.isLeader()) {
 			this.leadership.forgetRemoved();
+			this.handover.tick();
 			if (this.leadership.hasLostQuorum()) {
 				this.election.becomeFollower(this.context.term, null);
 			}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Handover.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Handover.java
@@ -17,6 +17,10 @@
 
 	private long deadlineMs;
 
+	private long stalledSinceMs = Progress.NEVER;
+
+	private long stalledIndex;
+
 	Handover(NodeContext context, Leadership leadership, Election election) {
 		this.context = context;
 		this.leadership = leadership;
@@ -36,6 +40,25 @@
 
 	void stop() {
 		this.active = false;
+		this.stalledSinceMs = Progress.NEVER;
+	}
+
+	/**
+	 * Starts the hand-over if the own disk makes no progress while the others commit.
+	 * Such a leader could accept only a limited number of further proposals.
+	 */
+	void tick() {
+		long durable = this.context.durable.durableIndex();
+		if (durable >= this.context.commitIndex) {
+			this.stalledSinceMs = Progress.NEVER;
+		}
+		else if (this.stalledSinceMs == Progress.NEVER || durable != this.stalledIndex) {
+			this.stalledSinceMs = this.context.nowMs;
+			this.stalledIndex = durable;
+		}
+		else if (this.context.nowMs >= this.stalledSinceMs + this.context.timing().electionTimeoutMs()) {
+			start();
+		}
 	}
 
 	void advance() {
--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/LinkFaultTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/LinkFaultTests.java
@@ -66,6 +66,19 @@
 		assertThat(this.simulation.clients.acknowledged).hasSize(50);
 	}
 
+	@Test
+	void leaderWhoseDiskHangsHandsOver() {
+		settle();
+		this.leader.syncsHang = true;
+		long first = this.simulation.clients.propose(this.leader);
+		this.simulation.run(2_000);
+		assertThat(this.simulation.clients.acknowledged).containsKey(first);
+		assertThat(this.simulation.leader()).isNotSameAs(this.leader);
+		long second = this.simulation.clients.propose(this.simulation.leader());
+		this.simulation.run(200);
+		assertThat(this.simulation.clients.acknowledged).containsKey(second);
+	}
+
 	@Test
 	void leaderThatHearsNobodyStepsDownAndAnotherLeads() {
 		settle();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaRuntimeTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaRuntimeTests.java
@@ -10,6 +10,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import io.fescuehold.core.agreement.AgreementOptions;
 import io.fescuehold.core.agreement.AgreementTiming;
 import io.fescuehold.core.agreement.Role;
 import io.fescuehold.core.error.ErrorCode;
@@ -101,7 +102,9 @@
 	void lostDiskIsReplaced() {
 		HOSTS.forEach(this::start);
 		ReplicaRuntime leader = awaitLeader();
-		leader.propose(bytes("x")).block(LIMIT);
+		int proposals = AgreementOptions.DEFAULT_KEEP_ENTRIES * 2;
+		Flux.range(0, proposals).flatMap((i) -> leader.propose(bytes("x"))).blockLast(LIMIT);
+		await(() -> leader.status().compactedIndex() > 0);
 		String lost = HOSTS.stream().filter((hostId) -> !hostId.equals(leader.status().hostId())).findFirst().get();
 		this.replicas.remove(lost).stop().block(LIMIT);
 		start("d");
@@ -110,7 +113,7 @@
 		assertThat(leader.status().members()).extracting(ReplicaStatus.MemberStatus::hostId)
 			.contains("d")
 			.doesNotContain(lost);
-		assertThat(this.machines.get("d").state()).isEqualTo("x;");
+		assertThat(this.machines.get("d").state()).as("snapshot and log").isEqualTo("x;".repeat(proposals));
 	}
 
 	@Test
