Refuse begins of routers that have not learned of a transfer

A router whose configuration was old (for example because it had been frozen) began a call at the team's first share without asking the others, although the team had been away in the meantime and the call had run there. BeginCall now names the transfer under which the other shares were asked (releasing share and number); the state machine refuses it if its own claim differs. So that the pair is never used twice, a new claim must name a number above the one known when the item was given up.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/CallOutcome.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/CallOutcome.java
@@ -47,7 +47,10 @@
 	record StoreFull(long limit, long retryAfterMs) implements CallOutcome {
 	}
 
-	/** The share does not own the team. */
+	/**
+	 * The share does not own the team, or the router has not yet learned how the share
+	 * came to own it.
+	 */
 	record NotOwner() implements CallOutcome {
 	}
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
@@ -148,7 +148,9 @@
 
 	private CommandOutcome begin(long index, StateCommand.BeginCall command) {
 		advance(command.nowMs());
-		if (!owns(ItemKind.TEAM, command.key().team())) {
+		String transfer = StateCommand.transferOf(config(), command.key().team());
+		boolean askedOthers = transfer.isEmpty() || transfer.equals(command.askedUnder());
+		if (!askedOthers || !owns(ItemKind.TEAM, command.key().team())) {
 			return new CallOutcome.NotOwner();
 		}
 		return this.calls.begin(index, command, config().policy(), this.nowMs);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
@@ -148,6 +148,16 @@
 							+ " and keep the release until it is claimed",
 					claim.id(), claim.fromShare(), share, from.number());
 		}
+		// The releasing share and the number identify the transfer to routers, so the
+		// pair
+		// of an earlier transfer must not be used again.
+		long earlier = this.transfers.numberWhenGivenUp(item, claim.fromShare());
+		if (claim.releaseNumber() <= earlier) {
+			return violation(pointer + "/releaseNumber",
+					"is %s but share \"%s\" was at number %s already when \"%s\" was given up here; name the number of"
+							+ " the new release",
+					claim.releaseNumber(), claim.fromShare(), earlier, claim.id());
+		}
 		if (observation.epoch(item) <= this.transfers.epoch(item)) {
 			return violation(pointer + "/releaseNumber",
 					"is %s but that release of \"%s\" was claimed here before (transfer %s, known here %s); wait for a"
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/StateCommand.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 
+import io.fescuehold.config.ItemKind;
+import io.fescuehold.config.ShareConfig;
+
 /**
  * A command of the replicated state machine. Commands carry the proposer's time, so that
  * applying them is the same on every replica. Missing values are refused when a command
@@ -23,7 +26,7 @@
 			case BeginCall begin -> {
 				long shiftMs = (begin.nowMs() > 0) ? newNowMs - begin.nowMs() : 0;
 				yield new BeginCall(begin.key(), begin.bodyDigest(), begin.service(), begin.routerId(),
-						begin.deadlineMs() + shiftMs, newNowMs, begin.attemptId());
+						begin.deadlineMs() + shiftMs, newNowMs, begin.attemptId(), begin.askedUnder());
 			}
 			case LookupCall lookup -> new LookupCall(lookup.key(), lookup.bodyDigest(), newNowMs);
 			case CompleteCall complete ->
@@ -36,6 +39,25 @@
 		};
 	}
 
+	/**
+	 * Returns what identifies the transfer by which a share took a team over.
+	 * @param config the configuration of the share, or null
+	 * @param team the team
+	 * @return the releasing share and the number of the release, or empty if the
+	 * configuration claims no such team
+	 */
+	static String transferOf(ShareConfig config, String team) {
+		if (config == null) {
+			return "";
+		}
+		return config.claims()
+			.stream()
+			.filter((claim) -> claim.kind() == ItemKind.TEAM && claim.id().equals(team))
+			.map((claim) -> claim.fromShare() + " " + claim.releaseNumber())
+			.findFirst()
+			.orElse("");
+	}
+
 	/**
 	 * Submits a configuration. Answered by a {@link StateOutcome.Submitted},
 	 * {@link StateOutcome.SubmissionConflict} or {@link StateOutcome.SubmissionRefused}.
@@ -66,19 +88,24 @@
 	 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 	 * @param attemptId identifies this attempt, so that the same router may send it again
 	 * and receive the same grant; empty if the command is never sent again
+	 * @param askedUnder the {@linkplain #transferOf(ShareConfig, String) transfer} of the
+	 * team under which the other shares were asked for an earlier call, or empty. A
+	 * router whose configuration is old has not asked them for calls that ran since, so
+	 * the state machine refuses the command if its own transfer differs
 	 */
 	record BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs, long nowMs,
-			String attemptId) implements StateCommand {
+			String attemptId, String askedUnder) implements StateCommand {
 
 		public BeginCall {
 			Objects.requireNonNull(key, "key");
 			Objects.requireNonNull(bodyDigest, "bodyDigest");
 			Objects.requireNonNull(routerId, "routerId");
 			attemptId = (attemptId != null) ? attemptId : "";
+			askedUnder = (askedUnder != null) ? askedUnder : "";
 		}
 
 		/**
-		 * Creates a command without an attempt id.
+		 * Creates a command without an attempt id for a team that was never transferred.
 		 * @param key the key of the call
 		 * @param bodyDigest the SHA-256 over method, path and body in hexadecimal
 		 * @param service the service that is called
@@ -88,7 +115,7 @@
 		 * @param nowMs the leader's wall-clock time in milliseconds since the epoch
 		 */
 		public BeginCall(CallKey key, String bodyDigest, String service, String routerId, long deadlineMs, long nowMs) {
-			this(key, bodyDigest, service, routerId, deadlineMs, nowMs, "");
+			this(key, bodyDigest, service, routerId, deadlineMs, nowMs, "", "");
 		}
 
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/Transfers.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/Transfers.java
@@ -41,16 +41,38 @@
 		for (Claim claim : config.claims()) {
 			if (!previous.claims().contains(claim)) {
 				ItemId item = new ItemId(claim.kind(), claim.id());
-				changed.put(item, new Entry(item, observed.get(claim.fromShare()).epoch(item) + 1, "", nowMs));
+				changed.put(item,
+						new Entry(item, observed.get(claim.fromShare()).epoch(item) + 1, "", nowMs, Map.of()));
 			}
 		}
 		for (Release release : config.releases()) {
 			ItemId item = new ItemId(release.kind(), release.id());
-			changed.put(item, new Entry(item, Math.max(0, epoch(item)), release.toShare(), Long.MIN_VALUE));
+			if (givenUpTo(item) == null) {
+				changed.put(item, new Entry(item, Math.max(0, epoch(item)), release.toShare(), Long.MIN_VALUE,
+						numbers(observed)));
+			}
 		}
 		return new Transfers(changed);
 	}
 
+	private static Map<String, Long> numbers(Map<String, ObservedShare> observed) {
+		Map<String, Long> numbers = new TreeMap<>();
+		observed.forEach((share, other) -> numbers.put(share, other.config().number()));
+		return numbers;
+	}
+
+	/**
+	 * Returns the number at which another share was known when an item was given up. A
+	 * later release by that share has a higher number.
+	 * @param item the item
+	 * @param share the other share
+	 * @return the number, or 0
+	 */
+	long numberWhenGivenUp(ItemId item, String share) {
+		Entry entry = this.entries.get(item);
+		return (entry != null) ? entry.numbersWhenGivenUp().getOrDefault(share, 0L) : 0;
+	}
+
 	/**
 	 * Returns the epoch of an item.
 	 * @param item the item
@@ -108,8 +130,11 @@
 	 * @param givenUpTo the receiving share, or empty if the item was taken over
 	 * @param claimedAtMs the time of taking over in milliseconds since the epoch, or
 	 * {@link Long#MIN_VALUE} if the item was given up
+	 * @param numbersWhenGivenUp the numbers of the other shares known when the item was
+	 * given up, or empty if it was taken over
 	 */
-	public record Entry(ItemId item, long epoch, String givenUpTo, long claimedAtMs) {
+	public record Entry(ItemId item, long epoch, String givenUpTo, long claimedAtMs,
+			Map<String, Long> numbersWhenGivenUp) {
 
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/state/TestShare.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/TestShare.java
@@ -72,7 +72,8 @@
 	}
 
 	CommandOutcome begin(String key, String digest, long deadlineMs, long nowMs, String attemptId) {
-		return apply(new StateCommand.BeginCall(key(key), digest, "depot", "router-1", deadlineMs, nowMs, attemptId));
+		return apply(
+				new StateCommand.BeginCall(key(key), digest, "depot", "router-1", deadlineMs, nowMs, attemptId, ""));
 	}
 
 	CommandOutcome lookup(String key, long nowMs) {
--- a/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferTests.java
@@ -1,14 +1,11 @@
 package io.fescuehold.core.state;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 
 import io.fescuehold.config.Claim;
 import io.fescuehold.config.ItemKind;
-import io.fescuehold.config.Release;
 import io.fescuehold.config.ShareConfig;
 import io.fescuehold.core.view.FleetView;
 import net.jqwik.api.ForAll;
@@ -23,41 +20,33 @@
  */
 class TransferTests {
 
-	private static final List<String> SHARES = List.of("north", "south", "west");
-
-	private static final List<String> TEAMS = List.of("parts", "repairs");
-
 	private static final int STEPS = 150;
 
-	private final Map<String, TestShare> groups = new HashMap<>();
-
-	private final Map<String, List<ShareConfig>> accepted = new HashMap<>();
+	private static final int MAX_STEP_MS = 100_000;
 
-	private final Map<String, List<StateCommand.ObserveShare>> observations = new HashMap<>();
-
-	private long nowMs;
+	private final TransferModel model = new TransferModel();
 
 	@Test
 	void teamHasAtMostOneOwnerAtEveryPairOfNumbers() {
-		start();
-		submit(TestShare.config("north", 1, "parts"));
-		submit(TestShare.config("south", 1));
-		submit(releasing("north", 2, "parts", "south"));
-		submit(claiming("south", 2, "parts", "north", 2));
-		submit(TestShare.config("north", 3));
-		submit(releasing("south", 3, "parts", "north"));
-		submit(claiming("north", 4, "parts", "south", 3));
-		submit(TestShare.config("south", 4));
+		this.model.start();
+		this.model.submit(TestShare.config("north", 1, "parts"));
+		this.model.submit(TestShare.config("south", 1));
+		this.model.submit(releasing("north", 2, "parts", "south"));
+		this.model.submit(claiming("south", 2, "parts", "north", 2));
+		this.model.submit(TestShare.config("north", 3));
+		this.model.submit(releasing("south", 3, "parts", "north"));
+		this.model.submit(claiming("north", 4, "parts", "south", 3));
+		this.model.submit(TestShare.config("south", 4));
 		List<String> owners = new ArrayList<>();
-		for (ShareConfig north : this.accepted.get("north")) {
-			for (ShareConfig south : this.accepted.get("south")) {
+		for (ShareConfig north : this.model.accepted("north")) {
+			for (ShareConfig south : this.model.accepted("south")) {
 				FleetView.Owned<?> owned = FleetView.EMPTY.with(north).with(south).teams().get("parts");
 				owners.add((owned != null) ? owned.share() : "-");
 				assertOwnerIsTheOnlyClaimant(List.of(north, south));
 			}
 		}
-		assertThat(this.accepted.get("north")).hasSize(4);
-		assertThat(this.accepted.get("south")).hasSize(4);
+		assertThat(this.model.accepted("north")).hasSize(4);
+		assertThat(this.model.accepted("south")).hasSize(4);
 		assertThat(owners).containsExactly("north", "north", "north", "north", "-", "south", "-", "-", "-", "south",
 				"-", "-", "-", "-", "north", "north");
 	}
@@ -139,29 +128,15 @@
 
 	private int run(long seed) {
 		Random random = new Random(seed);
-		start();
-		submit(TestShare.config("north", 1, "parts", "repairs"));
-		submit(TestShare.config("south", 1));
-		submit(TestShare.config("west", 1));
+		this.model.startWithTeams();
 		for (int step = 0; step < STEPS; step++) {
-			this.nowMs += random.nextInt(100_000);
-			if (random.nextInt(3) == 0) {
-				observeAny(random);
-			}
-			else {
-				String share = pick(random, SHARES);
-				accept(this.groups.get(share), change(random, share));
-			}
+			this.model.step(random, MAX_STEP_MS);
 			assertAtMostOneGroupOwns();
-			assertOwnerIsTheOnlyClaimant(
-					SHARES.stream().map((share) -> pick(random, this.accepted.get(share))).toList());
+			assertOwnerIsTheOnlyClaimant(TransferModel.SHARES.stream()
+				.map((share) -> TransferModel.pick(random, this.model.accepted(share)))
+				.toList());
 		}
-		return (int) this.accepted.values()
-			.stream()
-			.flatMap(List::stream)
-			.flatMap((config) -> config.claims().stream())
-			.distinct()
-			.count();
+		return this.model.claims();
 	}
 
 	private static ShareConfig releasing(String share, long number, String team, String toShare) {
@@ -174,104 +149,10 @@
 				List.of(TestShare.claim(team, fromShare, releaseNumber)));
 	}
 
-	private void start() {
-		this.groups.clear();
-		this.accepted.clear();
-		this.nowMs = 0;
-		SHARES.forEach((share) -> {
-			this.groups.put(share, new TestShare(share));
-			this.accepted.put(share, new ArrayList<>());
-			this.observations.put(share, new ArrayList<>());
-		});
-	}
-
-	private void submit(ShareConfig config) {
-		this.nowMs += TestShare.RETENTION_S * 1_000;
-		assertThat(accept(this.groups.get(config.share()), config)).isInstanceOf(StateOutcome.Submitted.class);
-		StateCommand.ObserveShare observation = this.observations.get(config.share()).getLast();
-		this.groups.values().forEach((group) -> group.apply(observation));
-	}
-
-	private CommandOutcome accept(TestShare group, ShareConfig config) {
-		CommandOutcome outcome = group.submit(config, this.nowMs);
-		if (outcome instanceof StateOutcome.Submitted) {
-			this.accepted.get(config.share()).add(config);
-			this.observations.get(config.share()).add(group.machine().observation());
-		}
-		return outcome;
-	}
-
-	private void accept(TestShare group, Change change) {
-		ShareConfig config = group.machine().config();
-		boolean everListed = this.accepted.get(config.share())
-			.stream()
-			.anyMatch((earlier) -> earlier.teams().containsKey(change.team()));
-		boolean released = config.releases(ItemKind.TEAM, change.team());
-		// Only releases and claims move a team. Two shares that create the same team at
-		// the
-		// same time, or list one that was removed without a release, are not covered:
-		// until
-		// they have observed each other both groups accept its calls.
-		if ((change.kind() == Change.LIST && !everListed) || (change.kind() == Change.REMOVE && !released)) {
-			return;
-		}
-		List<String> teams = new ArrayList<>(config.teams().keySet());
-		List<Release> releases = new ArrayList<>(config.releases());
-		List<Claim> claims = new ArrayList<>(config.claims());
-		releases.removeIf((release) -> release.id().equals(change.team()));
-		claims.removeIf((claim) -> claim.id().equals(change.team()));
-		teams.remove(change.team());
-		switch (change.kind()) {
-			case Change.LIST -> teams.add(change.team());
-			case Change.RELEASE -> {
-				teams.add(change.team());
-				releases.add(TestShare.release(change.team(), change.otherShare()));
-			}
-			case Change.CLAIM -> {
-				teams.add(change.team());
-				claims.add(TestShare.claim(change.team(), change.otherShare(),
-						Math.max(1, this.groups.get(change.otherShare()).machine().config().number() - change.lag())));
-			}
-			default -> {
-			}
-		}
-		accept(group, TestShare.config(config.share(), config.number() + 1,
-				TestShare.teams(teams.toArray(String[]::new)), releases, claims));
-	}
-
-	private Change change(Random random, String share) {
-		List<Change> claims = new ArrayList<>();
-		for (String other : SHARES) {
-			for (Release release : this.groups.get(other).machine().config().releases()) {
-				boolean waiting = !this.groups.get(share).machine().owns(ItemKind.TEAM, release.id());
-				if (release.toShare().equals(share) && waiting) {
-					claims.add(new Change(Change.CLAIM, release.id(), other, random.nextInt(2)));
-				}
-			}
-		}
-		if (!claims.isEmpty() && random.nextInt(4) > 0) {
-			// Without this, few random claims meet a release and the runs contain few
-			// transfers.
-			Change claim = pick(random, claims);
-			if (random.nextBoolean()) {
-				this.groups.get(share).apply(this.observations.get(claim.otherShare()).getLast());
-			}
-			return claim;
-		}
-		return new Change(random.nextInt(Change.REMOVE + 1), pick(random, TEAMS), pick(random, SHARES),
-				random.nextInt(3));
-	}
-
-	private void observeAny(Random random) {
-		List<StateCommand.ObserveShare> others = this.observations.get(pick(random, SHARES));
-		StateCommand.ObserveShare other = random.nextBoolean() ? others.getLast() : pick(random, others);
-		this.groups.get(pick(random, SHARES)).apply(other);
-	}
-
 	private void assertAtMostOneGroupOwns() {
-		for (String team : TEAMS) {
-			assertThat(SHARES.stream().filter((share) -> this.groups.get(share).machine().owns(ItemKind.TEAM, team)))
-				.as(team)
+		for (String team : TransferModel.TEAMS) {
+			assertThat(TransferModel.SHARES.stream()
+				.filter((share) -> this.model.group(share).machine().owns(ItemKind.TEAM, team))).as(team)
 				.hasSizeLessThanOrEqualTo(1);
 		}
 	}
@@ -285,7 +166,7 @@
 			view = view.with(configs.get(i));
 			reversed = reversed.with(configs.get(configs.size() - 1 - i));
 		}
-		for (String team : TEAMS) {
+		for (String team : TransferModel.TEAMS) {
 			List<String> claimants = configs.stream()
 				.filter((config) -> mayOwn(config, team, configs))
 				.map(ShareConfig::share)
@@ -313,28 +194,4 @@
 		return true;
 	}
 
-	private static <T> T pick(Random random, List<T> values) {
-		return values.get(random.nextInt(values.size()));
-	}
-
-	/**
-	 * A change of one team in one share.
-	 *
-	 * @param kind lists, releases, claims or removes the team
-	 * @param team the team
-	 * @param otherShare the other share of a release or claim
-	 * @param lag how far the number of a claim lies behind the other share
-	 */
-	private record Change(int kind, String team, String otherShare, int lag) {
-
-		static final int LIST = 0;
-
-		static final int RELEASE = 1;
-
-		static final int CLAIM = 2;
-
-		static final int REMOVE = 3;
-
-	}
-
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
@@ -3,13 +3,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 import com.google.common.flogger.FluentLogger;
-import io.fescuehold.config.ItemKind;
 import io.fescuehold.config.ShareConfig;
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
@@ -80,32 +81,31 @@
 	@Override
 	public Mono<CallOutcome> begin(String share, StateCommand.BeginCall command) {
 		return Mono.defer(() -> {
-			StateCommand.BeginCall begin = withAttemptId(command);
-			return lookUpElsewhere(share, begin).switchIfEmpty(Mono.defer(() -> grant(share, begin)));
+			Map<String, ShareConfig> shares = this.views.current().shares();
+			StateCommand.BeginCall begin = complete(command, shares.get(share));
+			return lookUpElsewhere(share, begin, shares).switchIfEmpty(Mono.defer(() -> grant(share, begin)));
 		});
 	}
 
-	private StateCommand.BeginCall withAttemptId(StateCommand.BeginCall command) {
-		if (!command.attemptId().isEmpty()) {
-			return command;
-		}
+	private StateCommand.BeginCall complete(StateCommand.BeginCall command, ShareConfig config) {
+		String attemptId = command.attemptId().isEmpty() ? this.attemptPrefix + "-" + this.attempts.incrementAndGet()
+				: command.attemptId();
 		return new StateCommand.BeginCall(command.key(), command.bodyDigest(), command.service(), command.routerId(),
-				command.deadlineMs(), command.nowMs(), this.attemptPrefix + "-" + this.attempts.incrementAndGet());
+				command.deadlineMs(), command.nowMs(), attemptId,
+				StateCommand.transferOf(config, command.key().team()));
 	}
 
 	// All other shares are asked, because the team may have passed through several.
-	private Mono<CallOutcome> lookUpElsewhere(String share, StateCommand.BeginCall begin) {
-		Map<String, ShareConfig> shares = this.views.current().shares();
-		ShareConfig config = shares.get(share);
-		boolean takenOver = config != null && config.claims()
-			.stream()
-			.anyMatch((claim) -> claim.kind() == ItemKind.TEAM && claim.id().equals(begin.key().team()));
-		if (!takenOver) {
+	private Mono<CallOutcome> lookUpElsewhere(String share, StateCommand.BeginCall begin,
+			Map<String, ShareConfig> shares) {
+		if (begin.askedUnder().isEmpty()) {
 			return Mono.empty();
 		}
+		Set<String> others = new TreeSet<>(shares.keySet());
+		shares.get(share).claims().forEach((claim) -> others.add(claim.fromShare()));
+		others.remove(share);
 		StateCommand.LookupCall lookup = new StateCommand.LookupCall(begin.key(), begin.bodyDigest(), begin.nowMs());
-		return Flux.fromIterable(shares.keySet())
-			.filter((other) -> !other.equals(share))
+		return Flux.fromIterable(others)
 			.flatMap((other) -> send(other, lookup, LIMIT).onErrorResume(FescueholdException.class, (error) -> {
 				logger.atWarning()
 					.withCause(error)
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/MessagePackStateCodecTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/MessagePackStateCodecTests.java
@@ -31,7 +31,7 @@
 	static List<StateCommand> commands() {
 		StoredAnswer answer = new StoredAnswer(201, Map.of("Location", "/1"), new byte[] { 1, 2 }, false);
 		return List.of(new StateCommand.Submit(new byte[] { 1 }, "mere", 5),
-				new StateCommand.BeginCall(KEY, "digest", "depot", "r1", 9, 5, "a1"),
+				new StateCommand.BeginCall(KEY, "digest", "depot", "r1", 9, 5, "a1", "south 2"),
 				new StateCommand.LookupCall(KEY, "digest", 5), new StateCommand.CompleteCall(KEY, 7, answer, 5),
 				new StateCommand.MarkNotRun(KEY, 7, 5), new StateCommand.MarkUnknown(KEY, 7, 5),
 				new StateCommand.AcquireOrderLease("s1", "r1", true, 1_000, 5),
@@ -64,7 +64,7 @@
 		ShareStateMachine machine = new ShareStateMachine("north", this.codec, (config) -> {
 		});
 		List<StateCommand> log = List.of(submit(Configs.teams("north", 1, "parts", "repairs")),
-				new StateCommand.BeginCall(KEY, "digest", "depot", "r1", 90, 50, "a1"),
+				new StateCommand.BeginCall(KEY, "digest", "depot", "r1", 90, 50, "a1", ""),
 				new StateCommand.CompleteCall(KEY, 2, new StoredAnswer(200, Map.of(), new byte[] { 4 }, false), 60),
 				new StateCommand.ObserveShare(ConfigJson.canonicalBytes(Configs.teams("south", 3, "tours"))),
 				submit(Configs.releasing("north", 2, "parts", "south")));
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
@@ -173,7 +173,7 @@
 	}
 
 	private StateCommand.BeginCall begin(String attemptId) {
-		return new StateCommand.BeginCall(KEY, "digest", "depot", "router", 3_600_000, 0, attemptId);
+		return new StateCommand.BeginCall(KEY, "digest", "depot", "router", 3_600_000, 0, attemptId, "");
 	}
 
 	private <T> T value(Mono<T> mono) {
