--- a/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferTests.java
@@ -90,6 +90,10 @@
 		north.submit(claiming("north", 3, "parts", "south", 2), 0);
 		north.submit(releasing("north", 4, "parts", "south"), 0);
 		south.apply(north.machine().observation());
+		// Under the number of the first release, routers could not tell the transfers
+		// apart.
+		SubmissionTests.assertRefused(south.submit(claiming("south", 3, "parts", "north", 2), 0),
+				"/claims/0/releaseNumber");
 		assertThat(south.submit(claiming("south", 3, "parts", "north", 4), 0))
 			.isInstanceOf(StateOutcome.Submitted.class);
 	}
