--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatBody.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatBody.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -53,10 +54,13 @@
 			node = MAPPER.readTree(json);
 		}
 		catch (JsonProcessingException ex) {
-			throw invalid("/", ex.getOriginalMessage().replace(';', ','), "send valid JSON in UTF-8");
+			JsonLocation place = ex.getLocation();
+			throw invalid("/", (place != null)
+					? "it is no JSON in UTF-8 from line " + place.getLineNr() + ", column " + place.getColumnNr()
+					: "it is no JSON", "send valid JSON in UTF-8");
 		}
 		catch (IOException ex) {
-			throw invalid("/", String.valueOf(ex.getMessage()).replace(';', ','), "send valid JSON in UTF-8");
+			throw invalid("/", "it is no text in UTF-8", "send valid JSON in UTF-8");
 		}
 		if (!(node instanceof ObjectNode root)) {
 			throw invalid("/", "it is no JSON object", "send an OpenAI chat request");
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestLog.java
@@ -52,6 +52,18 @@
 			.log("Server failed: %s; %s", failure.getMessage(), action);
 	}
 
+	/**
+	 * Logs that the caller closed its connection early.
+	 * @param caller the request
+	 */
+	void callerLeft(CallerRequest caller) {
+		LOGGER.atInfo()
+			.with(REQUEST_ID, caller.requestId())
+			.with(CHAT, caller.chatId())
+			.with(TEAM, caller.team())
+			.log("The caller closed the connection before the response was complete");
+	}
+
 	/**
 	 * Logs an error of the router itself.
 	 * @param caller the request
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -197,8 +197,10 @@
 	}
 
 	private Mono<Void> refuse(CallerRequest caller, Throwable error, HttpServerResponse response) {
-		if (AbortedException.isConnectionReset(error) || error instanceof CancellationException) {
-			// The caller has left; its stream is cancelled or kept by the exchange.
+		if (error instanceof AbortedException || AbortedException.isConnectionReset(error)
+				|| error instanceof CancellationException) {
+			// The stream, if any, is cancelled or kept by the exchange.
+			this.context.log().callerLeft(caller);
 			return Mono.empty();
 		}
 		if (!(error instanceof FescueholdException refusal)) {
