--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/capacity/ReplicaSlopes.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/capacity/ReplicaSlopes.java
@@ -79,8 +79,8 @@
 
 	private static void call(ShareStateMachine machine, int index) {
 		CallKey key = new CallKey("team-" + index % 10, "order-2026-12-04-" + index);
-		byte[] begin = CODEC.encodeCommand(new StateCommand.BeginCall(key, "0".repeat(64), "jobs", "entry-1",
-				NOW_MS + 5_000, NOW_MS, "attempt-" + index));
+		byte[] begin = CODEC
+			.encodeCommand(new StateCommand.BeginCall(key, "0".repeat(64), "jobs", "entry-1", NOW_MS + 5_000, NOW_MS));
 		if (!(CODEC.decodeOutcome(machine.apply(10L + 2L * index, begin)) instanceof CallOutcome.Granted granted)) {
 			throw new IllegalStateException("A call was not granted");
 		}
