Test the agreed configuration under failure with real processes

Until now no test combined the daemons, the fault proxy and failures of replicas. The new tests poll the configuration in force at every router throughout, also over restarts, and finally send every accepted change again: a number that goes back, a number with two contents, a lost change or a changed answer fails the test.

- ReplicaFailureTests: three operators race for a number, then the leader is killed and all daemons restart; kill and freeze of the leader; silent and one-way cuts of the leader and of a follower.

FleetSettings.operator adds named administrators, so that a conflict can be checked for the winner.

--- /dev/null
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/control/ReplicaFailureTests.java
@@ -0,0 +1,239 @@
+package io.fescuehold.it.control;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+
+import io.fescuehold.config.ConfigJson;
+import io.fescuehold.config.ShareConfig;
+import io.fescuehold.it.harness.FleetSettings;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against two winners of a number, and against accepted changes that are lost or
+ * go back when a replica is killed, frozen or cut off. Every test leaves a whole fleet.
+ */
+class ReplicaFailureTests {
+
+	private static final List<String> OPERATORS = List.of("ada", "ben", "cy");
+
+	private static final Duration LEASE = Duration.ofMillis(700);
+
+	/** The transport replaces a silent connection after 1.5 s. */
+	private static final Duration CUT = Duration.ofSeconds(3);
+
+	@TempDir
+	private static Path folder;
+
+	private static ControlFleet fleet;
+
+	private final Operator.Accepted accepted = new Operator.Accepted();
+
+	private RouterWatch watch;
+
+	@BeforeAll
+	static void startFleet() {
+		FleetSettings settings = new FleetSettings(folder, true);
+		OPERATORS.forEach((operator) -> settings.operator(operator, "north"));
+		fleet = ControlFleet.north(folder, settings, 1);
+	}
+
+	@AfterAll
+	static void stopFleet() {
+		fleet.close();
+	}
+
+	@BeforeEach
+	void startWatch() {
+		this.watch = new RouterWatch(fleet, "north");
+	}
+
+	@AfterEach
+	void healAndCheck() {
+		fleet.hostIds().forEach(fleet::reconnect);
+		fleet.awaitInForce(fleet.hostIds(), "north", fleet.number("north"));
+		this.watch.close();
+		assertThat(this.watch.violations()).isEmpty();
+		assertThat(this.watch.reads()).isGreaterThan(fleet.hostIds().size());
+		assertThat(this.accepted.violations(fleet)).isEmpty();
+	}
+
+	private Operator operator() {
+		return new Operator(fleet, "north", "ada", this.accepted);
+	}
+
+	private static String follower() {
+		String leader = fleet.leader("north");
+		return List.of("a", "b", "c").stream().filter((hostId) -> !hostId.equals(leader)).findFirst().orElseThrow();
+	}
+
+	private static List<Reply> race(long number) {
+		List<CompletableFuture<Reply>> answers = new ArrayList<>();
+		for (int i = 0; i < OPERATORS.size(); i++) {
+			ShareConfig config = ControlFleet.change("north", number, OPERATORS.get(i));
+			answers.add(fleet.submit(fleet.hostIds().get(i), OPERATORS.get(i), config));
+		}
+		return answers.stream().map(CompletableFuture::join).toList();
+	}
+
+	private static int checkRace(List<Reply> replies, long number) {
+		List<Integer> winners = IntStream.range(0, OPERATORS.size())
+			.boxed()
+			.filter((i) -> replies.get(i).isAccepted())
+			.toList();
+		assertThat(winners).as("replies %s", replies).hasSize(1);
+		int winner = winners.getFirst();
+		String digest = ConfigJson.digest(ControlFleet.change("north", number, OPERATORS.get(winner)));
+		assertThat(replies.get(winner).body().path("digest").asText()).isEqualTo(digest);
+		replies.stream().filter((reply) -> !reply.isAccepted()).forEach((reply) -> {
+			assertThat(reply.isConflict()).as("reply %s", reply).isTrue();
+			assertThat(reply.body().path("winnerDigest").asText()).isEqualTo(digest);
+			assertThat(reply.body().path("winnerOperator").asText())
+				.isEqualTo(FleetSettings.token(OPERATORS.get(winner)));
+		});
+		return winner;
+	}
+
+	/** Guards against a second winner, then against answers lost with the leader. */
+	@Test
+	void oneOfThreeSubmissionsWinsAndKeepsItsAnswerOverLeaderChangeAndRestart() {
+		long last = fleet.number("north") + 10;
+		String leader = fleet.leader("north");
+		for (long number = last - 9; number < last; number++) {
+			checkRace(race(number), number);
+		}
+		List<Reply> replies = race(last);
+		int winner = checkRace(replies, last);
+		ShareConfig won = ControlFleet.change("north", last, OPERATORS.get(winner));
+		ShareConfig lost = ControlFleet.change("north", last, OPERATORS.get((winner + 1) % OPERATORS.size()));
+
+		fleet.kill(leader);
+		assertThat(fleet.accept(fleet.others(leader), won).body()).isEqualTo(replies.get(winner).body());
+		fleet.others(leader).forEach(fleet::kill);
+		fleet.startAll();
+
+		assertThat(fleet.accept(fleet.hostIds(), won).body()).isEqualTo(replies.get(winner).body());
+		fleet.hostIds().forEach((hostId) -> {
+			Reply refused = fleet.submit(hostId, "north", lost).join();
+			assertThat(refused.isConflict()).as("reply %s", refused).isTrue();
+			assertThat(refused.body().path("winnerDigest").asText()).isEqualTo(ConfigJson.digest(won));
+		});
+	}
+
+	/** Guards against a change that only the killed leader held. */
+	@Test
+	void killOfLeaderLosesNoAcceptedChange() {
+		try (Operator operator = operator()) {
+			operator.awaitAccepted(20);
+			String leader = fleet.leader("north");
+			fleet.kill(leader);
+			operator.awaitAccepted(20);
+			fleet.start(leader);
+			operator.awaitAccepted(20);
+		}
+	}
+
+	/** Guards against a leader that trusts a lease that ran out while it was frozen. */
+	@Test
+	void resumedLeaderServesNothingOldAndAcceptsNothing() {
+		String old = fleet.leader("north");
+		long next = fleet.number("north") + 1;
+		ShareConfig change = ControlFleet.change("north", next, "ben");
+		fleet.daemon(old).freeze();
+		List<CompletableFuture<Reply>> reads;
+		CompletableFuture<Reply> submission;
+		try {
+			long frozenAtNanos = System.nanoTime();
+			fleet.accept(fleet.others(old), change);
+			assertThat(System.nanoTime() - frozenAtNanos).as("lease").isGreaterThan(LEASE.toNanos());
+			// These wait in the sockets and are the first thing that the old leader sees.
+			reads = IntStream.range(0, 20)
+				.mapToObj((i) -> fleet.send(old, "GET", "shares/north", new byte[0], "*", ControlFleet.IN_FORCE))
+				.toList();
+			submission = fleet.submit(old, "north", ControlFleet.change("north", next, "cy"));
+		}
+		finally {
+			fleet.daemon(old).resume();
+		}
+		assertThat(submission.join().isConflict()).as("reply %s", submission.join()).isTrue();
+		reads.stream()
+			.map(CompletableFuture::join)
+			.filter(Reply::isAccepted)
+			.forEach((reply) -> assertThat(reply.number()).isGreaterThanOrEqualTo(next));
+	}
+
+	/** Guards against a follower that stops the group or never catches up. */
+	@Test
+	void silentFollowerCatchesUp() {
+		String follower = follower();
+		cutDuringChanges(follower, () -> fleet.isolate(follower));
+	}
+
+	/** Guards against a silent leader that keeps its role. */
+	@Test
+	void silentLeaderIsReplacedAndCatchesUp() {
+		String leader = fleet.leader("north");
+		cutDuringChanges(leader, () -> fleet.isolate(leader));
+	}
+
+	/**
+	 * Guards against a leader that keeps followers quiet but hears no acknowledgement.
+	 */
+	@Test
+	void leaderThatHearsNothingIsReplaced() {
+		String leader = fleet.leader("north");
+		cutDuringChanges(leader, () -> fleet.silence(leader, false));
+	}
+
+	/** Guards against a follower that hears nothing and deposes the leader. */
+	@Test
+	void followerThatHearsNothingCatchesUp() {
+		String follower = follower();
+		cutDuringChanges(follower, () -> fleet.silence(follower, false));
+	}
+
+	/** Guards against a follower whose acknowledgements are lost for good. */
+	@Tag("matrix")
+	@Test
+	void followerThatIsNotHeardCatchesUp() {
+		String follower = follower();
+		cutDuringChanges(follower, () -> fleet.silence(follower, true));
+	}
+
+	private void cutDuringChanges(String hostId, Runnable cut) {
+		long number = fleet.number("north");
+		cut.run();
+		long endNanos = System.nanoTime() + CUT.toNanos();
+		int count = 0;
+		while (count < 5 || System.nanoTime() < endNanos) {
+			fleet.accept(fleet.others(hostId), ControlFleet.change("north", ++number, "ada"));
+			count++;
+		}
+		Reply current = readAsCurrent(hostId);
+		assertThat(current == null || !current.isAccepted() || current.number() == number).as("reply %s", current)
+			.isTrue();
+	}
+
+	private static Reply readAsCurrent(String hostId) {
+		try {
+			return fleet.send(hostId, "GET", "shares/north", new byte[0], "*", LEASE).join();
+		}
+		catch (CompletionException ex) {
+			// A daemon that reaches no leader goes on looking for one.
+			return null;
+		}
+	}
+
+}
--- a/fescuehold-it/src/test/java/io/fescuehold/it/harness/FleetSettings.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/harness/FleetSettings.java
@@ -33,6 +33,8 @@
 
 	private final Map<String, List<String>> shares = new LinkedHashMap<>();
 
+	private final Map<String, String> operators = new LinkedHashMap<>();
+
 	private final Map<String, FaultProxy> peerProxies = new LinkedHashMap<>();
 
 	private final Map<String, FaultProxy> callerProxies = new LinkedHashMap<>();
@@ -83,6 +85,17 @@
 		return this;
 	}
 
+	/**
+	 * Adds an administrator of a share. Its token is {@code token-NAME}.
+	 * @param name the name, which differs from the names of the shares
+	 * @param share the share
+	 * @return these settings
+	 */
+	public FleetSettings operator(String name, String share) {
+		this.operators.put(name, share);
+		return this;
+	}
+
 	/**
 	 * Sets a time of the agreement groups.
 	 * @param name the name in the settings
@@ -121,8 +134,9 @@
 			.put("address", ADDRESS)
 			.put("port", host.operatorPort())
 			.putArray("tokens");
-		this.shares.keySet().forEach((share) -> addToken(tokens, share, "admin"));
-		addToken(tokens, "*", "viewer");
+		this.shares.keySet().forEach((share) -> addToken(tokens, share, share, "admin"));
+		this.operators.forEach((name, share) -> addToken(tokens, name, share, "admin"));
+		addToken(tokens, "*", "*", "viewer");
 		ArrayNode fleet = root.putArray("fleet");
 		this.hosts.values().forEach((other) -> addHost(fleet, host, other));
 		ArrayNode shareNodes = root.putArray("shares");
@@ -152,8 +166,8 @@
 				: other.peerPort();
 	}
 
-	private static void addToken(ArrayNode tokens, String share, String role) {
-		String token = token(share);
+	private static void addToken(ArrayNode tokens, String name, String share, String role) {
+		String token = token(name);
 		tokens.addObject().put("name", token).put("sha256", sha256(token)).put("share", share).put("role", role);
 	}
 
