Keep stalls seen by callers below the stall limit

With a connection to a router silent or a router frozen mid-stream, the client library waited 2,000 ms before it resumed, which is the whole limit, and its next entry look-up could go to the frozen host for another second.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/EntryDirectory.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/EntryDirectory.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
@@ -19,8 +20,10 @@
 
 /**
  * Asks entry hosts which routers to use for a chat and keeps each response for as long as
- * it is valid. Entry hosts are asked in an order that starts at a random one. If none
- * answers, an expired response is used, because a router in it may still serve.
+ * it is valid. Entry hosts are asked in an order that starts at a random one; those that
+ * were silent a short time ago are asked last, so that a resumed stream does not wait for
+ * the host that has just failed it. If none answers, an expired response is used, because
+ * a router in it may still serve.
  */
 final class EntryDirectory {
 
@@ -36,11 +39,14 @@
 
 	private final RouterHttp http;
 
+	private final SuspectRouters suspects;
+
 	private final Scheduler scheduler;
 
-	EntryDirectory(ClientOptions options, RouterHttp http, Scheduler scheduler) {
+	EntryDirectory(ClientOptions options, RouterHttp http, SuspectRouters suspects, Scheduler scheduler) {
 		this.options = options;
 		this.http = http;
+		this.suspects = suspects;
 		this.scheduler = scheduler;
 	}
 
@@ -58,6 +64,7 @@
 		Mono<Entry> lookup = Mono.error(new IllegalStateException("No entry host is set"));
 		List<Address> order = new ArrayList<>(this.options.entries());
 		Collections.rotate(order, ThreadLocalRandom.current().nextInt(order.size()));
+		order.sort(Comparator.comparing(this.suspects::contains));
 		boolean first = true;
 		for (Address entry : order) {
 			Mono<Entry> next = Mono.defer(() -> ask(entry, chatId));
@@ -95,7 +102,10 @@
 				new byte[0]);
 		return response.collectList()
 			.timeout(Duration.ofMillis(this.options.entryLimitMs()), this.scheduler)
-			.doOnError((ex) -> this.http.evictIdle(entry))
+			.doOnError((ex) -> {
+				this.suspects.add(entry);
+				this.http.evictIdle(entry);
+			})
 			.map((signals) -> read(entry, signals));
 	}
 
--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClient.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClient.java
@@ -20,8 +20,9 @@
 	FescueholdClient(ClientOptions options) {
 		RouterHttp http = new RouterHttp(options);
 		Scheduler scheduler = Schedulers.parallel();
-		this.context = new ClientContext(options, http, new EntryDirectory(options, http, scheduler),
-				new SuspectRouters(scheduler), new ChatHints(), new RetryBudget(), scheduler,
+		SuspectRouters suspects = new SuspectRouters(scheduler);
+		this.context = new ClientContext(options, http, new EntryDirectory(options, http, suspects, scheduler),
+				suspects, new ChatHints(), new RetryBudget(), scheduler,
 				UUID.randomUUID().toString());
 	}
 
--- /dev/null
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The request path under failure, with real processes.
+ */
+package io.fescuehold.it.request;
