--- a/fescuehold-core/src/main/java/io/fescuehold/core/port/ReplicatedStateMachine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/ReplicatedStateMachine.java
@@ -1,5 +1,7 @@
 package io.fescuehold.core.port;
 
+import java.util.function.Supplier;
+
 /**
  * The state machine that an agreement group replicates. All methods are called by one
  * thread, in log order.
@@ -20,6 +22,16 @@
 	 */
 	byte[] snapshot();
 
+	/**
+	 * Captures the whole state. Only the capture is done by the thread that applies
+	 * commands; writing a large state takes seconds and is left to another thread.
+	 * @return writes the captured state, by any thread
+	 */
+	default Supplier<byte[]> captureSnapshot() {
+		byte[] snapshot = snapshot();
+		return () -> snapshot;
+	}
+
 	/**
 	 * Replaces the whole state.
 	 * @param snapshot a snapshot written by {@link #snapshot()}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/CallRecords.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/CallRecords.java
@@ -24,10 +24,14 @@
 
 	private static final long MS_PER_S = 1_000;
 
+	private static final int MAX_SHARED_NAMES = 10_000;
+
 	private final Map<CallKey, CallRecord> records = new HashMap<>();
 
 	private final TreeMap<Expiry, CallKey> expiries = new TreeMap<>();
 
+	private final Map<String, String> names = new HashMap<>();
+
 	private long bodyBytes;
 
 	/**
@@ -156,12 +160,34 @@
 		}
 	}
 
-	private void put(CallRecord record) {
+	private void put(CallRecord newRecord) {
+		CallRecord record = withSharedNames(newRecord);
 		this.records.put(record.key(), record);
 		this.expiries.put(Expiry.of(record), record.key());
 		this.bodyBytes += bodyBytes(record);
 	}
 
+	// The names are read anew from every command; shared copies save a quarter of the
+	// memory of a record.
+	private CallRecord withSharedNames(CallRecord record) {
+		if (this.names.size() > MAX_SHARED_NAMES) {
+			this.names.clear();
+		}
+		CallKey key = new CallKey(shared(record.key().team()), record.key().idempotencyKey());
+		boolean begun = record.status() == CallRecord.Status.BEGUN;
+		return new CallRecord(key, record.bodyDigest(), shared(record.service()), shared(record.routerId()),
+				begun ? record.attemptId() : "", record.fencingNumber(), record.status(), record.deadlineMs(),
+				record.expiresAtMs(), record.answer());
+	}
+
+	private String shared(String name) {
+		if (name == null) {
+			return null;
+		}
+		String known = this.names.putIfAbsent(name, name);
+		return (known != null) ? known : name;
+	}
+
 	private void remove(CallRecord record) {
 		this.records.remove(record.key());
 		this.expiries.remove(Expiry.of(record));
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareStateMachine.java
@@ -5,6 +5,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.fescuehold.config.ConfigException;
 import io.fescuehold.config.ConfigJson;
@@ -205,14 +206,20 @@
 
 	@Override
 	public byte[] snapshot() {
+		return captureSnapshot().get();
+	}
+
+	@Override
+	public Supplier<byte[]> captureSnapshot() {
 		List<StateCommand.ObserveShare> observed = this.published.observed()
 			.values()
 			.stream()
 			.map(ObservedShare::command)
 			.toList();
-		return this.codec.encodeSnapshot(new StateSnapshot(this.nowMs, ConfigJson.canonicalBytes(config()), observed,
+		StateSnapshot state = new StateSnapshot(this.nowMs, ConfigJson.canonicalBytes(config()), observed,
 				this.submissions.entries(), this.calls.entries(), this.leases.entries(),
-				this.leases.lastFencingNumber(), this.published.transfers().entries()));
+				this.leases.lastFencingNumber(), this.published.transfers().entries());
+		return () -> this.codec.encodeSnapshot(state);
 	}
 
 	@Override
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/MessagePackStateCodec.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/MessagePackStateCodec.java
@@ -1,9 +1,14 @@
 package io.fescuehold.runtime.control;
 
 import java.io.IOException;
+import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.fescuehold.core.port.StateCodec;
+import io.fescuehold.core.state.AcceptedSubmission;
+import io.fescuehold.core.state.CallKey;
+import io.fescuehold.core.state.CallRecord;
 import io.fescuehold.core.state.CommandOutcome;
 import io.fescuehold.core.state.StateCommand;
 import io.fescuehold.core.state.StateSnapshot;
@@ -16,6 +21,16 @@
 
 	private final ObjectMapper mapper = MessagePack.mapper();
 
+	/** Creates a codec. */
+	public MessagePackStateCodec() {
+		// A snapshot holds up to half a million call records; without property names it
+		// is
+		// smaller and written faster.
+		for (Class<?> type : List.of(CallRecord.class, CallKey.class, AcceptedSubmission.class)) {
+			this.mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
+		}
+	}
+
 	@Override
 	public byte[] encodeCommand(StateCommand command) {
 		return write(StateCommand.class, command);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -52,6 +53,8 @@
 
 	private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
 
+	private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
+
 	private final LoopResources loops = LoopResources.create("fescuehold-peer", LOOP_THREADS, true);
 
 	private volatile DisposableServer server;
@@ -166,9 +169,12 @@
 
 	private Publisher<Void> accept(NettyInbound inbound, NettyOutbound outbound) {
 		PeerSession[] session = new PeerSession[1];
-		inbound.withConnection((connection) -> session[0] = new PeerSession(
-				new FrameChannel(connection, this.options.limits(), this.counters, () -> {
-				}), connection.address().toString()));
+		inbound.withConnection((connection) -> {
+			session[0] = new PeerSession(new FrameChannel(connection, this.options.limits(), this.counters, () -> {
+			}), connection.address().toString());
+			this.sessions.add(session[0]);
+			connection.onDispose(() -> this.sessions.remove(session[0]));
+		});
 		return inbound.receive().asByteArray().doOnNext(session[0]::receive).onErrorResume((error) -> {
 			logger.atFine().withCause(error).log("A connection from %s failed", session[0].fromHostId);
 			return Mono.empty();
@@ -204,6 +210,10 @@
 		}
 		if (this.server != null) {
 			this.server.disposeNow(Duration.ofMillis(CLOSE_TIMEOUT_MS));
+			// Closing the port leaves accepted connections open, on which peers would
+			// wait
+			// for the silence limit.
+			this.sessions.forEach((session) -> session.channel.close());
 		}
 		this.loops.disposeLater(Duration.ZERO, Duration.ofMillis(CLOSE_TIMEOUT_MS))
 			.block(Duration.ofMillis(2 * CLOSE_TIMEOUT_MS));
