--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/Deployment.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/Deployment.java
@@ -58,4 +58,15 @@
 		return (server % 3 == 2) ? 2 : 1;
 	}
 
+	/**
+	 * Returns the same traffic in requests that are smaller and more frequent by a factor
+	 * and take as long.
+	 * @param factor the factor
+	 * @return the deployment
+	 */
+	public Deployment withGranularity(double factor) {
+		return new Deployment(this.routers, this.servers, this.requestsPerS * factor, this.firstPromptTokens / factor,
+				this.turnTokens / factor, this.outputTokens / factor, this.turns, this.pauseS, this.replicas);
+	}
+
 }
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/ExperimentMain.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/ExperimentMain.java
@@ -42,6 +42,9 @@
 	@Option(name = "--no-imports", usage = "KV caches cannot be imported")
 	private boolean noImports;
 
+	@Option(name = "--granularity", usage = "factor by which requests are smaller and more frequent")
+	private double granularity = 1;
+
 	@Option(name = "--tuning", usage = "turnoverMs,reportGain,ownGain,stayLow,stayHigh of the router's policy")
 	private String tuning;
 
@@ -76,8 +79,9 @@
 		for (PolicyKind kind : policies()) {
 			List<RunResult> runs = new ArrayList<>();
 			for (String seed : this.seeds.split(",")) {
-				RunResult result = new PlacementSimulation(new RunOptions(Deployment.of(this.deployment), kind,
-						Long.parseLong(seed), this.seconds, this.reportLagMs, this.churn, !this.noImports, tuning()))
+				RunResult result = new PlacementSimulation(
+						new RunOptions(Deployment.of(this.deployment), kind, Long.parseLong(seed), this.seconds,
+								this.reportLagMs, this.churn, !this.noImports, this.granularity, tuning()))
 					.run();
 				runs.add(result);
 			}
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeServer.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/FakeServer.java
@@ -32,6 +32,8 @@
 
 	private final int maxRunning;
 
+	private final double decodeTokensPerS;
+
 	private final long cacheLimit;
 
 	private final List<FakeRequest> requests = new ArrayList<>();
@@ -46,10 +48,11 @@
 
 	private boolean counted = true;
 
-	FakeServer(String id, int factor) {
+	FakeServer(String id, int factor, double granularity) {
 		this.id = id;
 		this.tokensPerS = (double) Deployment.BASE_SPEED * factor;
-		this.maxRunning = Deployment.BASE_RUNNING * factor;
+		this.maxRunning = (int) (Deployment.BASE_RUNNING * factor * granularity);
+		this.decodeTokensPerS = DECODE_TOKENS_PER_S / granularity;
 		this.cacheLimit = Deployment.BASE_CACHE_TOKENS * factor;
 	}
 
@@ -148,7 +151,7 @@
 		}
 		double budget = this.tokensPerS * stepMs / MS_PER_S;
 		double perRequest = (decoding > 0)
-				? Math.min(DECODE_TOKENS_PER_S * stepMs / MS_PER_S, MAX_DECODE_PORTION * budget / decoding) : 0;
+				? Math.min(this.decodeTokensPerS * stepMs / MS_PER_S, MAX_DECODE_PORTION * budget / decoding) : 0;
 		double prefillBudget = budget - decoding * perRequest;
 		Iterator<FakeRequest> iterator = this.requests.iterator();
 		for (int index = 0; index < running; index++) {
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/PlacementSimulation.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/PlacementSimulation.java
@@ -109,10 +109,11 @@
 	 */
 	public PlacementSimulation(RunOptions options) {
 		this.options = options;
-		Deployment deployment = options.deployment();
+		Deployment deployment = options.deployment().withGranularity(options.granularity());
 		this.traffic = new Traffic(deployment, options.seed(), options.seconds());
 		for (int index = 0; index < deployment.servers(); index++) {
-			FakeServer server = new FakeServer(String.format("server-%03d", index), Deployment.factor(index));
+			FakeServer server = new FakeServer(String.format("server-%03d", index), Deployment.factor(index),
+					options.granularity());
 			this.servers.add(server);
 			this.serversById.put(server.id(), server);
 			this.specs.put(server.id(), spec(index, ServerState.ACTIVE));
@@ -129,10 +130,10 @@
 		}
 	}
 
-	private static ModelServerSpec spec(int server, ServerState state) {
+	private ModelServerSpec spec(int server, ServerState state) {
 		int factor = Deployment.factor(server);
 		return new ModelServerSpec("10.0.0.1", 8000, "d" + server % 3, List.of(MODEL), state, true, true,
-				Deployment.BASE_SPEED * factor, Deployment.BASE_RUNNING * factor,
+				Deployment.BASE_SPEED * factor, (int) (Deployment.BASE_RUNNING * factor * this.options.granularity()),
 				Deployment.BASE_CACHE_TOKENS * factor);
 	}
 
--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/RetryExperiment.java
@@ -0,0 +1,88 @@
+package io.fescuehold.bench.experiment;
+
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+import io.fescuehold.core.retry.RetryBudget;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Measures the attempts per request while a third of the servers fails, with the retry
+ * budget and with up to three retries without a budget. Servers are drawn at random, as
+ * if no router learned which of them fail.
+ */
+public final class RetryExperiment {
+
+	private static final int WITHOUT_BUDGET = 3;
+
+	private static final double PERCENT = 100;
+
+	@Option(name = "--routers", usage = "number of routers, each with its own budget")
+	private int routers = 7;
+
+	@Option(name = "--requests", usage = "requests per router")
+	private int requests = 10_000;
+
+	@Option(name = "--seeds", usage = "seeds, separated by commas")
+	private String seeds = "1,2,3";
+
+	private RetryExperiment() {
+	}
+
+	/**
+	 * Runs the experiment.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		RetryExperiment experiment = new RetryExperiment();
+		CmdLineParser parser = new CmdLineParser(experiment);
+		try {
+			parser.parseArgument(arguments);
+		}
+		catch (CmdLineException ex) {
+			System.err.println(ex.getMessage());
+			parser.printUsage(System.err);
+			System.exit(2);
+		}
+		System.out.println("| seed | failing servers | retries | attempts per request | failed requests % |");
+		System.out.println("|---|---|---|---|---|");
+		for (String seed : experiment.seeds.split(",")) {
+			for (int portion : new int[] { 0, 3, 1 }) {
+				System.out.println(experiment.run(Long.parseLong(seed), portion, true));
+				System.out.println(experiment.run(Long.parseLong(seed), portion, false));
+			}
+		}
+	}
+
+	private String run(long seed, int portion, boolean withBudget) {
+		SplittableRandom random = new SplittableRandom(seed);
+		long attempts = 0;
+		long failed = 0;
+		for (int router = 0; router < this.routers; router++) {
+			RetryBudget budget = new RetryBudget();
+			for (int request = 0; request < this.requests; request++) {
+				budget.request();
+				attempts++;
+				int retries = 0;
+				boolean isFailed = fails(random, portion);
+				while (isFailed && (withBudget ? budget.tryAcquire() : retries < WITHOUT_BUDGET)) {
+					retries++;
+					attempts++;
+					isFailed = fails(random, portion);
+				}
+				failed += isFailed ? 1 : 0;
+			}
+		}
+		long total = (long) this.routers * this.requests;
+		String name = (portion == 0) ? "none" : (portion == 1) ? "all" : "a third";
+		return String.format(Locale.ROOT, "| %d | %s | %s | %.4f | %.2f |", seed, name,
+				withBudget ? "budget" : "up to 3", (double) attempts / total, PERCENT * failed / total);
+	}
+
+	private static boolean fails(SplittableRandom random, int portion) {
+		return portion > 0 && random.nextInt(portion) == 0;
+	}
+
+}
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/RunOptions.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/RunOptions.java
@@ -13,9 +13,10 @@
  * @param reportLagMs the age of the oldest report that routers act on
  * @param churn whether servers join, leave, crash and flap
  * @param imports whether KV caches can be imported
+ * @param granularity the factor by which requests are smaller and more frequent
  * @param tuning the constants of the router's policy
  */
 public record RunOptions(Deployment deployment, PolicyKind policy, long seed, int seconds, int reportLagMs,
-		boolean churn, boolean imports, PlacementTuning tuning) {
+		boolean churn, boolean imports, double granularity, PlacementTuning tuning) {
 
 }
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/BaselinePolicy.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/BaselinePolicy.java
@@ -31,13 +31,13 @@
 	abstract String choose(List<String> usable, PlacementRequest request, FleetView view,
 			Map<String, ServerLoad> loads);
 
-	final double speed(FleetView view, String id) {
-		return view.modelServers().get(id).spec().tokensPerS();
+	final double speed(String id) {
+		return this.servers.speed(id);
 	}
 
-	final double loadS(FleetView view, Map<String, ServerLoad> loads, String id) {
+	final double loadS(Map<String, ServerLoad> loads, String id) {
 		ServerLoad load = loads.get(id);
-		return (load != null) ? load.outstandingTokens() / speed(view, id) : 0;
+		return (load != null) ? load.outstandingTokens() / speed(id) : 0;
 	}
 
 	@Override
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/HashPolicy.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/HashPolicy.java
@@ -30,11 +30,11 @@
 		String best = null;
 		double bestScore = Double.POSITIVE_INFINITY;
 		for (String id : usable) {
-			if (loadS(view, loads, id) > limitS) {
+			if (loadS(loads, id) > limitS) {
 				continue;
 			}
 			long hash = this.hashes.computeIfAbsent(id, RendezvousHash::hash);
-			double score = RendezvousHash.score(chatHash, hash, speed(view, id));
+			double score = RendezvousHash.score(chatHash, hash, speed(id));
 			if (score < bestScore) {
 				best = id;
 				bestScore = score;
@@ -47,8 +47,8 @@
 		double total = 0;
 		double speed = 0;
 		for (String id : usable) {
-			total += loadS(view, loads, id) * speed(view, id);
-			speed += speed(view, id);
+			total += loadS(loads, id) * speed(id);
+			speed += speed(id);
 		}
 		double bound = view.shares().values().iterator().next().policy().loadBound();
 		return (total > 0) ? bound * total / speed : Double.POSITIVE_INFINITY;
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/LeastLoadedPolicy.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/LeastLoadedPolicy.java
@@ -16,7 +16,7 @@
 	String choose(List<String> usable, PlacementRequest request, FleetView view, Map<String, ServerLoad> loads) {
 		String best = usable.getFirst();
 		for (String id : usable) {
-			if (loadS(view, loads, id) < loadS(view, loads, best)) {
+			if (loadS(loads, id) < loadS(loads, best)) {
 				best = id;
 			}
 		}
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/Servers.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/Servers.java
@@ -1,7 +1,9 @@
 package io.fescuehold.bench.experiment.baseline;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import io.fescuehold.config.ServerState;
 import io.fescuehold.core.placement.PlacementRequest;
@@ -16,21 +18,20 @@
 
 	private List<String> usable = List.of();
 
-	private List<Long> speeds = List.of();
+	private final Map<String, Double> speeds = new HashMap<>();
 
 	List<String> usable(FleetView view, PlacementRequest request) {
 		if (view != this.seen) {
 			this.seen = view;
 			List<String> ids = new ArrayList<>();
-			List<Long> tokensPerS = new ArrayList<>();
+			this.speeds.clear();
 			view.modelServers().forEach((id, owned) -> {
 				if (owned.spec().state() != ServerState.LEAVING) {
 					ids.add(id);
-					tokensPerS.add(owned.spec().tokensPerS());
+					this.speeds.put(id, (double) owned.spec().tokensPerS());
 				}
 			});
 			this.usable = ids;
-			this.speeds = tokensPerS;
 		}
 		if (request.excludedServerIds().isEmpty()) {
 			return this.usable;
@@ -38,9 +39,13 @@
 		return this.usable.stream().filter((id) -> !request.excludedServerIds().contains(id)).toList();
 	}
 
-	double speed(FleetView view, String id) {
-		int index = this.usable.indexOf(id);
-		return (index >= 0) ? this.speeds.get(index) : view.modelServers().get(id).spec().tokensPerS();
+	/**
+	 * Returns the speed of a server of the view last used.
+	 * @param id the server
+	 * @return the tokens per second
+	 */
+	double speed(String id) {
+		return this.speeds.get(id);
 	}
 
 }
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/TwoChoicesPolicy.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/baseline/TwoChoicesPolicy.java
@@ -23,7 +23,7 @@
 	String choose(List<String> usable, PlacementRequest request, FleetView view, Map<String, ServerLoad> loads) {
 		String one = usable.get(this.random.nextInt(usable.size()));
 		String two = usable.get(this.random.nextInt(usable.size()));
-		return (loadS(view, loads, one) <= loadS(view, loads, two)) ? one : two;
+		return (loadS(loads, one) <= loadS(loads, two)) ? one : two;
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -154,11 +154,6 @@
 		LoadEstimator loads = pool.loads();
 		int best = -1;
 		double bestScore = Double.POSITIVE_INFINITY;
-		// A request that is larger than the room below the bound on every server goes by
-		// hash to one at or below the mean. The least loaded server would draw all such
-		// requests of all routers at once.
-		int fallback = -1;
-		double fallbackScore = Double.POSITIVE_INFINITY;
 		int least = -1;
 		for (int index = 0; index < pool.servers().size(); index++) {
 			if (!pool.isUsable(index, request, nowMs)) {
@@ -166,23 +161,21 @@
 			}
 			double load = loads.relative(index);
 			least = (least < 0 || load < loads.relative(least)) ? index : least;
-			if (load + loads.increase(index, work) <= pool.loadBound()) {
+			if (hasRoom(load, loads.increase(index, work), pool)) {
 				double score = RendezvousHash.scoreBelow(chatHash, pool.servers().hash(index), loads.weight(index),
 						bestScore);
 				best = (score < bestScore) ? index : best;
 				bestScore = Math.min(score, bestScore);
 			}
-			else if (best < 0 && load <= 1) {
-				double score = RendezvousHash.scoreBelow(chatHash, pool.servers().hash(index), loads.weight(index),
-						fallbackScore);
-				fallback = (score < fallbackScore) ? index : fallback;
-				fallbackScore = Math.min(score, fallbackScore);
-			}
-		}
-		if (best >= 0) {
-			return best;
 		}
-		return (fallback >= 0) ? fallback : least;
+		return (best >= 0) ? best : least;
+	}
+
+	private static boolean hasRoom(double load, double increase, PoolState pool) {
+		// A request larger than the room between mean and bound fits nowhere, or only on
+		// the few servers that happen to be nearly empty, which would draw all such
+		// requests of all routers at once. Servers at or below the mean may take it.
+		return load <= 1 || load + increase <= pool.loadBound();
 	}
 
 	private long retryAfterMs(PoolState pool) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/PlacementTuning.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PlacementTuning.java
@@ -17,7 +17,7 @@
 public record PlacementTuning(double turnoverMs, double reportGain, double ownGain, double stayLow, double stayHigh) {
 
 	/** The constants in use. */
-	public static final PlacementTuning DEFAULT = new PlacementTuning(6_000, 3, 7, 1.0, 1.2);
+	public static final PlacementTuning DEFAULT = new PlacementTuning(12_000, 3, 1, 0.8, 1.2);
 
 	/**
 	 * Reads constants.
--- a/fescuehold-core/src/main/java/io/fescuehold/core/relay/LinkBudget.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/LinkBudget.java
@@ -18,7 +18,8 @@
 	 */
 	public static final int BYTES_PER_S = 4_000;
 
-	private static final int MAX_INTERVAL_MS = 1_000;
+	/** Part of a digest every 500 ms ages less than a whole one every second. */
+	private static final int MAX_INTERVAL_MS = 500;
 
 	private static final int MS_PER_S = 1_000;
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/relay/RelayTree.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/RelayTree.java
@@ -11,14 +11,20 @@
 
 /**
  * The tree over which daemons receive configuration and load samples. The replicas are
- * the roots; every other host has a place that follows from the host list alone. Levels
- * hold eight times as many hosts as the level above.
+ * the roots; every other host has a place that follows from the host list alone. A level
+ * holds as many hosts as the level above times the fan-out.
  */
 public final class RelayTree {
 
-	/** The children of a host at most. */
+	/** The fan-out of the configuration feed. */
 	public static final int FAN_OUT = 8;
 
+	/**
+	 * The fan-out for load samples. They change all the time, so a host with eight
+	 * children cannot pass on those of 600 servers within 3 s and 5 KB/s.
+	 */
+	public static final int LOAD_FAN_OUT = 4;
+
 	private static final int MAX_CANDIDATES = 6;
 
 	private final List<List<RelayHost>> levels = new ArrayList<>();
@@ -26,11 +32,21 @@
 	private final Map<String, Position> positions = new HashMap<>();
 
 	/**
-	 * Creates a tree.
+	 * Creates a tree with a fan-out of {@link #FAN_OUT}.
 	 * @param hosts the hosts; without a replica among them the first host in hash order
 	 * is the root
 	 */
 	public RelayTree(Collection<RelayHost> hosts) {
+		this(hosts, FAN_OUT);
+	}
+
+	/**
+	 * Creates a tree.
+	 * @param hosts the hosts; without a replica among them the first host in hash order
+	 * is the root
+	 * @param fanOut the children of a host at most
+	 */
+	public RelayTree(Collection<RelayHost> hosts, int fanOut) {
 		List<RelayHost> ordered = hosts.stream()
 			.sorted(Comparator.comparing((RelayHost host) -> !host.replica())
 				.thenComparingLong((host) -> RendezvousHash.hash(host.hostId()))
@@ -41,7 +57,7 @@
 		for (int start = 0; start < ordered.size();) {
 			int end = Math.min(ordered.size(), start + width);
 			addLevel(ordered.subList(start, end));
-			width = (end - start) * FAN_OUT;
+			width = (end - start) * fanOut;
 			start = end;
 		}
 	}
@@ -87,7 +103,7 @@
 	/**
 	 * Returns the hosts that have a host as their first choice.
 	 * @param hostId the host
-	 * @return the host ids, at most {@link #FAN_OUT}
+	 * @return the host ids, at most as many as the fan-out
 	 */
 	public List<String> downstream(String hostId) {
 		Position position = this.positions.get(hostId);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LoadExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LoadExchange.java
@@ -228,7 +228,8 @@
 	private void send(long nowMs) {
 		Collection<String> targets = this.neighbours.current(nowMs);
 		this.links.keySet().retainAll(targets);
-		LinkBudget budget = LinkBudget.of(this.digest.size(), targets.size());
+		// The link to the host above carries few samples and needs no part of the budget.
+		LinkBudget budget = LinkBudget.of(this.digest.size(), targets.size() - 1);
 		for (String target : targets) {
 			Link link = this.links.computeIfAbsent(target, (id) -> new Link(new DigestLink(this.digest)));
 			if (nowMs - link.sentAtMs < budget.intervalMs()) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/load/LoadNeighbours.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/load/LoadNeighbours.java
@@ -47,7 +47,7 @@
 	public void update(Collection<RelayHost> newHosts) {
 		if (!this.hosts.equals(List.copyOf(newHosts))) {
 			this.hosts = List.copyOf(newHosts);
-			this.tree = new RelayTree(this.hosts);
+			this.tree = new RelayTree(this.hosts, RelayTree.LOAD_FAN_OUT);
 			this.upstream = null;
 		}
 	}
