Send heartbeats every 400 ms and resume streams after 1,000 ms of silence

Cause: with a frozen router mid-stream the largest gap measured on a loaded machine was 1,994 ms, against a limit of 2,000 ms, because the client waited 1,500 ms before it resumed. The client, stream and fault tests passed on a machine with a load average of 49.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
@@ -15,9 +15,9 @@
 
 	private static final int DEFAULT_HEADER_LIMIT_MS = 5_000;
 
-	// A caller may see a stall of 2,000 ms at most. Routers send a comment after 1,000 ms
-	// without tokens, and the resume at another router takes up to 500 ms.
-	private static final int DEFAULT_STALL_LIMIT_MS = 1_500;
+	// A caller may see a stall of 2,000 ms at most. Routers send a comment after 400 ms
+	// without tokens, and the resume may have to pass a second router that is silent too.
+	private static final int DEFAULT_STALL_LIMIT_MS = 1_000;
 
 	private static final int DEFAULT_ANSWER_LIMIT_MS = 10_000;
 
@@ -100,7 +100,7 @@
 
 	/**
 	 * Sets the time without any byte after which a stream is resumed at another router,
-	 * default 1,500 ms. It must be longer than the interval of the routers' comments, 1,000
+	 * default 1,000 ms. It must be longer than the interval of the routers' comments, 400
 	 * ms.
 	 * @param limitMs the time in milliseconds
 	 * @return this builder
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterOptions.java
@@ -39,7 +39,7 @@
 
 	private static final int DEFAULT_CALLER_GRACE_MS = 5_000;
 
-	private static final int DEFAULT_HEARTBEAT_MS = 1_000;
+	private static final int DEFAULT_HEARTBEAT_MS = 400;
 
 	private static final int DEFAULT_MAX_RECOVERIES = 8;
 
