Resume silent streams early enough to stay within the stall limit

With a frozen router or silent connections to one, callers of a fleet of three daemons saw stalls of up to 2,368 ms at a limit of 2,000 ms, because the resume only began at the limit.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/ChatExchange.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ChatExchange.java
@@ -21,6 +21,11 @@
 
 	private static final long END_LIMIT_MS = 200;
 
+	/** The rest of the stall limit is left for the resume at another router. */
+	private static final int SILENCE_PERCENT = 60;
+
+	private static final int PERCENT = 100;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int GONE = 410;
@@ -119,8 +124,8 @@
 	}
 
 	private Publisher<Long> nextLimit(WireSignal signal) {
-		return this.context
-			.after((ChatStreamReader.looksDone(signal)) ? END_LIMIT_MS : this.context.options().stallLimitMs());
+		return this.context.after((ChatStreamReader.looksDone(signal)) ? END_LIMIT_MS
+				: this.context.options().stallLimitMs() * SILENCE_PERCENT / PERCENT);
 	}
 
 	private Iterable<String> read(ChatStreamReader from, WireSignal signal) {
--- a/fescuehold-client/src/main/java/io/fescuehold/client/ClientOptions.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ClientOptions.java
@@ -11,7 +11,8 @@
  * @param connectLimitMs the time to establish a connection
  * @param entryLimitMs the time for one entry host to answer
  * @param headerLimitMs the time for a router to begin the answer to a chat request
- * @param stallLimitMs the time without any byte after which a stream is resumed elsewhere
+ * @param stallLimitMs the longest stall of a stream that the caller should see; a stream
+ * is resumed elsewhere after 60 % of it without any byte
  * @param answerLimitMs the time for a router to answer one attempt of a service call
  * @param chatTimeoutMs the time for a whole chat answer unless the request states one
  * @param serviceTimeoutMs the time for a whole service call unless the request states one
--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
@@ -97,8 +97,9 @@
 	}
 
 	/**
-	 * Sets the time without any byte after which a stream is resumed at another router,
-	 * default 2,000 ms.
+	 * Sets the longest stall of a stream that the caller should see, default 2,000 ms. A
+	 * stream is resumed at another router after 60 % of it without any byte, heartbeats
+	 * included.
 	 * @param limitMs the time in milliseconds
 	 * @return this builder
 	 */
