--- a/fescuehold-standin/src/test/java/io/fescuehold/standin/hosts/HostListTests.java
+++ b/fescuehold-standin/src/test/java/io/fescuehold/standin/hosts/HostListTests.java
@@ -15,10 +15,10 @@
 	@Test
 	void contentIsShownAfterTheLag() throws InterruptedException {
 		String content = "{\"hosts\":[{\"hostId\":\"h1\",\"state\":\"leaving\"}]}";
-		try (HostList list = HostList.start(0, 200)) {
+		try (HostList list = HostList.start(0, 1_500)) {
 			assertThat(TestHttp.send("PUT", list.port(), "/hosts", content).statusCode()).isEqualTo(200);
 			assertThat(TestHttp.send("GET", list.port(), "/hosts", "").body()).isEqualTo("{\"hosts\":[]}");
-			Thread.sleep(300);
+			Thread.sleep(1_700);
 			assertThat(TestHttp.send("GET", list.port(), "/hosts", "").body()).isEqualTo(content);
 			assertThat(TestHttp.send("PUT", list.port(), "/hosts", content.replace("leaving", "gone")).statusCode())
 				.isEqualTo(400);
--- a/fescuehold-standin/src/test/java/io/fescuehold/standin/modelserver/ModelServerTests.java
+++ b/fescuehold-standin/src/test/java/io/fescuehold/standin/modelserver/ModelServerTests.java
@@ -199,10 +199,13 @@
 			List<Thread> threads = new ArrayList<>();
 			for (String priority : List.of("0", "9", "1")) {
 				threads.add(Thread.ofVirtual().start(() -> {
-					chat(one, "c", body(message("user", "a"), ",\"max_tokens\":40,\"priority\":" + priority));
+					chat(one, "c", body(message("user", "a"), ",\"max_tokens\":100,\"priority\":" + priority));
 					order.add(priority);
 				}));
-				Thread.sleep(50);
+				int expected = threads.size();
+				while (one.load().runningRequests() + one.load().waitingRequests() < expected && order.isEmpty()) {
+					Thread.sleep(5);
+				}
 			}
 			for (Thread thread : threads) {
 				thread.join();
