--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
@@ -15,9 +15,7 @@
 
 	private static final int DEFAULT_HEADER_LIMIT_MS = 5_000;
 
-	// A caller may see a stall of 2,000 ms at most. Routers send a comment after 400 ms
-	// without tokens, and the resume may have to pass a second router that is silent too.
-	private static final int DEFAULT_STALL_LIMIT_MS = 1_000;
+	private static final int DEFAULT_STALL_LIMIT_MS = 2_000;
 
 	private static final int DEFAULT_ANSWER_LIMIT_MS = 10_000;
 
@@ -99,9 +97,9 @@
 	}
 
 	/**
-	 * Sets the time without any byte after which a stream is resumed at another router,
-	 * default 1,000 ms. It must be longer than the interval of the routers' comments, 400
-	 * ms.
+	 * Sets the longest stall of a stream that the caller should see, default 2,000 ms. A
+	 * stream is resumed at another router after half of it without any byte, heartbeats
+	 * included.
 	 * @param limitMs the time in milliseconds
 	 * @return this builder
 	 */
