--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientException.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientException.java
@@ -36,7 +36,7 @@
 	 */
 	public FescueholdClientException(String code, RunStatus run, String message, String remedy, long retryAfterMs,
 			Throwable cause) {
-		super(code + " (run: " + run.name().toLowerCase(java.util.Locale.ROOT) + "): " + message + "; " + remedy,
+		super(code + " (run: " + run.name().toLowerCase(java.util.Locale.ROOT) + "): " + withRemedy(message, remedy),
 				cause);
 		this.code = code;
 		this.run = run;
@@ -44,6 +44,11 @@
 		this.retryAfterMs = retryAfterMs;
 	}
 
+	// Messages of routers end with their remedy already.
+	private static String withRemedy(String message, String remedy) {
+		return message.endsWith(remedy) ? message : message + "; " + remedy;
+	}
+
 	/**
 	 * Returns the code.
 	 * @return the code
