Ask every replica before a failed one is asked again

With two of three hosts frozen, the client spent its limit of 2 s on them; an attempt now waits 600 ms, and hosts that failed or only named a failed leader are skipped until all have been asked.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LeaderClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LeaderClient.java
@@ -1,8 +1,10 @@
 package io.fescuehold.runtime.control;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -79,6 +81,8 @@
 
 		private final List<String> hosts;
 
+		private final Set<String> failed = new HashSet<>();
+
 		private int nextHost;
 
 		private String target;
@@ -101,7 +105,7 @@
 				return Mono.error(failure());
 			}
 			if (this.target == null) {
-				this.target = this.hosts.get(this.nextHost++ % this.hosts.size());
+				this.target = nextHost();
 			}
 			long timeoutMs = Math.min(leftMs, LeaderClient.this.attemptTimeout.toMillis());
 			return LeaderClient.this.transport.request(this.target, this.message, Duration.ofMillis(timeoutMs))
@@ -110,6 +114,17 @@
 				.flatMap(this::next);
 		}
 
+		private String nextHost() {
+			if (this.failed.containsAll(this.hosts)) {
+				this.failed.clear();
+			}
+			String host = this.hosts.get(this.nextHost++ % this.hosts.size());
+			while (this.failed.contains(host)) {
+				host = this.hosts.get(this.nextHost++ % this.hosts.size());
+			}
+			return host;
+		}
+
 		private Mono<PeerMessage> next(Attempt attempt) {
 			if (attempt.error() != null) {
 				return afterError(attempt.error());
@@ -124,7 +139,14 @@
 		private Mono<PeerMessage> afterRedirect(String leader) {
 			this.lastReason = this.target + " does not lead";
 			LeaderClient.this.leaders.remove(this.share, this.target);
-			boolean elsewhere = leader != null && !leader.equals(this.target);
+			// Replicas name a frozen leader until they elect another.
+			boolean elsewhere = leader != null && !leader.equals(this.target) && !this.failed.contains(leader);
+			// Otherwise the host counts as asked, so that a leader whose reply was lost
+			// is asked
+			// again after one round.
+			if (!elsewhere) {
+				this.failed.add(this.target);
+			}
 			this.target = elsewhere ? leader : null;
 			return retry();
 		}
@@ -134,7 +156,9 @@
 				return Mono.error(error);
 			}
 			this.lastReason = expected.getMessage();
-			this.maybeAccepted |= expected.run() == RunStatus.UNKNOWN || expected.code() == ErrorCode.OUTCOME_UNKNOWN;
+			this.maybeAccepted |= expected.run() == RunStatus.UNKNOWN || expected.code() == ErrorCode.OUTCOME_UNKNOWN
+					|| expected.code() == ErrorCode.STORAGE_FAILED;
+			this.failed.add(this.target);
 			LeaderClient.this.leaders.remove(this.share, this.target);
 			this.target = null;
 			return retry();
@@ -142,7 +166,7 @@
 
 		private static boolean isWorthRetrying(FescueholdException error) {
 			return switch (error.code()) {
-				case NO_QUORUM, NOT_LEADER, NO_SERVER, OUTCOME_UNKNOWN, DRAINING -> true;
+				case NO_QUORUM, NOT_LEADER, NO_SERVER, OUTCOME_UNKNOWN, DRAINING, STORAGE_FAILED -> true;
 				default -> false;
 			};
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
@@ -37,7 +37,11 @@
 	/** The largest answer body that any policy allows to be stored. */
 	private static final int MAX_SENT_ANSWER_BYTES = 1_048_576;
 
-	private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1_000);
+	// Two frozen replicas must leave time to ask a third within the limit.
+	private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(600);
+
+	// A submission carries a whole configuration, so it is sent again less eagerly.
+	private static final Duration OPERATOR_ATTEMPT_TIMEOUT = Duration.ofMillis(2_000);
 
 	private static final Duration LIMIT = Duration.ofMillis(2_000);
 
@@ -49,6 +53,8 @@
 
 	private final LeaderClient leaders;
 
+	private final LeaderClient operatorLeaders;
+
 	private final LeaderClient patientLeaders;
 
 	private final PeerTransport transport;
@@ -75,6 +81,7 @@
 		this.replicas = replicas;
 		this.views = views;
 		this.leaders = new LeaderClient(transport, replicas, scheduler, ATTEMPT_TIMEOUT);
+		this.operatorLeaders = new LeaderClient(transport, replicas, scheduler, OPERATOR_ATTEMPT_TIMEOUT);
 		this.patientLeaders = new LeaderClient(transport, replicas, scheduler, MEMBERSHIP_LIMIT);
 	}
 
@@ -178,7 +185,11 @@
 	 * @return the outcome
 	 */
 	public Mono<StateOutcome> submit(String share, byte[] configJson, String operator) {
-		return send(share, new StateCommand.Submit(configJson, operator, 0), OPERATOR_LIMIT).cast(StateOutcome.class);
+		return this.operatorLeaders
+			.request(share, new ControlMessage.Apply(share, new StateCommand.Submit(configJson, operator, 0)),
+					ControlMessage.Applied.class, OPERATOR_LIMIT)
+			.map(ControlMessage.Applied::outcome)
+			.cast(StateOutcome.class);
 	}
 
 	/**
@@ -188,7 +199,7 @@
 	 * @return the result
 	 */
 	public Mono<ControlMessage.DryRunResult> dryRun(String share, byte[] configJson) {
-		return this.leaders.request(share, new ControlMessage.DryRun(share, configJson),
+		return this.operatorLeaders.request(share, new ControlMessage.DryRun(share, configJson),
 				ControlMessage.DryRunResult.class, OPERATOR_LIMIT);
 	}
 
@@ -198,7 +209,7 @@
 	 * @return the configuration, at least as new as any accepted before the call
 	 */
 	public Mono<ControlMessage.ShareRead> read(String share) {
-		return this.leaders.request(share, new ControlMessage.ReadShare(share), ControlMessage.ShareRead.class,
+		return this.operatorLeaders.request(share, new ControlMessage.ReadShare(share), ControlMessage.ShareRead.class,
 				OPERATOR_LIMIT);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
@@ -92,6 +92,17 @@
 		assertThat(submit(Configs.teams("north", 3, "parts"))).isInstanceOf(StateOutcome.Submitted.class);
 	}
 
+	@Test
+	void frozenLeaderIsAskedOnceAndTheOthersAreAskedInTime() {
+		this.network.silent.addAll(List.of("n1", "n2"));
+		this.north.leader = "n3";
+		AtomicReference<CallOutcome> outcome = new AtomicReference<>();
+		this.client.begin("north", begin("")).subscribe(outcome::set, (error) -> {
+		});
+		this.time.advanceTimeBy(Duration.ofMillis(2_500));
+		assertThat(outcome.get()).isInstanceOf(CallOutcome.Granted.class);
+	}
+
 	@Test
 	void nothingAcceptedIsReportedAsNoQuorum() {
 		this.network.refused.addAll(List.of("n1", "n2", "n3"));
