Keep one silent connection from failing other requests

A measurement on an overloaded machine showed that one stall failed every request that waited for a pooled connection, because the eviction shut the pool down, and that each further stall evicted again. A waiting request now takes a connection of the new generation (nothing of it has been sent), and a generation is evicted once. A pause of the process itself is no longer taken for silence of the server, which after a freeze would have resumed every stream at once.

The parts of one read are checked and written as a group, so that tokens that arrive together cost one write instead of one each. A service response that breaks off in the middle closes the caller's connection and is logged as a failure of the server, not of the router.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/stream/StallWatch.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/stream/StallWatch.java
@@ -18,6 +18,8 @@
 	 */
 	public static final long MIN_RESUME_THRESHOLD_MS = 300;
 
+	private static final long MAX_CHECK_PAUSE_MS = 300;
+
 	private static final long STREAM_PARTS = 2;
 
 	private static final long RESUME_PARTS = 4;
@@ -28,12 +30,15 @@
 
 	private long heardAtMs;
 
+	private long checkedAtMs;
+
 	private boolean heard;
 
 	private StallWatch(long firstThresholdMs, long thresholdMs, long nowMs) {
 		this.firstThresholdMs = firstThresholdMs;
 		this.thresholdMs = thresholdMs;
 		this.heardAtMs = nowMs;
+		this.checkedAtMs = nowMs;
 	}
 
 	/**
@@ -78,6 +83,21 @@
 		this.heardAtMs = nowMs;
 	}
 
+	/**
+	 * Checks the silence; called at short intervals. If the checks themselves paused, the
+	 * process was frozen or starved, and the silence until now says nothing about the
+	 * server.
+	 * @param nowMs the time in milliseconds
+	 * @return whether the connection has stalled
+	 */
+	public boolean check(long nowMs) {
+		if (nowMs - this.checkedAtMs > MAX_CHECK_PAUSE_MS) {
+			this.heardAtMs = nowMs;
+		}
+		this.checkedAtMs = nowMs;
+		return isStalled(nowMs);
+	}
+
 	/**
 	 * Tells whether the silence exceeds the threshold.
 	 * @param nowMs the time in milliseconds
--- a/fescuehold-core/src/test/java/io/fescuehold/core/stream/StallWatchTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/stream/StallWatchTests.java
@@ -34,6 +34,17 @@
 		assertThat(watch.isStalled(5_900)).isFalse();
 	}
 
+	@Test
+	void pauseOfTheProcessItselfIsNoStall() {
+		StallWatch watch = StallWatch.ofRequest(2_000, 0);
+		assertThat(watch.check(100)).isFalse();
+		assertThat(watch.check(5_000)).as("after a freeze").isFalse();
+		for (long nowMs = 5_100; nowMs <= 6_000; nowMs += 100) {
+			assertThat(watch.check(nowMs)).isFalse();
+		}
+		assertThat(watch.check(6_100)).isTrue();
+	}
+
 	@Test
 	void shortLimitToleratesALateComment() {
 		assertThat(StallWatch.ofRequest(200, 0).isStalled(500)).isFalse();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BiFunction;
+import java.util.function.Supplier;
 
 import io.fescuehold.core.error.FescueholdException;
 import io.netty.buffer.ByteBuf;
@@ -19,29 +20,35 @@
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.internal.shaded.reactor.pool.PoolShutdownException;
+import reactor.util.retry.Retry;
 
 /**
  * Sends requests to backend servers and tells failures before sending from those after.
  */
 public final class BackendExchange {
 
+	private static final int MAX_POOL_CHANGES = 5;
+
 	private BackendExchange() {
 	}
 
 	/**
 	 * Sends a request.
-	 * @param client the client of the server
+	 * @param clients supplies the client of the server; asked again if the pool was
+	 * replaced while the request waited for a connection
 	 * @param request the request
 	 * @param receiver turns the response into elements; the buffers are released after
 	 * each signal
 	 * @param <T> the type of the elements
 	 * @return the elements; failures of the connection arrive as {@link BackendFailure}
 	 */
-	public static <T> Flux<T> send(HttpClient client, BackendRequest request,
+	public static <T> Flux<T> send(Supplier<HttpClient> clients, BackendRequest request,
 			BiFunction<HttpClientResponse, ByteBufFlux, Publisher<T>> receiver) {
 		return Flux.defer(() -> {
 			AtomicBoolean sending = new AtomicBoolean();
-			return client.headers((headers) -> setHeaders(headers, request))
+			return Flux.defer(() -> clients.get()
+				.headers((headers) -> setHeaders(headers, request))
 				.request(HttpMethod.valueOf(request.method()))
 				.uri(request.uri())
 				.send((head, outbound) -> Mono.defer(() -> {
@@ -50,20 +57,24 @@
 					return (request.body().length > 0)
 							? outbound.sendObject(Unpooled.wrappedBuffer(request.body())).then() : Mono.<Void>empty();
 				}))
-				.response(receiver)
+				.response(receiver))
+				.retryWhen(Retry.max(MAX_POOL_CHANGES)
+					.filter((ex) -> !sending.get() && isPoolReplaced(ex))
+					.onRetryExhaustedThrow((spec, signal) -> signal.failure()))
 				.onErrorMap((ex) -> classify(ex, sending.get()));
 		});
 	}
 
 	/**
 	 * Sends a request and collects the whole response.
-	 * @param client the client of the server
+	 * @param clients supplies the client of the server
 	 * @param request the request
 	 * @param maxBodyBytes the size of the response body at most
 	 * @return the response, whatever its status
 	 */
-	public static Mono<BackendAnswer> sendWhole(HttpClient client, BackendRequest request, int maxBodyBytes) {
-		return send(client, request, (head, content) -> collect(head, content, maxBodyBytes)).next();
+	public static Mono<BackendAnswer> sendWhole(Supplier<HttpClient> clients, BackendRequest request,
+			int maxBodyBytes) {
+		return send(clients, request, (head, content) -> collect(head, content, maxBodyBytes)).next();
 	}
 
 	/**
@@ -111,6 +122,10 @@
 		}
 	}
 
+	private static boolean isPoolReplaced(Throwable ex) {
+		return ex instanceof PoolShutdownException || ex.getCause() instanceof PoolShutdownException;
+	}
+
 	private static Throwable classify(Throwable ex, boolean sending) {
 		if (ex instanceof BackendFailure || ex instanceof FescueholdException) {
 			return ex;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
@@ -54,12 +54,26 @@
 		return this.fresh;
 	}
 
+	/**
+	 * Returns the generation of the pooled connections, which changes with each eviction.
+	 * @return a token for {@link #evictIdle(Object)}
+	 */
+	public Object generation() {
+		return this.generation;
+	}
+
 	/**
 	 * Closes the idle pooled connections. Called once a connection to the server went
 	 * silent, because the others may be dead as well. Connections in use are closed when
-	 * they are given back.
+	 * they are given back, and requests that wait for a connection take one of the new
+	 * generation.
+	 * @param silent the generation of the silent connection; if it was evicted before,
+	 * nothing happens
 	 */
-	public synchronized void evictIdle() {
+	public synchronized void evictIdle(Object silent) {
+		if (this.generation != silent) {
+			return;
+		}
 		Generation old = this.generation;
 		this.generation = newGeneration();
 		old.provider().disposeLater().subscribe();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/ModelServerClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/ModelServerClient.java
@@ -48,7 +48,7 @@
 	 * than 200 arrives as {@link BackendFailure}
 	 */
 	public static Flux<List<StreamPart>> open(BackendPool pool, Map<String, String> headers, byte[] body) {
-		return BackendExchange.send(pool.pooled(), BackendRequest.json(COMPLETIONS, headers, body),
+		return BackendExchange.send(pool::pooled, BackendRequest.json(COMPLETIONS, headers, body),
 				ModelServerClient::stream);
 	}
 
@@ -60,8 +60,8 @@
 	 * @return groups of parts as they arrive, beginning with the head
 	 */
 	public static Flux<List<StreamPart>> resume(BackendPool pool, String streamId, long from) {
-		return BackendExchange.send(pool.pooled(),
-				BackendRequest.of("GET", "/v1/streams/" + streamId + "?from=" + from), ModelServerClient::stream);
+		return BackendExchange.send(pool::pooled, BackendRequest.of("GET", "/v1/streams/" + streamId + "?from=" + from),
+				ModelServerClient::stream);
 	}
 
 	/**
@@ -74,7 +74,7 @@
 	 */
 	public static Mono<BackendAnswer> complete(BackendPool pool, Map<String, String> headers, byte[] body,
 			int maxBodyBytes) {
-		return BackendExchange.sendWhole(pool.pooled(), BackendRequest.json(COMPLETIONS, headers, body), maxBodyBytes);
+		return BackendExchange.sendWhole(pool::pooled, BackendRequest.json(COMPLETIONS, headers, body), maxBodyBytes);
 	}
 
 	/**
@@ -108,7 +108,7 @@
 	}
 
 	private static Mono<Void> command(BackendPool pool, BackendRequest request) {
-		return BackendExchange.sendWhole(pool.pooled(), request, MAX_ERROR_BYTES)
+		return BackendExchange.sendWhole(pool::pooled, request, MAX_ERROR_BYTES)
 			.timeout(COMMAND_TIMEOUT)
 			.onErrorComplete()
 			.then();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/StallGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/StallGuard.java
@@ -136,7 +136,8 @@
 			long silentMs;
 			synchronized (this) {
 				long nowMs = StallGuard.this.clockMs.getAsLong();
-				if (this.ended || this.demand == 0 || !StallGuard.this.watch.isStalled(nowMs)) {
+				boolean stalled = StallGuard.this.watch.check(nowMs);
+				if (this.ended || this.demand == 0 || !stalled) {
 					return;
 				}
 				silentMs = StallGuard.this.watch.silentMs(nowMs);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/AtMostOnceCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/AtMostOnceCall.java
@@ -140,7 +140,7 @@
 		this.context.metrics().dispatched(this.call.caller());
 		BackendRequest request = new BackendRequest(this.call.method(), this.call.path().rawTarget(), headers,
 				this.call.body(), () -> beforeSend(flow));
-		return BackendExchange.sendWhole(pool.fresh(), request, this.context.options().maxAnswerBytes())
+		return BackendExchange.sendWhole(pool::fresh, request, this.context.options().maxAnswerBytes())
 			.switchIfEmpty(Mono.error(() -> new BackendFailure(BackendFailure.Kind.LOST, "no response", null)))
 			.timeout(remaining, this.context.scheduler())
 			.doOnSuccess((answer) -> this.servers.ended(chosen, false))
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.http;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
@@ -79,6 +80,8 @@
 
 	private String announcedSource;
 
+	private Object poolGeneration;
+
 	ChatExchange(RouterContext context, CallerRequest caller, ChatBody body, String share, long deadlineAtMs) {
 		this.context = context;
 		this.caller = caller;
@@ -92,10 +95,10 @@
 
 	/**
 	 * Runs the request.
-	 * @return the parts with consecutive positions; a head comes first and again whenever
-	 * another stream takes over
+	 * @return groups of parts with consecutive positions; a head comes first, alone, and
+	 * again whenever another stream takes over
 	 */
-	Flux<StreamPart> parts() {
+	Flux<List<StreamPart>> parts() {
 		Mono<Void> deadline = Mono.delay(this.context.until(this.deadlineAtMs), this.context.scheduler())
 			.then(Mono.error(this::deadlineExceeded));
 		return Flux.defer(() -> (this.caller.stream() != null) ? resumeForCaller() : attempt(this::open))
@@ -145,7 +148,7 @@
 		return Refusals.of(ErrorCode.DEADLINE_EXCEEDED, runStatus(), 0, allowedMs);
 	}
 
-	private Flux<StreamPart> resumeForCaller() {
+	private Flux<List<StreamPart>> resumeForCaller() {
 		StreamRef stream = this.caller.stream();
 		FleetView.Owned<ModelServerSpec> owned = this.context.view().modelServers().get(stream.serverId());
 		if (owned == null) {
@@ -165,17 +168,16 @@
 		return handover.thenMany(attempt(this::resume));
 	}
 
-	private Flux<StreamPart> continueForCaller() {
+	private Flux<List<StreamPart>> continueForCaller() {
 		if (this.body == null || this.caller.lastEventId() > 0 && !this.body.continuesFinalMessage()) {
 			return Flux.error(Refusals.of(ErrorCode.STREAM_GONE, RunStatus.UNKNOWN, 0, this.caller.stream().format()));
 		}
 		return attempt(this::open);
 	}
 
-	private Flux<StreamPart> attempt(Supplier<Flux<List<StreamPart>>> source) {
+	private Flux<List<StreamPart>> attempt(Supplier<Flux<List<StreamPart>>> source) {
 		return Flux.defer(source)
-			.concatMapIterable((parts) -> parts, 1)
-			.<StreamPart>handle(this::accept)
+			.<List<StreamPart>>handle(this::accept)
 			.concatWith(Mono.defer(this::checkFinished))
 			.onErrorResume(this::recover);
 	}
@@ -202,6 +204,7 @@
 	}
 
 	private Flux<List<StreamPart>> guard(Flux<List<StreamPart>> stream, StallWatch watch) {
+		this.poolGeneration = this.target.pool().generation();
 		return new StallGuard<>(stream, watch, this.context.scheduler(), this.context.clockMs());
 	}
 
@@ -209,64 +212,82 @@
 		return this.context.policy(this.share).stallLimitMs();
 	}
 
-	private void accept(StreamPart part, SynchronousSink<StreamPart> sink) {
+	private void accept(List<StreamPart> group, SynchronousSink<List<StreamPart>> sink) {
+		List<StreamPart> accepted = new ArrayList<>(group.size());
+		BackendFailure failure = null;
+		try {
+			group.forEach((part) -> accept(part, accepted));
+		}
+		catch (BackendFailure ex) {
+			failure = ex;
+		}
+		if (!accepted.isEmpty()) {
+			sink.next(accepted);
+		}
+		if (failure != null) {
+			sink.error(failure);
+		}
+	}
+
+	private void accept(StreamPart part, List<StreamPart> accepted) {
 		switch (part) {
-			case StreamPart.Head head -> {
-				this.streamId = (head.streamId() != null) ? head.streamId() : this.streamId;
-				if (this.streamId != null) {
-					this.context.cancels().serving(this.target.serverId(), this.streamId, this);
-				}
-				String source = this.target.serverId() + ";" + this.streamId;
-				if (!source.equals(this.announcedSource)) {
-					this.announcedSource = source;
-					sink.next(new StreamPart.Head(this.streamId));
-				}
-			}
+			case StreamPart.Head head -> accept(head, accepted);
 			case StreamPart.Comment() -> {
 				// The caller has its own heartbeats.
 			}
-			case StreamPart.Event event -> accept(event, sink);
+			case StreamPart.Event event -> accept(event, accepted);
 			case StreamPart.Done done -> {
 				if (!this.finished) {
 					this.finished = true;
-					sink.next(done);
+					accepted.add(done);
 				}
 			}
 		}
 	}
 
-	private void accept(StreamPart.Event event, SynchronousSink<StreamPart> sink) {
+	private void accept(StreamPart.Head head, List<StreamPart> accepted) {
+		this.streamId = (head.streamId() != null) ? head.streamId() : this.streamId;
+		if (this.streamId != null) {
+			this.context.cancels().serving(this.target.serverId(), this.streamId, this);
+		}
+		String source = this.target.serverId() + ";" + this.streamId;
+		if (!source.equals(this.announcedSource)) {
+			this.announcedSource = source;
+			accepted.add(new StreamPart.Head(this.streamId));
+		}
+	}
+
+	private void accept(StreamPart.Event event, List<StreamPart> accepted) {
 		long seen = (event.position() > 0) ? this.earlierTokens + event.position() : this.position.last();
 		switch (this.position.accept(seen)) {
-			case NEXT -> deliver(event, sink);
+			case NEXT -> accepted.add(deliver(event));
 			case REPEAT -> {
 				// A closing event may carry the position of the last token or none.
 				if (seen == this.position.last() && this.text.isNewEnd(event.data())) {
-					deliver(event, sink);
+					accepted.add(deliver(event));
 				}
 			}
-			case GAP -> sink.error(
-					new BackendFailure(Kind.PROTOCOL, "position " + seen + " follows " + this.position.last(), null));
+			case GAP ->
+				throw new BackendFailure(Kind.PROTOCOL, "position " + seen + " follows " + this.position.last(), null);
 		}
 	}
 
-	private void deliver(StreamPart.Event event, SynchronousSink<StreamPart> sink) {
-		String data = this.text.add(event.data(), this.earlierTokens);
-		sink.next(new StreamPart.Event(this.position.last(), data));
+	private StreamPart deliver(StreamPart.Event event) {
+		return new StreamPart.Event(this.position.last(), this.text.add(event.data(), this.earlierTokens));
 	}
 
-	private Mono<StreamPart> checkFinished() {
+	private Mono<List<StreamPart>> checkFinished() {
 		return (this.finished) ? Mono.empty()
 				: Mono.error(new BackendFailure(Kind.LOST, "the stream ended before its last event", null));
 	}
 
-	private Flux<StreamPart> recover(Throwable error) {
+	private Flux<List<StreamPart>> recover(Throwable error) {
 		if (this.finished) {
 			return Flux.empty();
 		}
 		if (this.text.hasFinishReason()) {
 			this.finished = true;
-			return Flux.just(new StreamPart.Done());
+			return Flux.just(List.of(new StreamPart.Done()));
 		}
 		return switch (error) {
 			case FescueholdException refusal -> recoverFromRefusal(refusal);
@@ -275,7 +296,7 @@
 		};
 	}
 
-	private Flux<StreamPart> recoverFromRefusal(FescueholdException refusal) {
+	private Flux<List<StreamPart>> recoverFromRefusal(FescueholdException refusal) {
 		boolean retried = refusal.code() == ErrorCode.NO_SERVER && this.position.last() > 0 && mayRecover()
 				&& this.placement.clearExclusions();
 		if (!retried) {
@@ -286,11 +307,11 @@
 		return Mono.delay(RETRY_ALL_DELAY, this.context.scheduler()).thenMany(attempt(this::open));
 	}
 
-	private Flux<StreamPart> recoverFromFailure(BackendFailure failure) {
+	private Flux<List<StreamPart>> recoverFromFailure(BackendFailure failure) {
 		this.mayHaveRun |= failure.kind() != Kind.NOT_SENT;
 		if (failure.kind() == Kind.STALLED) {
 			this.context.metrics().stall();
-			this.target.pool().evictIdle();
+			this.target.pool().evictIdle(this.poolGeneration);
 		}
 		if (isCallersFault(failure)) {
 			return Flux.error(failure);
@@ -322,7 +343,7 @@
 				&& this.resumedAt != this.position.last();
 	}
 
-	private Flux<StreamPart> elsewhere(BackendFailure failure) {
+	private Flux<List<StreamPart>> elsewhere(BackendFailure failure) {
 		ModelPlacement.Target failed = this.target;
 		leave(failed);
 		this.context.log().backendFailed(this.caller, failed.serverId(), failure, "moving to another server");
@@ -355,11 +376,12 @@
 		this.streamId = null;
 	}
 
-	private Flux<StreamPart> endAtLimit() {
+	private Flux<List<StreamPart>> endAtLimit() {
 		this.finished = true;
 		String last = "{\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{},"
 				+ "\"finish_reason\":\"length\"}]}";
-		return Flux.just(new StreamPart.Event(this.position.last(), this.text.add(last, 0)), new StreamPart.Done());
+		return Flux
+			.just(List.of(new StreamPart.Event(this.position.last(), this.text.add(last, 0)), new StreamPart.Done()));
 	}
 
 	private FescueholdException serverFailed(String serverId, String reason) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
@@ -1,5 +1,6 @@
 package io.fescuehold.runtime.http;
 
+import java.util.List;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -110,20 +111,21 @@
 
 	private Mono<Void> stream(ChatExchange exchange, CallerRequest caller, HttpServerResponse response) {
 		Flux<Void> written = exchange.parts()
-			.switchOnFirst((first, parts) -> (first.get() instanceof StreamPart.Head head)
-					? stream(head, parts.skip(1), exchange, caller, response) : parts.then());
+			.switchOnFirst(
+					(first, parts) -> (first.hasValue() && first.get().getFirst() instanceof StreamPart.Head head)
+							? stream(head, parts.skip(1), exchange, caller, response) : parts.then());
 		return written.then()
 			.onErrorResume(BackendFailure.class, (failure) -> relay(failure.answer(), exchange, response));
 	}
 
-	private Mono<Void> stream(StreamPart.Head head, Flux<StreamPart> parts, ChatExchange exchange, CallerRequest caller,
-			HttpServerResponse response) {
+	private Mono<Void> stream(StreamPart.Head head, Flux<List<StreamPart>> parts, ChatExchange exchange,
+			CallerRequest caller, HttpServerResponse response) {
 		if (head.streamId() != null) {
 			response.header("Fescuehold-Stream",
 					new StreamRef(exchange.serverId(), head.streamId(), this.context.ports().hostId()).format());
 		}
 		hint(exchange, response);
-		Flux<ByteBuf> frames = parts.map((part) -> this.encoder.encode(part, exchange))
+		Flux<ByteBuf> frames = parts.map((group) -> this.encoder.encode(group, exchange))
 			.onErrorResume((error) -> (error instanceof CancellationException) ? Mono.empty()
 					: Mono.just(this.encoder.encode(refusal(caller, error))));
 		return response.status(OK).sse().send(this.encoder.withHeartbeats(frames), (frame) -> true).then();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
@@ -67,6 +67,7 @@
 		ServiceServers.Chosen chosen = this.servers.choose(this.call.path().service(),
 				this.call.spec(this.context.view()), this.excluded);
 		BackendPool pool = this.context.pools().pool(chosen.spec().host(), chosen.spec().port());
+		Object generation = pool.generation();
 		this.attempts++;
 		this.context.metrics().dispatched(this.call.caller());
 		long remainingMs = this.context.until(this.call.deadlineAtMs()).toMillis();
@@ -74,10 +75,10 @@
 				this.call.headersFor(remainingMs, this.attempts), this.call.body(), () -> {
 				});
 		AtomicBoolean failed = new AtomicBoolean();
-		return BackendExchange.send(pool.pooled(), request, this::receive)
+		return BackendExchange.send(pool::pooled, request, this::receive)
 			.next()
-			.timeout(this.context.until(this.call.deadlineAtMs()), Mono.error(() -> silent(pool, remainingMs)),
-					this.context.scheduler())
+			.timeout(this.context.until(this.call.deadlineAtMs()),
+					Mono.error(() -> silent(pool, generation, remainingMs)), this.context.scheduler())
 			.flatMap((whole) -> (whole.status() > 0) ? ServiceHandler.write(this.response, whole) : Mono.<Void>empty())
 			.onErrorResume(BackendFailure.class, (failure) -> {
 				failed.set(true);
@@ -86,8 +87,8 @@
 			.doFinally((signal) -> this.servers.ended(chosen, failed.get()));
 	}
 
-	private FescueholdException silent(BackendPool pool, long remainingMs) {
-		pool.evictIdle();
+	private FescueholdException silent(BackendPool pool, Object generation, long remainingMs) {
+		pool.evictIdle(generation);
 		return Refusals.of(ErrorCode.DEADLINE_EXCEEDED, RunStatus.UNKNOWN, 0, remainingMs);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -21,6 +21,7 @@
 import io.fescuehold.core.placement.PlacementPolicy;
 import io.fescuehold.core.port.StateDump;
 import io.fescuehold.core.view.FleetView;
+import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
@@ -203,6 +204,12 @@
 			this.context.log().callerLeft(caller);
 			return Mono.empty();
 		}
+		if (error instanceof BackendFailure && response.hasSentHeaders()) {
+			// The error closes the connection, so that the response does not look
+			// complete.
+			this.context.log().backendFailed(caller, "any", error, "closing the caller's connection");
+			return Mono.error(error);
+		}
 		if (!(error instanceof FescueholdException refusal)) {
 			this.context.log().failed(caller, error);
 			return Mono.error(error);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/SseEncoder.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/SseEncoder.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.fescuehold.core.error.FescueholdException;
@@ -16,9 +17,7 @@
  */
 final class SseEncoder {
 
-	private static final byte[] HEARTBEAT = ": heartbeat\n\n".getBytes(StandardCharsets.UTF_8);
-
-	private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+	private static final String HEARTBEAT = ": heartbeat\n\n";
 
 	private final RouterContext context;
 
@@ -27,18 +26,40 @@
 	}
 
 	/**
-	 * Encodes a part.
-	 * @param part the part
-	 * @param exchange the exchange that the part belongs to
+	 * Encodes a group of parts, which is then written at once.
+	 * @param group the parts
+	 * @param exchange the exchange that the parts belong to
 	 * @return the bytes
 	 */
-	ByteBuf encode(StreamPart part, ChatExchange exchange) {
-		return switch (part) {
-			case StreamPart.Head head -> moved(head, exchange);
-			case StreamPart.Comment() -> Unpooled.wrappedBuffer(HEARTBEAT);
-			case StreamPart.Event event -> event(event);
-			case StreamPart.Done() -> Unpooled.wrappedBuffer(DONE);
-		};
+	ByteBuf encode(List<StreamPart> group, ChatExchange exchange) {
+		StringBuilder text = new StringBuilder();
+		group.forEach((part) -> append(text, part, exchange));
+		return text(text.toString());
+	}
+
+	private void append(StringBuilder text, StreamPart part, ChatExchange exchange) {
+		switch (part) {
+			case StreamPart.Head head -> appendMoved(text, head, exchange);
+			case StreamPart.Comment() -> text.append(HEARTBEAT);
+			case StreamPart.Event event -> appendEvent(text, event);
+			case StreamPart.Done() -> text.append("data: [DONE]\n\n");
+		}
+	}
+
+	private void appendMoved(StringBuilder text, StreamPart.Head head, ChatExchange exchange) {
+		if (head.streamId() == null) {
+			text.append(HEARTBEAT);
+			return;
+		}
+		StreamRef stream = new StreamRef(exchange.serverId(), head.streamId(), this.context.ports().hostId());
+		text.append(": fescuehold-stream ").append(stream.format()).append("\n\n");
+	}
+
+	private static void appendEvent(StringBuilder text, StreamPart.Event event) {
+		if (event.position() > 0) {
+			text.append("id: ").append(event.position()).append('\n');
+		}
+		text.append("data: ").append(event.data().replace("\n", "\ndata: ")).append("\n\n");
 	}
 
 	/**
@@ -51,20 +72,6 @@
 		return text("event: error\ndata: " + new String(Problems.json(refusal), StandardCharsets.UTF_8) + "\n\n");
 	}
 
-	private ByteBuf moved(StreamPart.Head head, ChatExchange exchange) {
-		if (head.streamId() == null) {
-			return Unpooled.wrappedBuffer(HEARTBEAT);
-		}
-		StreamRef stream = new StreamRef(exchange.serverId(), head.streamId(), this.context.ports().hostId());
-		return text(": fescuehold-stream " + stream.format() + "\n\n");
-	}
-
-	private static ByteBuf event(StreamPart.Event event) {
-		String data = event.data().replace("\n", "\ndata: ");
-		return text((event.position() > 0) ? "id: " + event.position() + "\ndata: " + data + "\n\n"
-				: "data: " + data + "\n\n");
-	}
-
 	private static ByteBuf text(String text) {
 		return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8));
 	}
@@ -82,7 +89,7 @@
 			.onBackpressureDrop()
 			.takeUntilOther(ended.asMono())
 			.filter((tick) -> this.context.nowMs() - sentAtMs.get() >= heartbeatMs / 2)
-			.map((tick) -> Unpooled.wrappedBuffer(HEARTBEAT));
+			.map((tick) -> text(HEARTBEAT));
 		Flux<ByteBuf> noted = frames.doOnNext((frame) -> sentAtMs.set(this.context.nowMs()))
 			.doOnTerminate(ended::tryEmitEmpty);
 		return Flux.merge(1, noted, heartbeats);
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/BackendPoolTests.java
@@ -0,0 +1,48 @@
+package io.fescuehold.runtime.http;
+
+import java.time.Duration;
+
+import io.fescuehold.runtime.backend.BackendExchange;
+import io.fescuehold.runtime.backend.BackendOptions;
+import io.fescuehold.runtime.backend.BackendPool;
+import io.fescuehold.runtime.backend.BackendRequest;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against one silent connection that fails requests which only wait for a
+ * connection.
+ */
+class BackendPoolTests {
+
+	@Test
+	void waitingRequestSurvivesTheEviction() throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			if (request.target().equals("/silent")) {
+				connection.hang();
+			}
+			connection.answer(200, "{}");
+		})) {
+			BackendPool pool = new BackendPool("127.0.0.1", server.port(),
+					new BackendOptions(1, 10, 5_000, 1_000, 1_000, 8_192));
+			Object generation = pool.generation();
+			var silent = BackendExchange.sendWhole(pool::pooled, BackendRequest.of("GET", "/silent"), 100).subscribe();
+			CallerLeavesTests.await(() -> server.received().size() == 1);
+			var waiting = BackendExchange.sendWhole(pool::pooled, BackendRequest.of("GET", "/"), 100).toFuture();
+			Thread.sleep(100);
+			assertThat(waiting).isNotDone();
+			pool.evictIdle(generation);
+			assertThat(waiting.get().status()).isEqualTo(200);
+			Object second = pool.generation();
+			pool.evictIdle(generation);
+			assertThat(pool.generation()).as("evicted once for each generation").isSameAs(second);
+			assertThat(BackendExchange.sendWhole(pool::pooled, BackendRequest.of("GET", "/"), 100)
+				.block(Duration.ofSeconds(5))
+				.status()).isEqualTo(200);
+			silent.dispose();
+			pool.close();
+		}
+	}
+
+}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
@@ -1,11 +1,17 @@
 package io.fescuehold.runtime.http;
 
+import java.io.IOException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 
+import io.netty.handler.ssl.util.InsecureTrustManagerFactory;
 import org.junit.jupiter.api.Test;
+import reactor.netty.http.Http11SslContextSpec;
+import reactor.netty.http.client.HttpClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards the paths of the caller API while nothing fails.
@@ -62,6 +68,46 @@
 		}
 	}
 
+	@Test
+	void largeServiceResponseOfUnknownSizePassesThrough() throws Exception {
+		String part = "x".repeat(60_000);
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+			for (int i = 0; i < 50; i++) {
+				connection.chunk(part);
+			}
+			if (request.target().contains("whole")) {
+				connection.send("0\r\n\r\n");
+			}
+			else {
+				connection.reset();
+			}
+		}); TestRouter router = new TestRouter(server)) {
+			assertThat(router.send(router.request("/services/depot/whole")).body()).hasSize(50 * part.length());
+			assertThatThrownBy(() -> router.send(router.request("/services/depot/cut")))
+				.as("a cut response must not look complete")
+				.isInstanceOf(IOException.class);
+		}
+	}
+
+	@Test
+	void callersMayUseTls() throws Exception {
+		RouterOptions options = RouterOptions.of("127.0.0.1", 0)
+			.withTls(new RouterOptions.Tls("src/test/resources/tls/certificate.pem", "src/test/resources/tls/key.pem"));
+		try (TestRouter router = new TestRouter(options)) {
+			String body = HttpClient.create()
+				.secure((spec) -> spec.sslContext(Http11SslContextSpec.forClient()
+					.configure((builder) -> builder.trustManager(InsecureTrustManagerFactory.INSTANCE))))
+				.get()
+				.uri("https://127.0.0.1:" + router.server().port() + "/healthz")
+				.responseContent()
+				.aggregate()
+				.asString()
+				.block(Duration.ofSeconds(5));
+			assertThat(body).isEqualTo("{\"status\":\"ok\"}");
+		}
+	}
+
 	@Test
 	void entryAndHealthRespond() throws Exception {
 		try (TestRouter router = new TestRouter()) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/StreamRecoveryTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/StreamRecoveryTests.java
@@ -51,6 +51,28 @@
 		}
 	}
 
+	@Test
+	void evictionAfterSilenceLeavesOtherStreamsAlone() throws Exception {
+		AtomicInteger chats = new AtomicInteger();
+		try (ScriptedServer server = resuming(1, (request, connection) -> {
+			if (chats.incrementAndGet() == 1) {
+				connection.hang();
+			}
+			for (int position = 2; position <= TOKENS; position++) {
+				Thread.sleep(250);
+				connection.token(position, "w" + position + " ");
+			}
+			connection.endStream(TOKENS);
+		}); TestRouter router = new TestRouter(server)) {
+			var silent = router.client.sendAsync(router.chat(TestRouter.CHAT).build(),
+					HttpResponse.BodyHandlers.ofString());
+			CallerLeavesTests.await(() -> chats.get() == 1);
+			assertWhole(router.send(router.chat(TestRouter.CHAT)));
+			assertWhole(silent.get());
+			assertThat(router.metric("resumes")).isEqualTo(1);
+		}
+	}
+
 	@Test
 	void resetConnectionIsReplaced() throws Exception {
 		try (ScriptedServer server = resuming(3, (request, connection) -> connection.reset());
