Resume a stream without waiting for its frozen router

The router that resumes a stream waited up to 300 ms for the previous router to note the handover, which a frozen one never does. It now announces the handover and resumes at once; the previous router keeps the stream for 5 s, so that the order of the two does not matter.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClient.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClient.java
@@ -22,8 +22,7 @@
 		Scheduler scheduler = Schedulers.parallel();
 		SuspectRouters suspects = new SuspectRouters(scheduler);
 		this.context = new ClientContext(options, http, new EntryDirectory(options, http, suspects, scheduler),
-				suspects, new ChatHints(), new RetryBudget(), scheduler,
-				UUID.randomUUID().toString());
+				suspects, new ChatHints(), new RetryBudget(), scheduler, UUID.randomUUID().toString());
 	}
 
 	/**
--- a/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/FescueholdClientBuilder.java
@@ -100,8 +100,8 @@
 
 	/**
 	 * Sets the time without any byte after which a stream is resumed at another router,
-	 * default 1,500 ms. It must be longer than the interval of the routers' comments, 1,000
-	 * ms.
+	 * default 1,500 ms. It must be longer than the interval of the routers' comments,
+	 * 1,000 ms.
 	 * @param limitMs the time in milliseconds
 	 * @return this builder
 	 */
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
@@ -166,9 +166,9 @@
 			.number(1)
 			.team(TEAM, new TeamSpec(4, 0))
 			.team(SURGE_TEAM, new TeamSpec(1, 0));
-		MODEL_SERVERS.forEach(
-				(id) -> builder.modelServer(id, new ModelServerSpec("127.0.0.1", this.serverProxies.get(id).port(),
-						"domain-" + id, List.of(MODEL), ServerState.ACTIVE, true, true, 800, 16, 100_000)));
+		MODEL_SERVERS
+			.forEach((id) -> builder.modelServer(id, new ModelServerSpec("127.0.0.1", this.serverProxies.get(id).port(),
+					"domain-" + id, List.of(MODEL), ServerState.ACTIVE, true, true, 800, 16, 100_000)));
 		TreeMap<String, ServiceServerSpec> servers = new TreeMap<>();
 		SERVICE_SERVERS.forEach((id) -> servers.put(id, new ServiceServerSpec("127.0.0.1",
 				this.serverProxies.get(id).port(), "domain-" + id, ServerState.ACTIVE, true)));
@@ -260,8 +260,7 @@
 	 * @return the host id of the router
 	 */
 	String routerOf(String chat) {
-		String address = json(
-				send("GET", "http://" + callerAddress("r1") + "/fescuehold/v1/entry?chat=" + chat, null))
+		String address = json(send("GET", "http://" + callerAddress("r1") + "/fescuehold/v1/entry?chat=" + chat, null))
 			.path("addresses")
 			.path(0)
 			.asText();
@@ -338,8 +337,8 @@
 	HttpResponse<String> send(String method, String uri, String body, String... headers) {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(uri))
 			.timeout(ADMIN_LIMIT.multipliedBy((headers.length > 0) ? 10 : 1))
-			.method(method, (body != null) ? HttpRequest.BodyPublishers.ofString(body)
-					: HttpRequest.BodyPublishers.noBody());
+			.method(method,
+					(body != null) ? HttpRequest.BodyPublishers.ofString(body) : HttpRequest.BodyPublishers.noBody());
 		if (headers.length > 0) {
 			request.headers(headers);
 		}
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/StreamRun.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/StreamRun.java
@@ -49,8 +49,7 @@
 		ChatBody body = new ChatBody(RequestFleet.MODEL, List.of(new ChatBody.Message("user", "about " + chat)), true,
 				TOKENS, 0, false);
 		StreamRun run = new StreamRun(DeterministicText.of(body).text(TOKENS));
-		client
-			.chat(ChatRequest.of(RequestFleet.MODEL, chat, ChatMessage.user("about " + chat)).withMaxTokens(TOKENS))
+		client.chat(ChatRequest.of(RequestFleet.MODEL, chat, ChatMessage.user("about " + chat)).withMaxTokens(TOKENS))
 			.subscribe(run::piece, run::failed, run::end);
 		return run;
 	}
@@ -99,8 +98,8 @@
 	StreamRun await(Duration limit) {
 		try {
 			if (!this.ended.await(limit.toMillis(), TimeUnit.MILLISECONDS)) {
-				throw new AssertionError("The stream hangs after " + pieces() + " pieces and " + limit.toMillis()
-						+ " ms");
+				throw new AssertionError(
+						"The stream hangs after " + pieces() + " pieces and " + limit.toMillis() + " ms");
 			}
 			return this;
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -162,7 +162,11 @@
 					.timeout(HANDOVER_TIMEOUT, this.context.scheduler())
 					.onErrorComplete();
 		this.context.cancels().taken(stream.serverId(), stream.streamId());
-		return handover.thenMany(attempt(this::resume));
+		// The caller does not wait: the other router may be frozen, and it keeps a stream
+		// for
+		// callerGraceMs, much longer than the announcement takes.
+		handover.subscribe();
+		return attempt(this::resume);
 	}
 
 	private Flux<StreamPart> continueForCaller() {
