--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/MembershipTests.java
@@ -36,6 +36,30 @@
 		assertThat(this.simulation.awaitLeader()).isNotNull();
 	}
 
+	@Test
+	void initialHostThatReceivedNothingMayVoteAfterCompaction() {
+		this.simulation = new Simulation(5, Simulation.Faults.NONE, 3, 0);
+		this.simulation.startAll();
+		SimHost first = this.simulation.host("h1");
+		SimHost late = this.simulation.host("h3");
+		assertThat(this.simulation.runUntil(2_000, () -> first.node.lastIndex() > 0)).isTrue();
+		this.simulation.network.cutOff(late.hostId);
+		this.leader = this.simulation.awaitLeader();
+		for (int i = 0; i < 100; i++) {
+			this.simulation.clients.propose(this.leader);
+			this.simulation.run(5);
+		}
+		assertThat(late.node.lastIndex()).isZero();
+		assertThat(this.simulation.host("h2").node.compactedIndex()).isPositive();
+		first.loseDisk();
+		this.simulation.host("h2").crash();
+		this.simulation.network.heal();
+		this.simulation.host("h2").start();
+		assertThat(this.simulation.awaitLeader()).isSameAs(this.simulation.host("h2"));
+		this.simulation.run(500);
+		assertThat(late.node.appliedIndex()).isEqualTo(this.simulation.host("h2").node.appliedIndex());
+	}
+
 	@Test
 	void lostDiskIdentityNeitherVotesNorStartsElections() {
 		settle(3, 0);
