--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/InForceTable.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/InForceTable.java
@@ -79,7 +79,7 @@
 		this.entries.forEach((hostId, entry) -> {
 			if (!entry.viaHostId().equals(excludedViaHostId)) {
 				agesByNumbers.computeIfAbsent(entry.numbers(), (numbers) -> new TreeMap<>())
-					.put(hostId, (int) Math.max(0, (nowMs - entry.reportedAtMs()) / MS_PER_S));
+					.put(hostId, ageS(nowMs - entry.reportedAtMs()));
 			}
 		});
 		List<FeedMessage.InForce> groups = new ArrayList<>();
@@ -87,6 +87,11 @@
 		return groups;
 	}
 
+	// Rounded up, so that a report that circulates between roots never appears younger.
+	private static int ageS(long ageMs) {
+		return (int) Math.ceilDiv(Math.max(0, ageMs), (long) MS_PER_S);
+	}
+
 	/**
 	 * Returns the version, which grows when the numbers of a daemon change.
 	 * @return the version
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/admin/AdminServerTests.java
@@ -31,10 +31,10 @@
 import io.fescuehold.runtime.control.ControlService;
 import io.fescuehold.runtime.control.FakeAgreement;
 import io.fescuehold.runtime.control.FeedOptions;
+import io.fescuehold.runtime.control.FixedCandidates;
 import io.fescuehold.runtime.control.InMemoryNetwork;
 import io.fescuehold.runtime.control.MessagePackStateCodec;
 import io.fescuehold.runtime.control.SharedStateClient;
-import io.fescuehold.runtime.control.UpstreamCandidates;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,19 +73,8 @@
 	}
 
 	private void start(AdminOptions.Tls tls) throws Exception {
-		ConfigFeed feed = new ConfigFeed("h1", this.network.node("h1"), new UpstreamCandidates() {
-
-			@Override
-			public List<String> upstreams() {
-				return List.of();
-			}
-
-			@Override
-			public List<String> roots() {
-				return List.of("h1");
-			}
-
-		}, null, this.scheduler, FeedOptions.DEFAULT);
+		ConfigFeed feed = new ConfigFeed("h1", this.network.node("h1"), new FixedCandidates(List.of(), List.of("h1")),
+				null, this.scheduler, FeedOptions.DEFAULT);
 		ControlService service = new ControlService("h1", this.network.node("h1"), (share) -> List.of("h1"),
 				new MessagePackStateCodec(), feed, this.scheduler);
 		this.agreement.addTo(service, "h1", feed::offer);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/ConfigFeedTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/ConfigFeedTests.java
@@ -3,7 +3,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -159,19 +158,7 @@
 	}
 
 	private static UpstreamCandidates candidates(String... upstreams) {
-		return new UpstreamCandidates() {
-
-			@Override
-			public List<String> upstreams() {
-				return Arrays.asList(upstreams);
-			}
-
-			@Override
-			public List<String> roots() {
-				return List.of("root");
-			}
-
-		};
+		return new FixedCandidates(List.of(upstreams), List.of("root"));
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/ControlOverTcpTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/ControlOverTcpTests.java
@@ -120,19 +120,8 @@
 	}
 
 	private static ConfigFeed feed(String host, TcpPeerTransport transport, List<String> upstreams) {
-		return new ConfigFeed(host, transport, new UpstreamCandidates() {
-
-			@Override
-			public List<String> upstreams() {
-				return upstreams;
-			}
-
-			@Override
-			public List<String> roots() {
-				return REPLICAS;
-			}
-
-		}, null, Schedulers.parallel(), FeedOptions.DEFAULT);
+		return new ConfigFeed(host, transport, new FixedCandidates(upstreams, REPLICAS), null, Schedulers.parallel(),
+				FeedOptions.DEFAULT);
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FeedScaleTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FeedScaleTests.java
@@ -51,8 +51,8 @@
 	void newsReachesEveryDaemonWithinTheBoundWhenSourcesFail() {
 		Random random = new Random(7);
 		for (int i = 0; i < DAEMONS; i++) {
-			ConfigFeed feed = new ConfigFeed("h" + i, this.network.node("h" + i), new TreeCandidates(i), null,
-					this.time, FeedOptions.DEFAULT);
+			ConfigFeed feed = new ConfigFeed("h" + i, this.network.node("h" + i), candidates(i), null, this.time,
+					FeedOptions.DEFAULT);
 			this.feeds.add(feed);
 			feed.start();
 			this.time.advanceTimeBy(Duration.ofMillis(random.nextInt(MAX_START_GAP_MS)));
@@ -101,42 +101,27 @@
 		this.feeds.subList(firstRoot, ROOTS).forEach((feed) -> feed.offer(config));
 	}
 
-	/**
-	 * The places of daemons under the roots.
-	 *
-	 * @param index the index of the daemon
-	 */
-	private record TreeCandidates(int index) implements UpstreamCandidates {
-
-		@Override
-		public List<String> upstreams() {
-			List<String> hosts = new ArrayList<>();
-			if (this.index >= ROOTS) {
-				int level = ROOTS;
-				int start = 0;
-				while (this.index >= start + level) {
-					start += level;
-					level *= FAN_OUT;
-				}
-				int parents = level / FAN_OUT;
-				int parent = (this.index - start) / FAN_OUT;
-				for (int i = 0; i < SOURCES; i++) {
-					hosts.add("h" + (start - parents + (parent + i) % parents));
-				}
+	private static UpstreamCandidates candidates(int index) {
+		List<String> hosts = new ArrayList<>();
+		if (index >= ROOTS) {
+			int level = ROOTS;
+			int start = 0;
+			while (index >= start + level) {
+				start += level;
+				level *= FAN_OUT;
 			}
-			else {
-				for (int i = 1; i < ROOTS; i++) {
-					hosts.add("h" + (this.index + i) % ROOTS);
-				}
+			int parents = level / FAN_OUT;
+			int parent = (index - start) / FAN_OUT;
+			for (int i = 0; i < SOURCES; i++) {
+				hosts.add("h" + (start - parents + (parent + i) % parents));
 			}
-			return hosts;
 		}
-
-		@Override
-		public List<String> roots() {
-			return List.of("h0", "h1");
+		else {
+			for (int i = 1; i < ROOTS; i++) {
+				hosts.add("h" + (index + i) % ROOTS);
+			}
 		}
-
+		return new FixedCandidates(hosts, List.of("h0"));
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FeedTrafficTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/FeedTrafficTests.java
@@ -116,32 +116,17 @@
 		transport.start().block(Duration.ofSeconds(5));
 		this.metrics.add(registry);
 		this.transports.add(transport);
-		this.feeds.add(new ConfigFeed("h" + i, transport, new TreeCandidates(i), null, Schedulers.parallel(),
-				FeedOptions.DEFAULT));
+		this.feeds
+			.add(new ConfigFeed("h" + i, transport, candidates(i), null, Schedulers.parallel(), FeedOptions.DEFAULT));
 	}
 
-	/**
-	 * The places of daemons in a tree.
-	 *
-	 * @param index the index of the daemon
-	 */
-	private record TreeCandidates(int index) implements UpstreamCandidates {
-
-		@Override
-		public List<String> upstreams() {
-			List<String> hosts = new ArrayList<>();
-			int parent = (this.index - 1) / FAN_OUT;
-			for (int i = 0; this.index > 0 && i < Math.min(SOURCES, this.index); i++) {
-				hosts.add("h" + (parent + i) % this.index);
-			}
-			return hosts;
-		}
-
-		@Override
-		public List<String> roots() {
-			return List.of("h0");
+	private static UpstreamCandidates candidates(int index) {
+		List<String> hosts = new ArrayList<>();
+		int parent = (index - 1) / FAN_OUT;
+		for (int i = 0; index > 0 && i < Math.min(SOURCES, index); i++) {
+			hosts.add("h" + (parent + i) % index);
 		}
-
+		return new FixedCandidates(hosts, List.of("h0"));
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/control/SharedStateClientTests.java
@@ -68,19 +68,9 @@
 	}
 
 	private ConfigFeed feed(String host) {
-		return new ConfigFeed(host, this.network.node(host), new UpstreamCandidates() {
-
-			@Override
-			public List<String> upstreams() {
-				return host.startsWith("n") ? List.of("s1") : List.of("n1", "n2", "s1");
-			}
-
-			@Override
-			public List<String> roots() {
-				return List.of("n1", "s1");
-			}
-
-		}, null, this.time, FeedOptions.DEFAULT);
+		List<String> upstreams = host.startsWith("n") ? List.of("s1") : List.of("n1", "n2", "s1");
+		return new ConfigFeed(host, this.network.node(host), new FixedCandidates(upstreams, List.of("n1", "s1")), null,
+				this.time, FeedOptions.DEFAULT);
 	}
 
 	@Test
