--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
@@ -76,11 +77,11 @@
 		});
 	}
 
-	void write(Output.TakeSnapshot take, byte[] data) {
+	void write(Output.TakeSnapshot take, Supplier<byte[]> data) {
 		add(() -> {
 			syncBuffered();
 			try {
-				this.storage.saveSnapshot(take.snapshot(), data, take.keepFromIndex(), true);
+				this.storage.saveSnapshot(take.snapshot(), data.get(), take.keepFromIndex(), true);
 			}
 			catch (FescueholdException ex) {
 				if (ex.code() != ErrorCode.STORAGE_FULL) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -194,7 +194,7 @@
 				this.stateMachine.restore(install.data());
 				this.writer.write(install);
 			}
-			case Output.TakeSnapshot take -> this.writer.write(take, this.stateMachine.snapshot());
+			case Output.TakeSnapshot take -> this.writer.write(take, this.stateMachine.captureSnapshot());
 			case Output.SendSnapshotChunk chunk -> sendChunk(chunk);
 			case Output.Apply apply -> apply(apply);
 			case Output.ProposalFailed failed -> this.answers.fail(failed.proposalId(), error(failed.code(), null));
