--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -25,6 +25,10 @@
 
 	private static final long MAX_RETRY_MS = 10_000;
 
+	private static final int IMPORT_PROBE_INTERVAL = 32;
+
+	private static final double MOVE_COST_DIVISOR = 2;
+
 	private static final int MAX_POOLS = 256;
 
 	private final long hostHash;
@@ -45,6 +49,8 @@
 
 	private final Map<PoolKey, PoolState> pools = new HashMap<>();
 
+	private final ImportSuccess imports = new ImportSuccess();
+
 	private final OutstandingWork outstanding = new OutstandingWork();
 
 	private FleetView seenView;
@@ -89,7 +95,8 @@
 		double work = request.promptTokens() - candidate.cachedTokens
 				+ this.outputLength.expected(request.maxOutputTokens());
 		pool.loads().placed(candidate.index, work);
-		this.outstanding.add(request, serverId, share, nowMs);
+		this.outstanding.add(request, serverId, share, (candidate.sourceId != null) ? candidate.cachedTokens : 0,
+				nowMs);
 		return new PlacementDecision.Chosen(serverId, candidate.cachedTokens, candidate.sourceId, candidate.reason);
 	}
 
@@ -119,7 +126,7 @@
 		if (home >= 0 && pool.isUsable(home, request, nowMs) && mayStay(home, chatHash, context, request, pool)) {
 			return new Candidate(home, context, null, "cached");
 		}
-		boolean isImportable = home >= 0 && CacheCost.isImportCheaper(context);
+		boolean isImportable = home >= 0 && CacheCost.isImportCheaper(context) && mayImport();
 		double work = request.promptTokens() - (isImportable ? context : 0)
 				+ this.outputLength.expected(request.maxOutputTokens());
 		int best = bestByHash(chatHash, work, request, pool, nowMs);
@@ -142,11 +149,22 @@
 		return new ChatMemory.Place(hint.serverId(), hint.cachedTokens(), hint.servedAtMs());
 	}
 
+	private boolean mayImport() {
+		// Where imports fail, a few are still tried, to notice when they work again.
+		return this.imports.isReliable() || this.random.nextInt(IMPORT_PROBE_INTERVAL) == 0;
+	}
+
 	private boolean mayStay(int home, long chatHash, long context, PlacementRequest request, PoolState pool) {
 		double load = pool.loads().relative(home);
 		double spread = RendezvousHash.unit(RendezvousHash.combine(chatHash, pool.servers().hash(home)));
+		if (!this.imports.isReliable()) {
+			// A move adds the prefill of the whole history to another server. Holding
+			// such
+			// chats to the bound itself raises the load of the pool and its skew.
+			return load <= pool.loadBound() + pool.loads().increase(home, context);
+		}
 		double threshold = this.tuning.stayLow() + spread * (this.tuning.stayHigh() - this.tuning.stayLow())
-				+ pool.loads().increase(home, CacheCost.moveCost(context)) / 2;
+				+ pool.loads().increase(home, CacheCost.moveCost(context)) / MOVE_COST_DIVISOR;
 		return load <= Math.min(threshold, pool.loadBound());
 	}
 
@@ -186,8 +204,8 @@
 
 	@Override
 	public void finished(PlacementRequest request, String serverId, ServedOutcome outcome, long nowMs) {
-		String share = this.outstanding.remove(request, serverId);
-		PoolState pool = (share != null) ? this.pools.get(new PoolKey(share, request.model())) : null;
+		OutstandingWork.Entry entry = this.outstanding.remove(request, serverId);
+		PoolState pool = (entry != null) ? this.pools.get(new PoolKey(entry.share(), request.model())) : null;
 		int index = (pool != null) ? pool.servers().indexOf(serverId) : -1;
 		if (index >= 0) {
 			pool.loads().finished(index);
@@ -197,6 +215,9 @@
 			this.flaps.failed(serverId, nowMs);
 			return;
 		}
+		if (entry != null && entry.importedTokens() > 0) {
+			this.imports.learn(entry.importedTokens(), outcome.cachedTokens());
+		}
 		this.memory.put(chatHash, serverId, outcome.totalTokens(), nowMs);
 		this.outputLength.learn(outcome.totalTokens() - request.promptTokens());
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/OutstandingWork.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/OutstandingWork.java
@@ -17,9 +17,9 @@
 
 	private long sweptAtMs = Long.MIN_VALUE;
 
-	void add(PlacementRequest request, String serverId, String share, long nowMs) {
-		this.entries.merge(new Key(request, serverId), new Entry(share, 1, nowMs),
-				(old, added) -> new Entry(share, old.count + 1, nowMs));
+	void add(PlacementRequest request, String serverId, String share, long importedTokens, long nowMs) {
+		this.entries.merge(new Key(request, serverId), new Entry(share, 1, importedTokens, nowMs),
+				(old, added) -> new Entry(share, old.count + 1, importedTokens, nowMs));
 		if (this.sweptAtMs == Long.MIN_VALUE || nowMs - this.sweptAtMs >= SWEEP_MS) {
 			this.sweptAtMs = nowMs;
 			this.entries.values().removeIf((entry) -> nowMs - entry.placedAtMs > MAX_AGE_MS);
@@ -30,28 +30,36 @@
 	 * Removes a request.
 	 * @param request the request
 	 * @param serverId the server it was placed on
-	 * @return the share it was placed for, or null if it is not outstanding
+	 * @return the entry, or null if it is not outstanding
 	 */
-	String remove(PlacementRequest request, String serverId) {
+	Entry remove(PlacementRequest request, String serverId) {
 		Key key = new Key(request, serverId);
 		Entry entry = this.entries.get(key);
 		if (entry == null) {
 			return null;
 		}
 		if (entry.count > 1) {
-			this.entries.put(key, new Entry(entry.share, entry.count - 1, entry.placedAtMs));
+			this.entries.put(key, new Entry(entry.share, entry.count - 1, entry.importedTokens, entry.placedAtMs));
 		}
 		else {
 			this.entries.remove(key);
 		}
-		return entry.share;
+		return entry;
 	}
 
 	private record Key(PlacementRequest request, String serverId) {
 
 	}
 
-	private record Entry(String share, int count, long placedAtMs) {
+	/**
+	 * Equal requests outstanding at one server.
+	 *
+	 * @param share the share they were placed for
+	 * @param count their number
+	 * @param importedTokens the tokens expected from an import, 0 without one
+	 * @param placedAtMs when the last of them was placed
+	 */
+	record Entry(String share, int count, long importedTokens, long placedAtMs) {
 
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/placement/BoundedLoadPlacementTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/placement/BoundedLoadPlacementTests.java
@@ -106,6 +106,21 @@
 		assertThat(brief.kvSourceServerId()).isNull();
 	}
 
+	@Test
+	void importsThatDeliverNothingAreNoLongerCountedOn() {
+		FleetView view = this.fleet.put("s05", ServerState.LEAVING, 1_000).view();
+		PlacementPolicy router = router("r2");
+		int imports = 0;
+		for (int chat = 0; chat < 200; chat++) {
+			PlacementRequest request = TestFleet.request("c" + chat, 4_200, new ChatHint("s05", 4_000, START_MS));
+			PlacementDecision.Chosen chosen = place(router, request, view, this.fleet.loads(20_000, START_MS),
+					START_MS);
+			imports += (chosen.kvSourceServerId() != null) ? 1 : 0;
+			router.finished(request, chosen.serverId(), new ServedOutcome(true, 0, 4_400), START_MS);
+		}
+		assertThat(imports).isBetween(6, 30);
+	}
+
 	@Test
 	void overloadedHomeIsLeft() {
 		FleetView view = this.fleet.view();
