--- /dev/null
+++ b/fescuehold-bench/src/test/java/io/fescuehold/bench/experiment/PlacementSimulationTests.java
@@ -0,0 +1,33 @@
+package io.fescuehold.bench.experiment;
+
+import io.fescuehold.bench.experiment.baseline.PolicyKind;
+import io.fescuehold.core.placement.PlacementTuning;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a placement policy that loses its cache reuse while servers churn or
+ * while KV caches cannot be imported, and against requests that are never placed.
+ */
+class PlacementSimulationTests {
+
+	private static final double TARGET = 0.95;
+
+	private static RunResult run(String deployment, PolicyKind policy, boolean churn, boolean imports) {
+		return new PlacementSimulation(new RunOptions(Deployment.of(deployment), policy, 1, 120, 3_000, churn, imports,
+				1, PlacementTuning.DEFAULT))
+			.run();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "tarawera, true, true", "fiji, true, true", "tarawera, false, false", "fiji, false, false" })
+	void reuseIsCloseToThatOfFullKnowledge(String deployment, boolean churn, boolean imports) {
+		RunResult bound = run(deployment, PolicyKind.FULL_KNOWLEDGE, churn, imports);
+		RunResult result = run(deployment, PolicyKind.BOUNDED_LOAD, churn, imports);
+		assertThat(result.reuse()).isGreaterThanOrEqualTo(TARGET * bound.reuse());
+		assertThat(result.unplaced()).isZero();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-bench/src/test/java/io/fescuehold/bench/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the experiments.
+ */
+package io.fescuehold.bench.experiment;
