--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -213,6 +213,7 @@
 		long chatHash = RendezvousHash.hash(request.chatId());
 		if (!outcome.served()) {
 			this.flaps.failed(serverId, nowMs);
+			this.pools.values().forEach((state) -> state.holdOff(serverId, this.flaps));
 			return;
 		}
 		if (entry != null && entry.importedTokens() > 0) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/FlapHoldOff.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/FlapHoldOff.java
@@ -20,8 +20,6 @@
 
 	private final Map<String, Flaps> flaps = new HashMap<>();
 
-	private long changes;
-
 	/**
 	 * Records that a server failed or could not be reached.
 	 * @param serverId the server
@@ -36,7 +34,6 @@
 		if (this.flaps.size() >= MAX_SERVERS) {
 			this.flaps.values().removeIf((entry) -> nowMs - entry.untilMs >= FORGET_MS);
 		}
-		this.changes++;
 		long holdOffMs = BASE_MS << Math.min(count, MAX_DOUBLINGS);
 		this.flaps.put(serverId, new Flaps(count, nowMs + holdOffMs));
 	}
@@ -65,14 +62,6 @@
 		return (entry != null) ? Math.max(0, entry.untilMs - nowMs) : 0;
 	}
 
-	/**
-	 * Returns a number that grows with every new hold-off.
-	 * @return the number
-	 */
-	long changes() {
-		return this.changes;
-	}
-
 	/**
 	 * Returns when the last hold-off of a server ended or will end.
 	 * @param serverId the server
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/PoolState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/PoolState.java
@@ -26,8 +26,6 @@
 
 	private long refreshedAtMs = Long.MIN_VALUE / 2;
 
-	private long flapChanges = -1;
-
 	PoolState(FleetView view, String share, String model, PoolState earlier, PlacementTuning tuning) {
 		this.view = view;
 		this.servers = ServerPool.of(view, share, model);
@@ -41,11 +39,10 @@
 	}
 
 	void refresh(Map<String, ServerLoad> reports, JoinRamp joinRamp, FlapHoldOff flaps, int routers, long nowMs) {
-		if (nowMs - this.refreshedAtMs < REFRESH_MS && this.flapChanges == flaps.changes()) {
+		if (nowMs - this.refreshedAtMs < REFRESH_MS) {
 			return;
 		}
 		this.refreshedAtMs = nowMs;
-		this.flapChanges = flaps.changes();
 		for (int index = 0; index < this.servers.size(); index++) {
 			String id = this.servers.id(index);
 			this.heldOffUntilMs[index] = flaps.endOfHoldOffMs(id);
@@ -54,6 +51,18 @@
 		this.loads.refresh(reports, this.ramps, routers, nowMs);
 	}
 
+	/**
+	 * Takes over a new hold-off at once, without computing all estimates again.
+	 * @param serverId the server
+	 * @param flaps the hold-offs
+	 */
+	void holdOff(String serverId, FlapHoldOff flaps) {
+		int index = this.servers.indexOf(serverId);
+		if (index >= 0) {
+			this.heldOffUntilMs[index] = flaps.endOfHoldOffMs(serverId);
+		}
+	}
+
 	boolean isFor(FleetView other) {
 		return this.view == other;
 	}
