Test that a refusal right before sending sends nothing

The last check of the dispatch window runs on the open connection; only the window's own logic was tested so far, not that the exchange obeys it.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
@@ -103,10 +103,7 @@
 		}
 		Flux<ByteBuf> passed = content.retain();
 		ServiceHandler.head(this.response, head.status().code(), BackendExchange.headers(head));
-		return this.response.send(passed, (chunk) -> true)
-			.then()
-			.onErrorMap(BackendFailure.class, (failure) -> failure)
-			.thenReturn(ServiceHandler.WRITTEN);
+		return this.response.send(passed, (chunk) -> true).then().thenReturn(ServiceHandler.WRITTEN);
 	}
 
 	private Mono<Void> retry(ServiceServers.Chosen chosen, BackendFailure failure) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/BackendPoolTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/BackendPoolTests.java
@@ -1,18 +1,21 @@
 package io.fescuehold.runtime.http;
 
 import java.time.Duration;
+import java.util.Map;
 
 import io.fescuehold.runtime.backend.BackendExchange;
+import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendOptions;
 import io.fescuehold.runtime.backend.BackendPool;
 import io.fescuehold.runtime.backend.BackendRequest;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 /**
  * Guards against one silent connection that fails requests which only wait for a
- * connection.
+ * connection, and against bytes sent after the last check refused it.
  */
 class BackendPoolTests {
 
@@ -45,4 +48,20 @@
 		}
 	}
 
+	@Test
+	void refusalRightBeforeSendingSendsNothing() throws Exception {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection.answer(200, "{}"))) {
+			BackendPool pool = new BackendPool("127.0.0.1", server.port(), BackendOptions.DEFAULT);
+			BackendRequest request = new BackendRequest("POST", "/", Map.of(), new byte[10], () -> {
+				throw new BackendFailure(BackendFailure.Kind.NOT_SENT, "too late", null);
+			});
+			assertThatExceptionOfType(BackendFailure.class)
+				.isThrownBy(() -> BackendExchange.sendWhole(pool::fresh, request, 100).block(Duration.ofSeconds(5)))
+				.satisfies((failure) -> assertThat(failure.kind()).isEqualTo(BackendFailure.Kind.NOT_SENT));
+			CallerLeavesTests.await(() -> server.connections() == 1);
+			Thread.sleep(100);
+			assertThat(server.received()).isEmpty();
+		}
+	}
+
 }
