Release requests whose end is never reported

Such requests were dropped from the list of outstanding work after 15 minutes but still counted as running at their server, which then looked full for ever. They are now released there as well, before the next placement. A test fills two servers and expects room later.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -87,6 +87,7 @@
 			return new PlacementDecision.None();
 		}
 		pool.refresh(loads, this.joinRamp, this.flaps, this.routers.getAsInt(), nowMs);
+		this.outstanding.dropOld(nowMs, (old) -> release(old.share(), old.model(), old.serverId()));
 		Candidate candidate = choose(request, pool, nowMs);
 		if (candidate == null) {
 			return new PlacementDecision.Full(retryAfterMs(pool));
@@ -205,10 +206,8 @@
 	@Override
 	public void finished(PlacementRequest request, String serverId, ServedOutcome outcome, long nowMs) {
 		OutstandingWork.Entry entry = this.outstanding.remove(request, serverId);
-		PoolState pool = (entry != null) ? this.pools.get(new PoolKey(entry.share(), request.model())) : null;
-		int index = (pool != null) ? pool.servers().indexOf(serverId) : -1;
-		if (index >= 0) {
-			pool.loads().finished(index);
+		if (entry != null) {
+			release(entry.share(), request.model(), serverId);
 		}
 		long chatHash = RendezvousHash.hash(request.chatId());
 		if (!outcome.served()) {
@@ -223,6 +222,14 @@
 		this.outputLength.learn(outcome.totalTokens() - request.promptTokens());
 	}
 
+	private void release(String share, String model, String serverId) {
+		PoolState pool = this.pools.get(new PoolKey(share, model));
+		int index = (pool != null) ? pool.servers().indexOf(serverId) : -1;
+		if (index >= 0) {
+			pool.loads().finished(index);
+		}
+	}
+
 	@Override
 	public void cacheEvent(CacheEvent event, long nowMs) {
 		long chatHash = RendezvousHash.hash(event.chatId());
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/OutstandingWork.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/OutstandingWork.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * The requests of this router that are outstanding at servers. Requests whose end is
@@ -15,15 +16,33 @@
 
 	private final Map<Key, Entry> entries = new HashMap<>();
 
-	private long sweptAtMs = Long.MIN_VALUE;
+	private long sweptAtMs = Long.MIN_VALUE / 2;
 
 	void add(PlacementRequest request, String serverId, String share, long importedTokens, long nowMs) {
 		this.entries.merge(new Key(request, serverId), new Entry(share, 1, importedTokens, nowMs),
 				(old, added) -> new Entry(share, old.count + 1, importedTokens, nowMs));
-		if (this.sweptAtMs == Long.MIN_VALUE || nowMs - this.sweptAtMs >= SWEEP_MS) {
-			this.sweptAtMs = nowMs;
-			this.entries.values().removeIf((entry) -> nowMs - entry.placedAtMs > MAX_AGE_MS);
+	}
+
+	/**
+	 * Drops the requests that have been outstanding for too long, at most once a minute.
+	 * @param nowMs the time in milliseconds
+	 * @param dropped receives each request as often as it is outstanding
+	 */
+	void dropOld(long nowMs, Consumer<Dropped> dropped) {
+		if (nowMs - this.sweptAtMs < SWEEP_MS) {
+			return;
 		}
+		this.sweptAtMs = nowMs;
+		this.entries.entrySet().removeIf((item) -> {
+			if (nowMs - item.getValue().placedAtMs <= MAX_AGE_MS) {
+				return false;
+			}
+			for (int count = 0; count < item.getValue().count; count++) {
+				dropped
+					.accept(new Dropped(item.getValue().share, item.getKey().request.model(), item.getKey().serverId));
+			}
+			return true;
+		});
 	}
 
 	/**
@@ -63,4 +82,15 @@
 
 	}
 
+	/**
+	 * A request that is no longer counted.
+	 *
+	 * @param share the share it was placed for
+	 * @param model the model
+	 * @param serverId the server it was placed on
+	 */
+	record Dropped(String share, String model, String serverId) {
+
+	}
+
 }
--- a/fescuehold-core/src/test/java/io/fescuehold/core/placement/BoundedLoadPlacementTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/placement/BoundedLoadPlacementTests.java
@@ -228,6 +228,22 @@
 				(full) -> assertThat(full.retryAfterMs()).isPositive());
 	}
 
+	@Test
+	void requestsWhoseEndIsNeverReportedDoNotFillAServerForEver() {
+		FleetView view = new TestFleet(2).view();
+		PlacementPolicy router = router("r1");
+		for (int chat = 0; chat < 128; chat++) {
+			router.place(TestFleet.request("c" + chat, 300, null), TestFleet.SHARE, view, Map.of(), START_MS);
+		}
+		PlacementRequest request = TestFleet.request("next", 300, null);
+		assertThat(router.place(request, TestFleet.SHARE, view, Map.of(), START_MS + 1_000))
+			.isInstanceOf(PlacementDecision.Full.class);
+		long laterMs = START_MS + 1_000_000;
+		router.place(request, TestFleet.SHARE, view, Map.of(), laterMs);
+		assertThat(router.place(request, TestFleet.SHARE, view, Map.of(), laterMs + 1_000))
+			.isInstanceOf(PlacementDecision.Chosen.class);
+	}
+
 	@Test
 	void unknownModelAndExcludedServersAreToldApart() {
 		FleetView view = new TestFleet(1).view();
