Tell callers of a running call to ask again within a second

A caller that lost its connection and asked again with the same key got CALL_IN_PROGRESS with Retry-After set to the deadline of the record, which is the call's deadline plus 30 s. The client library could not wait that long and gave up with run: unknown, although the answer was recorded a second later. Retry-After is now at most 1 s.

CallFaultTests#connectionToRouterCutMidCall was red before the change (CALL_IN_PROGRESS) and green in 2 of 2 runs after it.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
@@ -63,8 +63,10 @@
 		return switch (outcome) {
 			case CallOutcome.Granted granted -> granted(granted.fencingNumber(), nowMs);
 			case CallOutcome.Completed completed -> stored(completed.answer());
+			// The record may stay begun for long after the call's deadline, but most calls
+			// end within a second.
 			case CallOutcome.InProgress running -> new CallStep.Refuse(ErrorCode.CALL_IN_PROGRESS, RunStatus.UNKNOWN,
-					running.retryAfterMs(), this.key.idempotencyKey());
+					Math.min(running.retryAfterMs(), RETRY_AFTER_MS), this.key.idempotencyKey());
 			case CallOutcome.Unknown() -> unknown();
 			case CallOutcome.DigestMismatch() ->
 				new CallStep.Refuse(ErrorCode.KEY_REUSED, RunStatus.NO, 0, this.key.idempotencyKey());
