Serve callers until the last entry response has expired during a drain

RouterRole.drain built server.drain() while it assembled the drain, so a router refused new requests with DRAINING from the termination signal on, although other routers and cached entry responses still named it. The refusal now starts when the last entry response has expired.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -151,7 +151,7 @@
 			this.hosts.drainSelf();
 			DrainSchedule schedule = new DrainSchedule(nowMs(), longestEntryMs(), DRAIN_NOTICE_MS);
 			return Mono.delay(Duration.ofMillis(schedule.lastAnswerExpiresAtMs() - nowMs()), this.scheduler)
-				.then(this.server.drain());
+				.then(Mono.defer(this.server::drain));
 		});
 	}
 
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
@@ -13,7 +13,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -80,6 +82,8 @@
 
 	private final FleetSettings settings;
 
+	private final Set<String> stopping = ConcurrentHashMap.newKeySet();
+
 	private ShareConfig config;
 
 	private RequestFleet(Path folder) {
@@ -146,8 +150,7 @@
 		PolicySpec policy = (this.config != null) ? this.config.policy()
 				: PolicySpec.DEFAULT.withEntryAnswerMs(1_000).withLoadBound(2);
 		this.config = builder.policy(change.apply(policy)).build();
-		Eventually.isTrue("The configuration is accepted", START_LIMIT, () -> ROUTERS.stream()
-			.anyMatch((id) -> admin("POST", id, "/submit", ConfigJson.print(this.config)).statusCode() == 200));
+		Eventually.isTrue("The configuration is accepted", START_LIMIT, () -> ROUTERS.stream().anyMatch(this::accepts));
 	}
 
 	/**
@@ -157,8 +160,16 @@
 	 */
 	void state(String serverId, ServerState state) {
 		this.config = ShareConfigBuilder.next(this.config).state(serverId, state).build();
-		Eventually.isTrue("The state is accepted", START_LIMIT, () -> ROUTERS.stream()
-			.anyMatch((id) -> admin("POST", id, "/submit", ConfigJson.print(this.config)).statusCode() == 200));
+		Eventually.isTrue("The state is accepted", START_LIMIT, () -> ROUTERS.stream().anyMatch(this::accepts));
+	}
+
+	private boolean accepts(String routerId) {
+		try {
+			return admin("POST", routerId, "/submit", ConfigJson.print(this.config)).statusCode() == 200;
+		}
+		catch (UncheckedIOException ex) {
+			return false;
+		}
 	}
 
 	private ShareConfigBuilder first() {
@@ -191,6 +202,17 @@
 		}
 	}
 
+	/**
+	 * Waits until every router has the latest configuration in force.
+	 * @param limit the time for all of them together
+	 */
+	void awaitInForce(Duration limit) {
+		Eventually.isTrue("Configuration " + this.config.number() + " is in force at every router", limit,
+				() -> ROUTERS.stream()
+					.allMatch((id) -> json(admin("GET", id, "?stale=true", null)).path("number")
+						.asLong() == this.config.number()));
+	}
+
 	/**
 	 * Ends all faults, starts what has ended and waits until the fleet is whole.
 	 */
@@ -201,7 +223,7 @@
 			this.settings.reconnect(id);
 		});
 		List.copyOf(this.processes.keySet()).forEach((id) -> {
-			if (!process(id).isAlive()) {
+			if (!process(id).isAlive() || this.stopping.remove(id)) {
 				restart(id);
 				return;
 			}
@@ -215,6 +237,7 @@
 	}
 
 	private void restart(String id) {
+		process(id).kill();
 		if (ROUTERS.contains(id)) {
 			this.processes.put(id, this.fleet.daemon(id, this.settings.write(id)));
 		}
@@ -223,6 +246,17 @@
 		}
 	}
 
+	/**
+	 * Stops a router gracefully; the next {@link #heal()} starts it again.
+	 * @param id the router
+	 * @param limit the time to wait at most
+	 * @return the exit code
+	 */
+	int stop(String id, Duration limit) {
+		this.stopping.add(id);
+		return process(id).stop(limit);
+	}
+
 	FleetProcess process(String id) {
 		return this.processes.get(id);
 	}
