--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
@@ -209,8 +209,8 @@
 	void awaitInForce(Duration limit) {
 		Eventually.isTrue("Configuration " + this.config.number() + " is in force at every router", limit,
 				() -> ROUTERS.stream()
-					.allMatch((id) -> json(admin("GET", id, "?stale=true", null)).path("number")
-						.asLong() == this.config.number()));
+					.allMatch((id) -> json(admin("GET", id, "?stale=true", null)).path("number").asLong() == this.config
+						.number()));
 	}
 
 	/**
