--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/overhead/OverheadOptions.java
@@ -0,0 +1,35 @@
+package io.fescuehold.bench.overhead;
+
+import org.kohsuke.args4j.Option;
+
+/**
+ * The options of {@link OverheadMain}.
+ */
+final class OverheadOptions {
+
+	private static final int MAX_RATE = 5_000;
+
+	private static final int MAX_SECONDS = 60;
+
+	@Option(name = "--rate", usage = "requests per second, at most 5,000")
+	private int ratePerS = 200;
+
+	@Option(name = "--seconds", usage = "duration of each measurement in seconds, at most 60")
+	private int seconds = 10;
+
+	@Option(name = "--tokens", usage = "tokens of each response")
+	private int tokens = 20;
+
+	int ratePerS() {
+		return Math.clamp(this.ratePerS, 1, MAX_RATE);
+	}
+
+	int seconds() {
+		return Math.clamp(this.seconds, 1, MAX_SECONDS);
+	}
+
+	int tokens() {
+		return Math.max(1, this.tokens);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/overhead/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures what a router adds to a request.
+ */
+package io.fescuehold.bench.overhead;
