Replace the ambiguous constructor of the exception by a factory method

A call with a run status and a single message argument matched both constructors and did not compile; three parts of the code had worked around it.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/FescueholdException.java
@@ -21,21 +21,7 @@
 	 * @param arguments the arguments of the code's message
 	 */
 	public FescueholdException(ErrorCode code, Object... arguments) {
-		this(code, RunStatus.NO, 0, arguments);
-	}
-
-	/**
-	 * Creates an exception.
-	 * @param code the code
-	 * @param run whether the request was run
-	 * @param retryAfterMs the time in milliseconds after which coming back helps, or 0
-	 * @param arguments the arguments of the code's message
-	 */
-	public FescueholdException(ErrorCode code, RunStatus run, long retryAfterMs, Object... arguments) {
-		super(code.message(arguments));
-		this.code = code;
-		this.run = run;
-		this.retryAfterMs = retryAfterMs;
+		this(code, RunStatus.NO, 0, code.message(arguments));
 	}
 
 	private FescueholdException(ErrorCode code, RunStatus run, long retryAfterMs, String message) {
@@ -46,8 +32,7 @@
 	}
 
 	/**
-	 * Creates an exception. Callers with single message arguments use this method,
-	 * because such arguments would match both constructors.
+	 * Creates an exception.
 	 * @param code the code
 	 * @param run whether the request was run
 	 * @param retryAfterMs the time in milliseconds after which coming back helps, or 0
@@ -55,7 +40,7 @@
 	 * @return the exception
 	 */
 	public static FescueholdException of(ErrorCode code, RunStatus run, long retryAfterMs, Object... arguments) {
-		return new FescueholdException(code, run, retryAfterMs, arguments);
+		return new FescueholdException(code, run, retryAfterMs, code.message(arguments));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/AtMostOnceCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/AtMostOnceCall.java
@@ -207,7 +207,7 @@
 			case CALL_ANSWER_NOT_KEPT -> new Object[] { this.key.idempotencyKey(), refuse.argument() };
 			default -> new Object[] { refuse.argument() };
 		};
-		return Refusals.of(refuse.code(), refuse.run(), refuse.retryAfterMs(), arguments);
+		return FescueholdException.of(refuse.code(), refuse.run(), refuse.retryAfterMs(), arguments);
 	}
 
 	private String digest() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -145,7 +145,7 @@
 	private FescueholdException deadlineExceeded() {
 		long allowedMs = (this.caller.deadlineMs() > 0) ? this.caller.deadlineMs()
 				: this.context.options().defaultDeadlineMs();
-		return Refusals.of(ErrorCode.DEADLINE_EXCEEDED, runStatus(), 0, allowedMs);
+		return FescueholdException.of(ErrorCode.DEADLINE_EXCEEDED, runStatus(), 0, allowedMs);
 	}
 
 	private Flux<List<StreamPart>> resumeForCaller() {
@@ -174,7 +174,8 @@
 
 	private Flux<List<StreamPart>> continueForCaller() {
 		if (this.body == null || this.caller.lastEventId() > 0 && !this.body.continuesFinalMessage()) {
-			return Flux.error(Refusals.of(ErrorCode.STREAM_GONE, RunStatus.UNKNOWN, 0, this.caller.stream().format()));
+			return Flux.error(
+					FescueholdException.of(ErrorCode.STREAM_GONE, RunStatus.UNKNOWN, 0, this.caller.stream().format()));
 		}
 		return attempt(this::open);
 	}
@@ -389,7 +390,7 @@
 	}
 
 	private FescueholdException serverFailed(String serverId, String reason) {
-		return Refusals.of(ErrorCode.SERVER_FAILED, runStatus(), RETRY_AFTER_MS, serverId, reason);
+		return FescueholdException.of(ErrorCode.SERVER_FAILED, runStatus(), RETRY_AFTER_MS, serverId, reason);
 	}
 
 	private RunStatus runStatus() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
@@ -106,7 +106,7 @@
 
 	private Throwable mapTooLarge(BackendFailure failure) {
 		return (failure.kind() != BackendFailure.Kind.TOO_LARGE) ? failure
-				: Refusals.of(ErrorCode.SERVER_FAILED, RunStatus.YES, 0, "any", failure.getMessage());
+				: FescueholdException.of(ErrorCode.SERVER_FAILED, RunStatus.YES, 0, "any", failure.getMessage());
 	}
 
 	private Mono<Void> stream(ChatExchange exchange, CallerRequest caller, HttpServerResponse response) {
@@ -135,10 +135,11 @@
 		FescueholdException refusal = switch (error) {
 			case FescueholdException known -> known;
 			case BackendFailure failure ->
-				Refusals.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, "any", failure.getMessage());
+				FescueholdException.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, "any", failure.getMessage());
 			default -> {
 				this.context.log().failed(caller, error);
-				yield Refusals.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, "router", "an internal error");
+				yield FescueholdException.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, "router",
+						"an internal error");
 			}
 		};
 		this.context.metrics().refusal(refusal.code());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
@@ -89,7 +89,7 @@
 
 	private FescueholdException silent(BackendPool pool, Object generation, long remainingMs) {
 		pool.evictIdle(generation);
-		return Refusals.of(ErrorCode.DEADLINE_EXCEEDED, RunStatus.UNKNOWN, 0, remainingMs);
+		return FescueholdException.of(ErrorCode.DEADLINE_EXCEEDED, RunStatus.UNKNOWN, 0, remainingMs);
 	}
 
 	private Mono<BackendAnswer> receive(HttpClientResponse head, ByteBufFlux content) {
@@ -124,7 +124,8 @@
 
 	private FescueholdException refusal(ServiceServers.Chosen chosen, BackendFailure failure) {
 		RunStatus run = (this.mayHaveRun) ? RunStatus.UNKNOWN : RunStatus.NO;
-		return Refusals.of(ErrorCode.SERVER_FAILED, run, RETRY_AFTER_MS, chosen.serverId(), failure.getMessage());
+		return FescueholdException.of(ErrorCode.SERVER_FAILED, run, RETRY_AFTER_MS, chosen.serverId(),
+				failure.getMessage());
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ModelPlacement.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ModelPlacement.java
@@ -61,7 +61,7 @@
 			.place(request, this.share, view, this.context.ports().loads().current(), this.context.nowMs());
 		return switch (decision) {
 			case PlacementDecision.Chosen chosen -> target(view, request, chosen);
-			case PlacementDecision.Full full -> throw Refusals.of(ErrorCode.OVERLOADED, RunStatus.NO,
+			case PlacementDecision.Full full -> throw FescueholdException.of(ErrorCode.OVERLOADED, RunStatus.NO,
 					Math.max(1, full.retryAfterMs()), this.body.model());
 			case PlacementDecision.None() -> throw none(view);
 		};
@@ -83,7 +83,8 @@
 			.values()
 			.stream()
 			.anyMatch((owned) -> owned.share().equals(this.share) && owned.spec().models().contains(this.body.model()));
-		return (offered) ? Refusals.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_MS, this.body.model())
+		return (offered)
+				? FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_MS, this.body.model())
 				: new FescueholdException(ErrorCode.UNKNOWN_MODEL, this.body.model());
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -162,14 +162,14 @@
 		}
 		if (this.inFlight.isDraining()) {
 			response.keepAlive(false);
-			return Mono.error(Refusals.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_MS));
+			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_MS));
 		}
 		return (chat) ? this.chats.handle(caller, request, response) : this.services.handle(caller, request, response);
 	}
 
 	private Mono<Void> health(HttpServerResponse response) {
 		return (this.inFlight.isDraining())
-				? Mono.error(Refusals.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_MS))
+				? Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_MS))
 				: json(response, Map.of("status", "ok"));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceServers.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceServers.java
@@ -50,7 +50,7 @@
 			.map(Map.Entry::getKey)
 			.collect(Collectors.toList());
 		if (usable.isEmpty()) {
-			throw Refusals.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_MS, service);
+			throw FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_MS, service);
 		}
 		List<String> healthy = usable.stream().filter((id) -> !failedLately(key(service, id))).toList();
 		List<String> candidates = (healthy.isEmpty()) ? usable : healthy;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/PendingAnswers.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/PendingAnswers.java
@@ -85,7 +85,7 @@
 
 	private static FescueholdException create(ErrorCode code, RunStatus run, long retryAfterMs, String detail) {
 		// With plain varargs the call would be ambiguous with the other constructor.
-		return new FescueholdException(code, run, retryAfterMs, new Object[] { detail });
+		return FescueholdException.of(code, run, retryAfterMs, detail);
 	}
 
 }
