--- a/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
@@ -63,7 +63,8 @@
 		return switch (outcome) {
 			case CallOutcome.Granted granted -> granted(granted.fencingNumber(), nowMs);
 			case CallOutcome.Completed completed -> stored(completed.answer());
-			// The record may stay begun for long after the call's deadline, but most calls
+			// The record may stay begun for long after the call's deadline, but most
+			// calls
 			// end within a second.
 			case CallOutcome.InProgress running -> new CallStep.Refuse(ErrorCode.CALL_IN_PROGRESS, RunStatus.UNKNOWN,
 					Math.min(running.retryAfterMs(), RETRY_AFTER_MS), this.key.idempotencyKey());
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
@@ -24,7 +24,7 @@
 class CallFaultTests {
 
 	/** The time limit of calls of the client, plus the end of an attempt. */
-	private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(22);
+	private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(12);
 
 	@TempDir
 	private static Path folder;
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/DrainAndSurgeTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/DrainAndSurgeTests.java
@@ -99,7 +99,9 @@
 		fleet.state(leaving, ServerState.ACTIVE);
 	}
 
-	/** Guards against a planned stop that cuts requests or outruns its entry responses. */
+	/**
+	 * Guards against a planned stop that cuts requests or outruns its entry responses.
+	 */
 	@Test
 	void drainCutsNoRequestAndOutlastsItsEntryResponses() throws InterruptedException {
 		String draining = fleet.routerOf("drained");
@@ -109,8 +111,7 @@
 			.toFuture();
 		Eventually.isTrue("The answer is under way", ANSWER_LIMIT,
 				() -> RequestFleet.MODEL_SERVERS.stream().anyMatch(fleet::runs));
-		CompletableFuture<Integer> stopped = CompletableFuture
-			.supplyAsync(() -> fleet.stop(draining, ANSWER_LIMIT));
+		CompletableFuture<Integer> stopped = CompletableFuture.supplyAsync(() -> fleet.stop(draining, ANSWER_LIMIT));
 		long stoppedAtNanos = System.nanoTime();
 		long validUntilNanos = stoppedAtNanos;
 		int named = 0;
@@ -125,8 +126,10 @@
 			}
 			if (System.nanoTime() < validUntilNanos) {
 				HttpResponse<String> answer = chat(draining, RequestFleet.TEAM, "during-" + asked, 1);
-				assertThat(answer.statusCode()).as("%s %d ms after the signal, named %d times, %d ms after the entry",
-						answer.body(), (System.nanoTime() - stoppedAtNanos) / 1_000_000, named,(System.nanoTime() - askedAtNanos) / 1_000_000)
+				assertThat(answer.statusCode())
+					.as("%s %d ms after the signal, named %d times, %d ms after the entry", answer.body(),
+							(System.nanoTime() - stoppedAtNanos) / 1_000_000, named,
+							(System.nanoTime() - askedAtNanos) / 1_000_000)
 					.isEqualTo(200);
 				asked++;
 			}
@@ -148,7 +151,8 @@
 		for (int i = 0; i < SURGE_REQUESTS; i++) {
 			String router = RequestFleet.ROUTERS.get(i % RequestFleet.ROUTERS.size());
 			String id = "surge-" + i;
-			surge.add(CompletableFuture.supplyAsync(() -> timed(router, id), (task) -> Thread.startVirtualThread(task)));
+			surge
+				.add(CompletableFuture.supplyAsync(() -> timed(router, id), (task) -> Thread.startVirtualThread(task)));
 		}
 		Eventually.isTrue("The surge is refused in part", ANSWER_LIMIT,
 				() -> surge.stream().anyMatch((one) -> one.isDone() && one.join().answer().statusCode() != 200));
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestFleet.java
@@ -209,8 +209,8 @@
 	void awaitInForce(Duration limit) {
 		Eventually.isTrue("Configuration " + this.config.number() + " is in force at every router", limit,
 				() -> ROUTERS.stream()
-					.allMatch((id) -> json(admin("GET", id, "?stale=true", null)).path("number")
-						.asLong() == this.config.number()));
+					.allMatch((id) -> json(admin("GET", id, "?stale=true", null)).path("number").asLong() == this.config
+						.number()));
 	}
 
 	/**
@@ -283,7 +283,7 @@
 	 * @return the client
 	 */
 	FescueholdClient client(String team) {
-		FescueholdClientBuilder builder = FescueholdClient.builder().team(team).serviceTimeoutMs(20_000);
+		FescueholdClientBuilder builder = FescueholdClient.builder().team(team).serviceTimeoutMs(10_000);
 		ROUTERS.forEach((id) -> builder.entry(callerAddress(id)));
 		return builder.chatTimeoutMs(30_000).build();
 	}
