--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/overhead/OverheadFleet.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/overhead/OverheadFleet.java
@@ -164,12 +164,12 @@
 
 		@Override
 		public Mono<CallOutcome> begin(String share, StateCommand.BeginCall command) {
-			return Mono.error(new UnsupportedOperationException("not measured"));
+			return Mono.error(new IllegalStateException("not measured"));
 		}
 
 		@Override
 		public Mono<StateOutcome> apply(String share, StateCommand command) {
-			return Mono.error(new UnsupportedOperationException("not measured"));
+			return Mono.error(new IllegalStateException("not measured"));
 		}
 
 	}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -83,7 +83,7 @@
 				cacheEvents, scheduler);
 		this.admission = new PoolAdmission(views, this.loads, hosts::liveRouters, scheduler, seed);
 		SharedRetryBudget retries = new SharedRetryBudget();
-		metrics.register("router.retry-amplification", (Gauge<Double>) retries::amplification);
+		metrics.register("router.retryAmplification", (Gauge<Double>) retries::amplification);
 		RouterPorts ports = new RouterPorts(settings.hostId(), views, this.loads, state, placement, this.admission,
 				retries, new FleetEntrySelection(hosts, this::shortestEntryMs, seed),
 				new PeerStreamHandover(transport));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
@@ -52,7 +52,7 @@
 		this.worker = scheduler.createWorker();
 		this.listener = listener;
 		this.syncTimer = metrics.timer(prefix + ".sync");
-		this.writesPerSync = metrics.histogram(prefix + ".writes-per-sync");
+		this.writesPerSync = metrics.histogram(prefix + ".writesPerSync");
 	}
 
 	void write(Output.SaveVote vote) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
@@ -88,7 +88,7 @@
 		this.loop = this.driver.loop();
 		this.answers = this.driver.answers();
 		metrics.register(metricName("term"), (Gauge<Long>) () -> status().term());
-		metrics.register(metricName("commit-index"), (Gauge<Long>) () -> status().commitIndex());
+		metrics.register(metricName("commitIndex"), (Gauge<Long>) () -> status().commitIndex());
 		metrics.register(metricName("leading"), (Gauge<Integer>) () -> (status().role() == Role.LEADER) ? 1 : 0);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/MemoryNetwork.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/MemoryNetwork.java
@@ -77,7 +77,7 @@
 
 		@Override
 		public Mono<PeerMessage> request(String toHostId, PeerMessage message, Duration timeout) {
-			return Mono.error(new UnsupportedOperationException("Replicas send no requests"));
+			return Mono.error(new IllegalStateException("Replicas send no requests"));
 		}
 
 		@Override
