--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 
 import io.fescuehold.client.FescueholdClient;
-import io.fescuehold.client.RunStatus;
 import io.fescuehold.it.harness.Eventually;
 import io.fescuehold.standin.service.ServiceFaults;
 import org.junit.jupiter.api.AfterAll;
