Refuse requests whose turn would come too late and let no newcomer overtake the queue

A request is now refused when the entries ahead of it, counted in turns of the teams, take longer than its time at the recent rate. A released slot went to whichever request came next, up to 50 ms later, so that newcomers overtook the queue; it now goes to the queue at once.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestQueue.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestQueue.java
@@ -20,6 +20,8 @@
 
 	private static final double MS_PER_S = 1_000;
 
+	private static final double MIN_RATE_PER_S = 0.5;
+
 	private final Map<Priority, Lane<T>> lanes = new EnumMap<>(Priority.class);
 
 	private final RetryAfterSpread spread;
@@ -51,6 +53,9 @@
 	public QueueOffer<T> offer(T item, Place place, Limits limits, long nowMs) {
 		long expiresAtMs = Math.min(place.deadlineMs(), nowMs + limits.maxWaitMs());
 		Entry<T> entry = new Entry<>(item, place, expiresAtMs);
+		if (expectedWaitMs(place, nowMs) > expiresAtMs - nowMs) {
+			return new QueueOffer.Refused<>(retryAfterMs(nowMs));
+		}
 		if (this.size < limits.maxEntries()) {
 			add(entry);
 			return new QueueOffer.Queued<>();
@@ -63,6 +68,23 @@
 		return new QueueOffer.Displaced<>(displaced.item, retryAfterMs(nowMs));
 	}
 
+	// Entries of higher priority go first and teams of equal priority take turns. Without
+	// a recent rate the wait is unknown and counts as none.
+	private double expectedWaitMs(Place place, long nowMs) {
+		double ratePerS = this.served.ratePerS(nowMs);
+		if (ratePerS < MIN_RATE_PER_S) {
+			return 0;
+		}
+		int ahead = 0;
+		for (Map.Entry<Priority, Lane<T>> entry : this.lanes.entrySet()) {
+			if (entry.getKey().compareTo(place.priority()) < 0) {
+				ahead += entry.getValue().size();
+			}
+		}
+		ahead += this.lanes.get(place.priority()).ahead(place.team());
+		return MS_PER_S * ahead / ratePerS;
+	}
+
 	/**
 	 * Takes the next entry that has not expired.
 	 * @param nowMs the time in milliseconds
@@ -207,6 +229,16 @@
 			return first;
 		}
 
+		int size() {
+			return this.teams.values().stream().mapToInt((team) -> team.entries.size()).sum();
+		}
+
+		int ahead(String teamId) {
+			TeamEntries<T> own = this.teams.get(teamId);
+			int turns = (own != null) ? own.entries.size() : 0;
+			return this.teams.values().stream().mapToInt((team) -> Math.min(team.entries.size(), turns)).sum();
+		}
+
 		private void removeEmptyTeams() {
 			this.teams.values().removeIf((team) -> team.entries.isEmpty() && team.startTag <= this.virtualTime);
 		}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/RequestQueueTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/RequestQueueTests.java
@@ -61,4 +61,23 @@
 		assertThat(this.queue.poll(1)).isNull();
 	}
 
+	@Test
+	void requestWhoseTurnWouldComeTooLateIsRefusedAtOnceButAnotherTeamIsNot() {
+		RequestQueue.Limits limits = new RequestQueue.Limits(100, 2_000);
+		RequestQueue.Place surging = new RequestQueue.Place("surging", 1, Priority.NORMAL, 100, 60_000);
+		for (int number = 0; number < 10; number++) {
+			this.queue.offer("served" + number, surging, limits, number * 500L);
+			this.queue.poll(number * 500L);
+		}
+		int queued = 0;
+		while (queued < 100
+				&& this.queue.offer("s" + queued, surging, limits, 5_000) instanceof QueueOffer.Queued<String>) {
+			queued++;
+		}
+		// At two a second, about four requests have their turn within two seconds.
+		assertThat(queued).isBetween(2, 8);
+		RequestQueue.Place other = new RequestQueue.Place("other", 1, Priority.NORMAL, 100, 60_000);
+		assertThat(this.queue.offer("o", other, limits, 5_000)).isInstanceOf(QueueOffer.Queued.class);
+	}
+
 }
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/PoolAdmission.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/PoolAdmission.java
@@ -115,8 +115,8 @@
 		}
 		PoolKey key = new PoolKey(request.share(), request.model());
 		Pool pool = this.pools.computeIfAbsent(key, (k) -> new Pool(this.seed));
-		if (pool.running < capacity(view, key)) {
-			sink.success(permit(pool));
+		if (pool.queue.size() == 0 && pool.running < capacity(view, key)) {
+			sink.success(permit(key, pool));
 			return;
 		}
 		enqueue(pool, new Waiting(request, sink), team.spec().weight(), priority, nowMs);
@@ -145,11 +145,12 @@
 		}
 	}
 
-	private Permit permit(Pool pool) {
+	private Permit permit(PoolKey key, Pool pool) {
 		pool.running++;
 		return (usedTokens) -> {
 			synchronized (this.pools) {
 				pool.running--;
+				serveQueue(key, pool, capacity(this.views.current(), key), nowMs());
 			}
 		};
 	}
@@ -170,11 +171,11 @@
 		synchronized (this.pools) {
 			long nowMs = nowMs();
 			FleetView view = this.views.current();
-			this.pools.forEach((key, pool) -> serveQueue(pool, capacity(view, key), nowMs));
+			this.pools.forEach((key, pool) -> serveQueue(key, pool, capacity(view, key), nowMs));
 		}
 	}
 
-	private void serveQueue(Pool pool, int capacity, long nowMs) {
+	private void serveQueue(PoolKey key, Pool pool, int capacity, long nowMs) {
 		List<Waiting> expired = pool.queue.removeExpired(nowMs);
 		expired.forEach((waiting) -> refuse(waiting, TICK_MS));
 		while (pool.running < capacity) {
@@ -182,7 +183,7 @@
 			if (next == null) {
 				return;
 			}
-			next.sink.success(permit(pool));
+			next.sink.success(permit(key, pool));
 		}
 	}
 
--- /dev/null
+++ b/fescuehold-daemon/src/test/java/io/fescuehold/daemon/wiring/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the connections between decisions and adapters.
+ */
+package io.fescuehold.daemon.wiring;
