--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/CallFaultTests.java
@@ -1,18 +1,11 @@
 package io.fescuehold.it.request;
 
 import java.net.http.HttpResponse;
-import java.nio.file.Path;
 import java.time.Duration;
 
-import io.fescuehold.client.FescueholdClient;
 import io.fescuehold.it.harness.Eventually;
 import io.fescuehold.standin.service.ServiceFaults;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -20,39 +13,11 @@
  * Guards against non-idempotent calls that run twice, hang or end with an untrue run
  * status when a part of the request path fails.
  */
-class CallFaultTests {
+class CallFaultTests extends AbstractRequestTests {
 
 	/** The time limit of calls of the client, plus the end of an attempt. */
 	private static final Duration OUTCOME_LIMIT = Duration.ofSeconds(12);
 
-	@TempDir
-	private static Path folder;
-
-	private static RequestFleet fleet;
-
-	private FescueholdClient client;
-
-	@BeforeAll
-	static void startFleet() {
-		fleet = RequestFleet.start(folder);
-	}
-
-	@AfterAll
-	static void endFleet() {
-		fleet.close();
-	}
-
-	@BeforeEach
-	void createClient() {
-		this.client = fleet.client(RequestFleet.TEAM);
-	}
-
-	@AfterEach
-	void heal() {
-		this.client.close();
-		fleet.heal();
-	}
-
 	private HttpResponse<String> ask(String router, String key) {
 		return fleet.send("POST",
 				"http://" + fleet.callerAddress(router) + "/services/" + RequestFleet.SERVICE + "/parts",
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/DrainAndSurgeTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/DrainAndSurgeTests.java
@@ -1,7 +1,6 @@
 package io.fescuehold.it.request;
 
 import java.net.http.HttpResponse;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,16 +11,10 @@
 import io.fescuehold.client.ChatAnswer;
 import io.fescuehold.client.ChatMessage;
 import io.fescuehold.client.ChatRequest;
-import io.fescuehold.client.FescueholdClient;
 import io.fescuehold.config.PolicySpec;
 import io.fescuehold.config.ServerState;
 import io.fescuehold.it.harness.Eventually;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -29,7 +22,7 @@
  * Guards against planned changes that cut requests off or come into force late, and
  * against a team whose surge costs other teams their answers.
  */
-class DrainAndSurgeTests {
+class DrainAndSurgeTests extends AbstractRequestTests {
 
 	/** From acceptance until no router sends a leaving server new work. */
 	private static final Duration LEAVING_LIMIT = Duration.ofSeconds(3);
@@ -43,34 +36,6 @@
 
 	private static final int SURGE_TOKENS = 150;
 
-	@TempDir
-	private static Path folder;
-
-	private static RequestFleet fleet;
-
-	private FescueholdClient client;
-
-	@BeforeAll
-	static void startFleet() {
-		fleet = RequestFleet.start(folder);
-	}
-
-	@AfterAll
-	static void endFleet() {
-		fleet.close();
-	}
-
-	@BeforeEach
-	void createClient() {
-		this.client = fleet.client(RequestFleet.TEAM);
-	}
-
-	@AfterEach
-	void heal() {
-		this.client.close();
-		fleet.heal();
-	}
-
 	private static HttpResponse<String> chat(String router, String team, String chat, int tokens) {
 		String body = "{\"model\":\"standin\",\"max_tokens\":" + tokens
 				+ ",\"messages\":[{\"role\":\"user\",\"content\":\"" + chat + "\"}]}";
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestMatrixTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/RequestMatrixTests.java
@@ -1,14 +1,12 @@
 package io.fescuehold.it.request;
 
 import java.net.http.HttpResponse;
-import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
-import io.fescuehold.client.FescueholdClient;
 import io.fescuehold.client.RunStatus;
 import io.fescuehold.it.harness.Eventually;
 import io.fescuehold.standin.modelserver.ModelFaults;
@@ -16,12 +14,7 @@
 import io.fescuehold.standin.proxy.FaultProxy;
 import io.fescuehold.standin.proxy.ProxyFault;
 import io.fescuehold.standin.service.ServiceFaults;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -32,7 +25,7 @@
  * every step of a request, and for chosen pairs of faults. Prints one row per cell.
  */
 @Tag("matrix")
-class RequestMatrixTests {
+class RequestMatrixTests extends AbstractRequestTests {
 
 	private static final long STALL_LIMIT_MS = 2_000;
 
@@ -46,34 +39,6 @@
 
 	private static final String CALL_ROUTER = "r1";
 
-	@TempDir
-	private static Path folder;
-
-	private static RequestFleet fleet;
-
-	private FescueholdClient client;
-
-	@BeforeAll
-	static void startFleet() {
-		fleet = RequestFleet.start(folder);
-	}
-
-	@AfterAll
-	static void endFleet() {
-		fleet.close();
-	}
-
-	@BeforeEach
-	void createClient() {
-		this.client = fleet.client(RequestFleet.TEAM);
-	}
-
-	@AfterEach
-	void heal() {
-		this.client.close();
-		fleet.heal();
-	}
-
 	static Stream<Cell> chatCells() {
 		Stream<Cell> pairs = Stream.of(new Cell(Step.MID_STREAM, Fault.KILL, Part.ROUTER, Fault.KILL),
 				new Cell(Step.MID_STREAM, Fault.FREEZE, Part.ROUTER, Fault.CUT),
--- a/fescuehold-it/src/test/java/io/fescuehold/it/request/StreamFaultTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/request/StreamFaultTests.java
@@ -1,17 +1,10 @@
 package io.fescuehold.it.request;
 
-import java.nio.file.Path;
 import java.time.Duration;
 
-import io.fescuehold.client.FescueholdClient;
 import io.fescuehold.it.harness.Eventually;
 import io.fescuehold.standin.modelserver.ModelFaults;
-import org.junit.jupiter.api.AfterAll;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,7 +12,7 @@
  * Guards against streams that are cut off, repeated, mixed up or stalled when one part of
  * the request path fails mid-stream.
  */
-class StreamFaultTests {
+class StreamFaultTests extends AbstractRequestTests {
 
 	/** The longest stall that a caller may see, from the requirements. */
 	private static final long STALL_LIMIT_MS = 2_000;
@@ -28,34 +21,6 @@
 
 	private static final int UNDER_WAY = 10;
 
-	@TempDir
-	private static Path folder;
-
-	private static RequestFleet fleet;
-
-	private FescueholdClient client;
-
-	@BeforeAll
-	static void startFleet() {
-		fleet = RequestFleet.start(folder);
-	}
-
-	@AfterAll
-	static void endFleet() {
-		fleet.close();
-	}
-
-	@BeforeEach
-	void createClient() {
-		this.client = fleet.client(RequestFleet.TEAM);
-	}
-
-	@AfterEach
-	void heal() {
-		this.client.close();
-		fleet.heal();
-	}
-
 	private StreamRun stream(String chat) {
 		return StreamRun.start(this.client, chat).awaitPieces(UNDER_WAY);
 	}
