--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
@@ -66,7 +66,7 @@
 			noteAnswer(from, ping.draining());
 			return Mono.just(new FleetMessage.HostState(isDraining()));
 		});
-		this.pings = this.scheduler.schedulePeriodically(this::pingAll, 0, PING_INTERVAL.toMillis(),
+		this.pings = this.scheduler.schedulePeriodically(this::pingHigher, 0, PING_INTERVAL.toMillis(),
 				TimeUnit.MILLISECONDS);
 	}
 
@@ -79,6 +79,16 @@
 		}
 	}
 
+	// A ping carries the state of its sender and its reply that of the receiver, so one
+	// of
+	// two daemons pings the other.
+	private void pingHigher() {
+		this.hosts.stream()
+			.map(FleetHost::hostId)
+			.filter((hostId) -> hostId.compareTo(this.selfHostId) > 0)
+			.forEach(this::ping);
+	}
+
 	private void pingAll() {
 		this.hosts.stream()
 			.map(FleetHost::hostId)
