--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStart.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStart.java
@@ -159,8 +159,7 @@
 	private Mono<Void> noteFailure(String what, FescueholdClientException ex) {
 		if (this.killPid > 0 && CALL_UNKNOWN.equals(ex.code())) {
 			// A call that was on its way through the killed router may have run; it is
-			// never
-			// run again.
+			// never run again.
 			this.unknown.incrementAndGet();
 			return Mono.empty();
 		}
--- a/fescuehold-config/src/main/java/io/fescuehold/config/PolicySpec.java
+++ b/fescuehold-config/src/main/java/io/fescuehold/config/PolicySpec.java
@@ -50,9 +50,8 @@
 
 	private static final long DEFAULT_KEY_RETENTION_S = 86_400;
 
-	// A record takes about 0.9 KB of heap; more than 50,000 would use up the 128 MB that
-	// a
-	// replicas of two shares included.
+	// A record takes about 0.9 KB of heap; more than 50,000 would use up the 128 MB
+	// that a replicas of two shares included.
 	private static final int DEFAULT_MAX_CALL_RECORDS = 50_000;
 
 	private static final int DEFAULT_MAX_STORED_ANSWER_BYTES = 65_536;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Bootstrap.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Bootstrap.java
@@ -61,8 +61,7 @@
 		}
 		else if (isListed(reply.membership())) {
 			// The first membership was compacted before this host got it. It may vote,
-			// and
-			// receives a snapshot from the leader.
+			// and receives a snapshot from the leader.
 			this.context.listedByGroup = true;
 		}
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/call/CallFlow.java
@@ -64,8 +64,7 @@
 			case CallOutcome.Granted granted -> granted(granted.fencingNumber(), nowMs);
 			case CallOutcome.Completed completed -> stored(completed.answer());
 			// The record may stay begun for long after the call's deadline, but most
-			// calls
-			// end within a second.
+			// calls end within a second.
 			case CallOutcome.InProgress running -> new CallStep.Refuse(ErrorCode.CALL_IN_PROGRESS, RunStatus.UNKNOWN,
 					Math.min(running.retryAfterMs(), RETRY_AFTER_MS), this.key.idempotencyKey());
 			case CallOutcome.Unknown() -> unknown();
--- a/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/placement/BoundedLoadPlacement.java
@@ -160,8 +160,7 @@
 		double spread = RendezvousHash.unit(RendezvousHash.combine(chatHash, pool.servers().hash(home)));
 		if (!this.imports.isReliable()) {
 			// A move adds the prefill of the whole history to another server. Holding
-			// such
-			// chats to the bound itself raises the load of the pool and its skew.
+			// such chats to the bound itself raises the load of the pool and its skew.
 			return load <= pool.loadBound() + pool.loads().increase(home, context);
 		}
 		double threshold = this.tuning.stayLow() + spread * (this.tuning.stayHigh() - this.tuning.stayLow())
--- a/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/state/ShareValidator.java
@@ -149,8 +149,7 @@
 					claim.id(), claim.fromShare(), share, from.number());
 		}
 		// The releasing share and the number identify the transfer to routers, so the
-		// pair
-		// of an earlier transfer must not be used again.
+		// pair of an earlier transfer must not be used again.
 		long earlier = this.transfers.numberWhenGivenUp(item, claim.fromShare());
 		if (claim.releaseNumber() <= earlier) {
 			return violation(pointer + "/releaseNumber",
--- a/fescuehold-core/src/main/java/io/fescuehold/core/view/FleetView.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/view/FleetView.java
@@ -60,9 +60,8 @@
 	private <T> void addOwned(ShareConfig config, ItemKind kind, SortedMap<String, T> items,
 			SortedMap<String, Owned<T>> owned) {
 		items.forEach((id, spec) -> {
-			// Shares that list the same item without a claim are all refused it, so that
-			// no
-			// order of arrival decides.
+			// Shares that list the same item without a claim are all refused it, so
+			// that no order of arrival decides.
 			if (owns(config, kind, id) && !isOwnedByAnother(config, kind, id)) {
 				owned.put(id, new Owned<>(config.share(), spec));
 			}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/state/CallTransferTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/CallTransferTests.java
@@ -84,8 +84,7 @@
 	}
 
 	// A router with any configuration that was ever accepted asks the other shares, if
-	// its
-	// configuration says that the team was taken over, and sends its command later.
+	// its configuration says that the team was taken over, and sends its command later.
 	private void ask(Random random) {
 		String share = TransferModel.pick(random, TransferModel.SHARES);
 		List<ShareConfig> known = this.model.accepted(share);
--- a/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferModel.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/state/TransferModel.java
@@ -103,10 +103,8 @@
 			.anyMatch((earlier) -> earlier.teams().containsKey(change.team()));
 		boolean released = config.releases(ItemKind.TEAM, change.team());
 		// Only releases and claims move a team. Two shares that create the same team at
-		// the
-		// same time, or list one that was removed without a release, are not covered:
-		// until
-		// they have observed each other both groups accept its calls.
+		// the same time, or list one that was removed without a release, are not
+		// covered: until they have observed each other both groups accept its calls.
 		if ((change.kind() == Change.LIST && !everListed) || (change.kind() == Change.REMOVE && !released)) {
 			return;
 		}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -127,8 +127,7 @@
 	}
 
 	// Returns the hosts that may hold replicas of a share: its first ones, then all
-	// others
-	// with the role, because membership changes may have moved the group.
+	// others with the role, because membership changes may have moved the group.
 	private List<String> replicaHosts(String share) {
 		Set<String> hostIds = new LinkedHashSet<>();
 		this.settings.shares()
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -119,8 +119,7 @@
 	}
 
 	// Returns the longest time for which a response of any router may still hold. A
-	// router
-	// without a configuration uses the default.
+	// router without a configuration uses the default.
 	private long longestEntryMs() {
 		return this.views.current()
 			.shares()
--- a/fescuehold-it/src/test/java/io/fescuehold/it/PagesTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/PagesTests.java
@@ -45,6 +45,17 @@
 		assertThat(existing).containsAll(named("`([A-Za-z]+Tests)[`#]"));
 	}
 
+	@Test
+	void namedTestMethodsExist() throws IOException {
+		for (String method : named("`([A-Za-z]+Tests#[A-Za-z]+)`")) {
+			String[] parts = method.split("#");
+			try (Stream<Path> files = Files.walk(ROOT)) {
+				Path file = files.filter((path) -> path.endsWith(parts[0] + ".java")).findFirst().orElseThrow();
+				assertThat(Files.readString(file)).as(method).contains("void " + parts[1] + "(");
+			}
+		}
+	}
+
 	@Test
 	void namedScriptsExist() throws IOException {
 		for (String script : named("\\b(bin/[a-z-]+)")) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/ConfigFeed.java
@@ -180,8 +180,7 @@
 		}
 		Duration hold = Duration.ofMillis(Math.min(fetch.h(), MAX_HOLD_MS));
 		// The thread that offers a configuration may be the one that applies the log,
-		// which
-		// must not spend its time on the answers to many daemons.
+		// which must not spend its time on the answers to many daemons.
 		return changes().filter((view) -> hasNews(view, fetch.n()))
 			.next()
 			.publishOn(this.scheduler)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LeaderClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/LeaderClient.java
@@ -142,8 +142,7 @@
 			// Replicas name a frozen leader until they elect another.
 			boolean elsewhere = leader != null && !leader.equals(this.target) && !this.failed.contains(leader);
 			// Otherwise the host counts as asked, so that a leader whose reply was lost
-			// is asked
-			// again after one round.
+			// is asked again after one round.
 			if (!elsewhere) {
 				this.failed.add(this.target);
 			}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/MessagePackStateCodec.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/MessagePackStateCodec.java
@@ -24,8 +24,7 @@
 	/** Creates a codec. */
 	public MessagePackStateCodec() {
 		// A snapshot holds up to half a million call records; without property names it
-		// is
-		// smaller and written faster.
+		// is smaller and written faster.
 		for (Class<?> type : List.of(CallRecord.class, CallKey.class, AcceptedSubmission.class)) {
 			this.mapper.configOverride(type).setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY));
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/control/SharedStateClient.java
@@ -144,8 +144,7 @@
 	}
 
 	// Frees the key of a call that was never dispatched, so that the caller's next
-	// attempt
-	// is not told that the outcome is unknown.
+	// attempt is not told that the outcome is unknown.
 	private void abandon(String share, StateCommand.BeginCall begin) {
 		send(share, begin, ABANDON_LIMIT).ofType(CallOutcome.Granted.class)
 			.flatMap((granted) -> send(share,
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/fleet/HostDirectory.java
@@ -80,8 +80,7 @@
 	}
 
 	// A ping carries the state of its sender and its reply that of the receiver, so one
-	// of
-	// two daemons pings the other.
+	// of two daemons pings the other.
 	private void pingHigher() {
 		this.hosts.stream()
 			.map(FleetHost::hostId)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatExchange.java
@@ -165,9 +165,8 @@
 					.timeout(HANDOVER_TIMEOUT, this.context.scheduler())
 					.onErrorComplete();
 		this.context.cancels().taken(stream.serverId(), stream.streamId());
-		// The caller does not wait: the other router may be frozen, and it keeps a stream
-		// for
-		// callerGraceMs, much longer than the announcement takes.
+		// The caller does not wait: the other router may be frozen, and it keeps a
+		// stream for callerGraceMs, much longer than the announcement takes.
 		handover.subscribe();
 		return attempt(this::resume);
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -211,8 +211,7 @@
 		if (this.server != null) {
 			this.server.disposeNow(Duration.ofMillis(CLOSE_TIMEOUT_MS));
 			// Closing the port leaves accepted connections open, on which peers would
-			// wait
-			// for the silence limit.
+			// wait for the silence limit.
 			this.sessions.forEach((session) -> session.channel.close());
 		}
 		this.loops.disposeLater(Duration.ZERO, Duration.ofMillis(CLOSE_TIMEOUT_MS))
