--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/drain/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the work while a backend server leaves.
+ */
+package io.fescuehold.runtime.drain;
