Read the command lines of the bench commands in one place

Six commands repeated the same parsing, messages and exit code 2; CommandArguments now serves them. LoadMain and OverheadMain keep their own, because they refuse values out of range together with wrong arguments.

--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/agreement/AgreementBench.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/agreement/AgreementBench.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.bench.CommandArguments;
 import io.fescuehold.core.agreement.AgreementTiming;
 import io.fescuehold.core.agreement.Role;
 import io.fescuehold.core.port.ReplicatedStateMachine;
@@ -18,8 +19,6 @@
 import io.fescuehold.runtime.replica.ReplicaRuntime;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.SynchronizedHistogram;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -60,15 +59,7 @@
 	 */
 	public static void main(String[] args) {
 		AgreementBench bench = new AgreementBench();
-		CmdLineParser parser = new CmdLineParser(bench);
-		try {
-			parser.parseArgument(args);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(2);
-		}
+		CommandArguments.parse(bench, args);
 		bench.run();
 		System.exit(0);
 	}
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/DigestExperiment.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/DigestExperiment.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import io.fescuehold.bench.CommandArguments;
 import io.fescuehold.core.relay.DigestLink;
 import io.fescuehold.core.relay.LinkBudget;
 import io.fescuehold.core.relay.LoadDigest;
@@ -19,8 +20,6 @@
 import io.fescuehold.core.relay.RelayHost;
 import io.fescuehold.core.relay.RelayTree;
 import org.HdrHistogram.Histogram;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -64,15 +63,7 @@
 	 */
 	public static void main(String[] arguments) {
 		DigestExperiment experiment = new DigestExperiment();
-		CmdLineParser parser = new CmdLineParser(experiment);
-		try {
-			parser.parseArgument(arguments);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(2);
-		}
+		CommandArguments.parse(experiment, arguments);
 		System.out.println("| deployment | seed | bytes/s sent per host, mean / max | bytes/s received, mean / max"
 				+ " | messages/s sent, max | sample age ms median / p99 / max |");
 		System.out.println("|---|---|---|---|---|---|");
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/ExperimentMain.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/ExperimentMain.java
@@ -8,10 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.fescuehold.bench.CommandArguments;
 import io.fescuehold.bench.experiment.baseline.PolicyKind;
 import io.fescuehold.core.placement.PlacementTuning;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -61,15 +60,7 @@
 	 */
 	public static void main(String[] arguments) throws IOException {
 		ExperimentMain main = new ExperimentMain();
-		CmdLineParser parser = new CmdLineParser(main);
-		try {
-			parser.parseArgument(arguments);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(2);
-		}
+		CommandArguments.parse(main, arguments);
 		main.run(System.out);
 	}
 
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/LimitsExperiment.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/LimitsExperiment.java
@@ -7,13 +7,12 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
+import io.fescuehold.bench.CommandArguments;
 import io.fescuehold.config.TeamSpec;
 import io.fescuehold.core.limits.Admission;
 import io.fescuehold.core.limits.FairAdmission;
 import io.fescuehold.core.limits.PoolPressure;
 import io.fescuehold.core.limits.Priority;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -66,15 +65,7 @@
 	 */
 	public static void main(String[] arguments) {
 		LimitsExperiment experiment = new LimitsExperiment();
-		CmdLineParser parser = new CmdLineParser(experiment);
-		try {
-			parser.parseArgument(arguments);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(2);
-		}
+		CommandArguments.parse(experiment, arguments);
 		System.out
 			.println("| seed | others refused % | worst other team refused % | surging team: portion of capacity %"
 					+ " | surging team: first tries refused % | pool over limit, mean | returns per s, max / mean |");
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/RetryExperiment.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/experiment/RetryExperiment.java
@@ -3,9 +3,8 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 
+import io.fescuehold.bench.CommandArguments;
 import io.fescuehold.core.retry.RetryBudget;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -37,15 +36,7 @@
 	 */
 	public static void main(String[] arguments) {
 		RetryExperiment experiment = new RetryExperiment();
-		CmdLineParser parser = new CmdLineParser(experiment);
-		try {
-			parser.parseArgument(arguments);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(2);
-		}
+		CommandArguments.parse(experiment, arguments);
 		System.out.println("| seed | failing servers | retries | attempts per request | failed requests % |");
 		System.out.println("|---|---|---|---|---|");
 		for (String seed : experiment.seeds.split(",")) {
--- a/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStartMain.java
+++ b/fescuehold-bench/src/main/java/io/fescuehold/bench/quickstart/QuickStartMain.java
@@ -3,9 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 
+import io.fescuehold.bench.CommandArguments;
 import org.kohsuke.args4j.Argument;
-import org.kohsuke.args4j.CmdLineException;
-import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -14,8 +13,6 @@
  */
 public final class QuickStartMain {
 
-	private static final int USAGE_ERROR = 2;
-
 	@Argument(required = true, metaVar = "prepare|drive", usage = "the step")
 	private String step;
 
@@ -38,15 +35,7 @@
 	 */
 	public static void main(String[] args) throws IOException {
 		QuickStartMain main = new QuickStartMain();
-		CmdLineParser parser = new CmdLineParser(main);
-		try {
-			parser.parseArgument(args);
-		}
-		catch (CmdLineException ex) {
-			System.err.println(ex.getMessage());
-			parser.printUsage(System.err);
-			System.exit(USAGE_ERROR);
-		}
+		CommandArguments.parse(main, args);
 		System.exit(main.run());
 	}
 
