--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -105,6 +105,24 @@
 	/** The content breaks a rule. Arguments: JSON pointer, reason and remedy. */
 	SUBMISSION_INVALID(422, "%s: %s"),
 
+	/** A configuration of routes breaks a rule. Arguments: place, value seen, remedy. */
+	ROUTING_INVALID(400, "%s is %s; %s"),
+
+	/** Other content is in force under the number. Arguments: number. */
+	ROUTING_CONFLICT(409, "Number %s is in force with other content; read it back and submit under a higher number"),
+
+	/**
+	 * No configuration of routes is known yet, or it may be outdated. Argument: age in
+	 * ms.
+	 */
+	ROUTING_STALE(503, "The configuration was last confirmed %s ms ago; come back after Retry-After"),
+
+	/** No route takes the request. Arguments: host name, path. */
+	NO_ROUTE(404, "No route takes host \"%s\" and path \"%s\"; use a configured host name and path"),
+
+	/** The key of the request is unknown. */
+	UNKNOWN_KEY(401, "The key is unknown; send a key in force as a bearer token in the Authorization header"),
+
 	/** Another order to the server may be on its way. Argument: holder. */
 	ORDER_HELD(409, "Host \"%s\" may be sending an order to this server; come back after Retry-After"),
 
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PromptShape.java
@@ -0,0 +1,49 @@
+package io.fescuehold.core.prompt;
+
+import java.util.List;
+
+/**
+ * What is known of a prompt before it is read.
+ *
+ * @param parts the parts in order; the last one belongs to this request or its session
+ * @param maxOutputTokens the tokens to generate at most
+ */
+public record PromptShape(List<PromptPart> parts, int maxOutputTokens) {
+
+	/**
+	 * Copies the list.
+	 */
+	public PromptShape {
+		parts = List.copyOf(parts);
+	}
+
+	/**
+	 * Returns the part that decides where the prompt goes: the deepest one that other
+	 * requests share.
+	 * @return the last part but one, or the only part, or null without parts
+	 */
+	public PromptPart subject() {
+		return switch (this.parts.size()) {
+			case 0 -> null;
+			case 1 -> this.parts.getFirst();
+			default -> this.parts.get(this.parts.size() - 2);
+		};
+	}
+
+	/**
+	 * Returns the parts that other requests share.
+	 * @return all parts but the last
+	 */
+	public List<PromptPart> sharedParts() {
+		return this.parts.isEmpty() ? this.parts : this.parts.subList(0, this.parts.size() - 1);
+	}
+
+	/**
+	 * Returns the length of the prompt.
+	 * @return the length in tokens
+	 */
+	public int promptTokens() {
+		return this.parts.stream().mapToInt(PromptPart::tokens).sum();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Where prompts go that share parts with earlier ones.
+ */
+package io.fescuehold.core.prompt;
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/retry/WindowedRetryBudget.java
@@ -0,0 +1,101 @@
+package io.fescuehold.core.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Limits the repeated requests to each service in a sliding window. The limit holds for
+ * the whole fleet: a daemon allows the agreed ratio of its own requests and its part of
+ * the agreed number of extra repeats, so that no call between daemons is needed.
+ */
+public final class WindowedRetryBudget {
+
+	/** The part of the agreed limits that is used; the rest covers unequal daemons. */
+	static final double SAFETY = 0.8;
+
+	private static final int SLICES = 20;
+
+	private final double ratio;
+
+	private final double extra;
+
+	private final long sliceMs;
+
+	private final Map<String, Window> windows = new HashMap<>();
+
+	/**
+	 * Creates a budget.
+	 * @param ratio the repeats that are allowed for each request
+	 * @param extra the repeats that the whole fleet is allowed besides
+	 * @param windowMs the length of the window in milliseconds
+	 */
+	public WindowedRetryBudget(double ratio, double extra, long windowMs) {
+		this.ratio = ratio;
+		this.extra = extra;
+		this.sliceMs = Math.max(1, windowMs / SLICES);
+	}
+
+	/**
+	 * Counts a first attempt.
+	 * @param service the service
+	 * @param nowMs the time in milliseconds
+	 */
+	public void request(String service, long nowMs) {
+		window(service, nowMs).requests[slot(nowMs)]++;
+	}
+
+	/**
+	 * Takes a repeat from the budget.
+	 * @param service the service
+	 * @param daemons the daemons that share the budget
+	 * @param nowMs the time in milliseconds
+	 * @return whether the request may be repeated
+	 */
+	public boolean tryRepeat(String service, int daemons, long nowMs) {
+		Window window = window(service, nowMs);
+		double allowed = SAFETY * (this.ratio * sum(window.requests) + this.extra / Math.max(1, daemons));
+		if (sum(window.repeats) + 1 > allowed) {
+			return false;
+		}
+		window.repeats[slot(nowMs)]++;
+		return true;
+	}
+
+	private Window window(String service, long nowMs) {
+		Window window = this.windows.computeIfAbsent(service, (name) -> new Window());
+		long slice = Math.floorDiv(nowMs, this.sliceMs);
+		// One slice more than the window is kept clear, so that no span of its length
+		// holds more than the limit.
+		long first = Math.max(window.slice + 1, slice - SLICES);
+		for (long cleared = first; cleared <= slice; cleared++) {
+			int slot = (int) Math.floorMod(cleared, (long) SLICES + 1);
+			window.requests[slot] = 0;
+			window.repeats[slot] = 0;
+		}
+		window.slice = Math.max(window.slice, slice);
+		return window;
+	}
+
+	private int slot(long nowMs) {
+		return (int) Math.floorMod(Math.floorDiv(nowMs, this.sliceMs), (long) SLICES + 1);
+	}
+
+	private static int sum(int[] counts) {
+		int sum = 0;
+		for (int count : counts) {
+			sum += count;
+		}
+		return sum;
+	}
+
+	private static final class Window {
+
+		private final int[] requests = new int[SLICES + 1];
+
+		private final int[] repeats = new int[SLICES + 1];
+
+		private long slice = Long.MIN_VALUE / 2;
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
@@ -0,0 +1,46 @@
+package io.fescuehold.core.servers;
+
+import java.util.Objects;
+
+/**
+ * A backend server of the platform's list.
+ *
+ * @param id the id of the running instance; a server that starts again mostly has another
+ * one
+ * @param service the service that it runs
+ * @param address the address as {@code ip:port}, which may be used again by another
+ * service
+ * @param failureDomain its failure domain
+ * @param slots the requests that it runs at once
+ * @param leaving whether it is about to stop
+ */
+public record BackendServer(String id, String service, String address, String failureDomain, int slots,
+		boolean leaving) {
+
+	/**
+	 * Checks the arguments.
+	 */
+	public BackendServer {
+		Objects.requireNonNull(id, "id");
+		Objects.requireNonNull(service, "service");
+		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(failureDomain, "failureDomain");
+	}
+
+	/**
+	 * Returns the IP number.
+	 * @return the part of the address before the port
+	 */
+	public String ip() {
+		return this.address.substring(0, this.address.lastIndexOf(':'));
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port
+	 */
+	public int port() {
+		return Integer.parseInt(this.address.substring(this.address.lastIndexOf(':') + 1));
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerOutcome.java
@@ -0,0 +1,20 @@
+package io.fescuehold.core.servers;
+
+/**
+ * How a server answered one request.
+ */
+public enum ServerOutcome {
+
+	/** It answered with success. */
+	SERVED,
+
+	/** It ran the request and failed, broke off or fell silent. */
+	FAILED,
+
+	/** It said that it did not run the request. */
+	REJECTED,
+
+	/** No connection could be opened. */
+	UNREACHABLE
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
@@ -0,0 +1,68 @@
+package io.fescuehold.daemon.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.fescuehold.runtime.admin.MetricsText;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Serves {@code /metrics} as text and {@code /dump} as JSON to engineers on call.
+ */
+final class OperationsServer {
+
+	private static final JsonMapper MAPPER = new JsonMapper();
+
+	private final String address;
+
+	private final int port;
+
+	private final LoopResources loops;
+
+	private final MetricRegistry metrics;
+
+	private final Supplier<Map<String, Object>> dump;
+
+	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics,
+			Supplier<Map<String, Object>> dump) {
+		this.address = address;
+		this.port = port;
+		this.loops = loops;
+		this.metrics = metrics;
+		this.dump = dump;
+	}
+
+	void start() {
+		HttpServer.create()
+			.host(this.address)
+			.port(this.port)
+			.runOn(this.loops, false)
+			.route((routes) -> routes
+				.get("/metrics", (request, response) -> text(response, "text/plain", MetricsText.of(this.metrics)))
+				.get("/dump", (request, response) -> text(response, "application/json", json())))
+			.bindNow();
+	}
+
+	private String json() {
+		try {
+			return MAPPER.writeValueAsString(this.dump.get());
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("The state could not be written as JSON", ex);
+		}
+	}
+
+	private static Mono<Void> text(HttpServerResponse response, String mediaType, String text) {
+		return response.header("Content-Type", mediaType)
+			.sendByteArray(Mono.just(text.getBytes(StandardCharsets.UTF_8)))
+			.then();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * One daemon of a fleet of gateways whose members discover each other.
+ */
+package io.fescuehold.daemon.gateway;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
@@ -4,8 +4,10 @@
 
 import io.netty.channel.ChannelOption;
 import reactor.netty.NettyPipeline;
+import reactor.netty.http.HttpResources;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.resources.LoopResources;
 
 /**
  * The connections to one backend server. The HTTP library repeats no request by itself;
@@ -19,6 +21,8 @@
 
 	private final BackendOptions options;
 
+	private final LoopResources loops;
+
 	private final HttpClient fresh;
 
 	private volatile Generation generation;
@@ -30,6 +34,18 @@
 	 * @param options the limits
 	 */
 	public BackendPool(String host, int port, BackendOptions options) {
+		this(host, port, options, HttpResources.get());
+	}
+
+	/**
+	 * Creates the pool without opening a connection.
+	 * @param host the IP address of the server
+	 * @param port the port of the server
+	 * @param options the limits
+	 * @param loops the threads that serve the connections
+	 */
+	public BackendPool(String host, int port, BackendOptions options, LoopResources loops) {
+		this.loops = loops;
 		this.host = host;
 		this.port = port;
 		this.options = options;
@@ -99,6 +115,7 @@
 
 	private HttpClient client(ConnectionProvider provider) {
 		return HttpClient.create(provider)
+			.runOn(this.loops)
 			.host(this.host)
 			.port(this.port)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.options.connectTimeoutMs())
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPools.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPools.java
@@ -4,6 +4,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import reactor.netty.http.HttpResources;
+import reactor.netty.resources.LoopResources;
+
 /**
  * The connection pools of all backend servers, by address.
  */
@@ -13,12 +16,24 @@
 
 	private final BackendOptions options;
 
+	private final LoopResources loops;
+
 	/**
 	 * Creates an empty set of pools.
 	 * @param options the limits of each pool
 	 */
 	public BackendPools(BackendOptions options) {
+		this(options, HttpResources.get());
+	}
+
+	/**
+	 * Creates an empty set of pools.
+	 * @param options the limits of each pool
+	 * @param loops the threads that serve the connections
+	 */
+	public BackendPools(BackendOptions options, LoopResources loops) {
 		this.options = options;
+		this.loops = loops;
 	}
 
 	/**
@@ -28,7 +43,8 @@
 	 * @return the pool, created on first use
 	 */
 	public BackendPool pool(String host, int port) {
-		return this.pools.computeIfAbsent(host + ":" + port, (key) -> new BackendPool(host, port, this.options));
+		return this.pools.computeIfAbsent(host + ":" + port,
+				(key) -> new BackendPool(host, port, this.options, this.loops));
 	}
 
 	/**
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -0,0 +1,436 @@
+package io.fescuehold.runtime.discovery;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.membership.HostTable;
+import io.fescuehold.core.port.PeerMessage;
+import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.routes.SubmissionOutcome;
+import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.runtime.replica.AgreementTransport;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.util.retry.Retry;
+
+/**
+ * This daemon's part in a fleet whose daemons discover each other. The daemon asks the
+ * leader for news all the time: each answer confirms the configuration, and brings the
+ * server list, the live daemons and the load that the other daemons cause. On a host with
+ * a disk it holds a replica too, and answers the others while that replica leads.
+ * <p>
+ * All state is used by the thread of the scheduler.
+ */
+public final class Fleet implements StateDump {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final long TICK_MS = 50;
+
+	/** Bounds the questions while news follow each other. */
+	private static final long MIN_PULL_MS = 20;
+
+	private final FleetOptions options;
+
+	private final PeerTransport transport;
+
+	private final Scheduler scheduler;
+
+	private final LongSupplier clockMs;
+
+	private final FleetListener listener;
+
+	private final ServerListSource listSource;
+
+	private final RandomGenerator random;
+
+	private final long incarnation;
+
+	private final CoreReplica replica;
+
+	private final HostTable hosts;
+
+	private final FleetHub hub;
+
+	private final Supplier<HostState> ownState;
+
+	private final List<String> seeds = new ArrayList<>();
+
+	private GroupFormation formation;
+
+	private RoutingDocument document = RoutingDocument.NONE;
+
+	private ServerList servers = ServerList.EMPTY;
+
+	private long hostsRevision = -1;
+
+	private String leaderHostId;
+
+	private int nextCandidate;
+
+	private long contactMs;
+
+	private long listReadMs = Long.MIN_VALUE / 2;
+
+	private boolean readingList;
+
+	private boolean stopped;
+
+	private Disposable ticker;
+
+	/**
+	 * Creates the daemon's part without starting it.
+	 * @param options the options
+	 * @param transport the connections to the other daemons
+	 * @param agreement carries the messages of the replicas
+	 * @param scheduler the thread of all state; its clock counts suspensions
+	 * @param listSource reads the server list
+	 * @param listener receives what is learned
+	 * @param ownState what this daemon serves
+	 * @param metrics the registry of the metrics
+	 * @param random the source of random choices
+	 * @param incarnation a number that grows with each start of the process
+	 */
+	public Fleet(FleetOptions options, PeerTransport transport, AgreementTransport agreement, Scheduler scheduler,
+			ServerListSource listSource, FleetListener listener, Supplier<HostState> ownState, MetricRegistry metrics,
+			RandomGenerator random, long incarnation) {
+		this.options = options;
+		this.transport = transport;
+		this.scheduler = scheduler;
+		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
+		this.listSource = listSource;
+		this.listener = listener;
+		this.ownState = ownState;
+		this.random = random;
+		this.incarnation = incarnation;
+		this.hosts = new HostTable(options.timing().silenceMs());
+		this.replica = (options.dataFolder() != null)
+				? new CoreReplica(options, agreement, scheduler, metrics, this::documentAccepted, random.nextLong())
+				: null;
+		this.hub = new FleetHub(options, this.replica, this.hosts);
+		setSeeds(options.seeds());
+	}
+
+	/**
+	 * Starts to take part.
+	 */
+	public void start() {
+		onMessage(SyncMessage.Pull.class, (pull) -> this.hub.answer(pull, knownLeader(), this.clockMs.getAsLong()));
+		onMessage(SyncMessage.Submit.class, (submit) -> submitHere(RoutingDocument.decode(submit.document()))
+			.map((outcome) -> new SyncMessage.Submitted(outcome.name())));
+		onMessage(SyncMessage.ReadNewest.class, (read) -> readHere().map(SyncMessage.Newest::new));
+		onMessage(SyncMessage.Form.class, (form) -> {
+			if (this.replica != null) {
+				this.replica.form(form.hostIds());
+			}
+			return Mono.empty();
+		});
+		this.scheduler.schedule(() -> {
+			this.contactMs = this.clockMs.getAsLong();
+			this.formation = new GroupFormation(this.options, this.transport, this.scheduler, this.contactMs);
+			if (this.replica != null) {
+				this.replica.start();
+			}
+			this.ticker = this.scheduler.schedulePeriodically(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+			pull();
+		});
+	}
+
+	private <T extends SyncMessage> void onMessage(Class<T> type, Function<T, Mono<? extends PeerMessage>> handler) {
+		this.transport.onMessage(type,
+				(from, message) -> Mono.<PeerMessage>defer(() -> handler.apply(message).cast(PeerMessage.class))
+					.subscribeOn(this.scheduler));
+	}
+
+	/**
+	 * Changes the daemons that are asked first.
+	 * @param hostIds the host ids
+	 */
+	public void setSeeds(List<String> hostIds) {
+		this.seeds.clear();
+		this.seeds.addAll(hostIds);
+	}
+
+	/**
+	 * Returns the time since the leader last answered.
+	 * @return the time in milliseconds
+	 */
+	public long silenceMs() {
+		return this.clockMs.getAsLong() - this.contactMs;
+	}
+
+	/**
+	 * Returns the live daemons.
+	 * @return the daemons
+	 */
+	public List<HostRecord> hosts() {
+		return this.hosts.hosts();
+	}
+
+	/**
+	 * Submits a configuration.
+	 * @param submission the configuration
+	 * @return the outcome; errors if no leader answers in time, after which the
+	 * configuration may or may not take effect
+	 */
+	public Mono<SubmissionOutcome> submit(RoutingDocument submission) {
+		return atLeader(new SyncMessage.Submit(submission.encode()), SyncMessage.Submitted.class)
+			.map((reply) -> SubmissionOutcome.valueOf(reply.outcome()));
+	}
+
+	/**
+	 * Reads the newest configuration.
+	 * @return the configuration; errors if no leader answers in time
+	 */
+	public Mono<RoutingDocument> readNewest() {
+		return atLeader(new SyncMessage.ReadNewest(), SyncMessage.Newest.class)
+			.map((reply) -> RoutingDocument.decode(reply.document()));
+	}
+
+	private <T extends SyncMessage> Mono<T> atLeader(SyncMessage message, Class<T> replyType) {
+		long untilMs = this.clockMs.getAsLong() + this.options.timing().submitMs();
+		return Mono.defer(() -> {
+			String leader = knownLeader();
+			if (leader == null) {
+				return Mono.<T>error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+			}
+			long leftMs = Math.max(1, untilMs - this.clockMs.getAsLong());
+			return this.transport.request(leader, message, Duration.ofMillis(leftMs)).cast(replyType);
+		})
+			.subscribeOn(this.scheduler)
+			.retryWhen(Retry.fixedDelay(Long.MAX_VALUE, Duration.ofMillis(this.options.timing().pullPauseMs()))
+				.filter((error) -> isNotAccepted(error) && this.clockMs.getAsLong() < untilMs - 2 * TICK_MS)
+				.scheduler(this.scheduler)
+				.onRetryExhaustedThrow((spec, signal) -> signal.failure()));
+	}
+
+	private static boolean isNotAccepted(Throwable error) {
+		return error instanceof FescueholdException refusal && refusal.run() == RunStatus.NO;
+	}
+
+	private Mono<SubmissionOutcome> submitHere(RoutingDocument submission) {
+		return (this.replica != null) ? this.replica.submit(submission)
+				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+	}
+
+	private Mono<byte[]> readHere() {
+		return (this.replica != null)
+				? this.replica.barrier().then(Mono.fromSupplier(() -> this.replica.current().encode()))
+				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+	}
+
+	private String knownLeader() {
+		if (this.hub.isLeading()) {
+			return this.options.hostId();
+		}
+		String fromReplica = (this.replica != null) ? this.replica.leaderHostId() : null;
+		return (this.leaderHostId != null) ? this.leaderHostId : fromReplica;
+	}
+
+	private void documentAccepted(RoutingDocument accepted) {
+		this.scheduler.schedule(this.hub::wake);
+	}
+
+	private void tick() {
+		long nowMs = this.clockMs.getAsLong();
+		this.hosts.observe(self(), nowMs);
+		this.hub.tick(nowMs);
+		this.formation.tick(this.hosts.hosts(), this.replica != null && this.replica.isOpen(), nowMs);
+		if (this.replica != null) {
+			this.replica.adaptVoters(this.hub.liveHosts(), nowMs);
+		}
+		readListIfDue(nowMs);
+	}
+
+	private void readListIfDue(long nowMs) {
+		FleetOptions.Timing timing = this.options.timing();
+		boolean leads = this.hub.isLeading();
+		boolean lost = !leads && nowMs - this.contactMs >= timing.silenceMs();
+		long periodMs = leads ? timing.listMs() : timing.listFallbackMs();
+		if (this.readingList || !(leads || lost) || nowMs - this.listReadMs < periodMs) {
+			return;
+		}
+		this.readingList = true;
+		this.listReadMs = nowMs + (leads ? 0 : this.random.nextLong(timing.listFallbackMs() / 2 + 1));
+		this.listSource.read()
+			.publishOn(this.scheduler)
+			.doFinally((signal) -> this.readingList = false)
+			.subscribe(this::listRead,
+					(error) -> logger.atWarning()
+						.atMostEvery(1, TimeUnit.SECONDS)
+						.log("The server list could not be read; the last one is %d ms old: %s",
+								nowMs - this.listReadMs, error.getMessage()));
+	}
+
+	private void listRead(List<BackendServer> read) {
+		if (!read.equals(this.servers.servers())) {
+			applyServers(new ServerList(1 + this.random.nextLong(Long.MAX_VALUE - 1), read));
+		}
+	}
+
+	private void applyServers(ServerList list) {
+		this.servers = list;
+		logger.atInfo()
+			.log("Server list %d has %d servers, %d of them leaving", list.revision(), list.servers().size(),
+					list.servers().stream().filter(BackendServer::leaving).count());
+		this.hub.setServers(list);
+		this.listener.onServers(list);
+	}
+
+	private void pull() {
+		if (this.stopped) {
+			return;
+		}
+		String target = nextTarget();
+		long askedAtMs = this.clockMs.getAsLong();
+		SyncMessage.Pull pull = new SyncMessage.Pull(self(), this.document.number(), this.servers.revision(),
+				this.hostsRevision, this.listener.ownRequests());
+		this.transport.request(target, pull, Duration.ofMillis(this.options.timing().pullTimeoutMs()))
+			.cast(SyncMessage.News.class)
+			.publishOn(this.scheduler)
+			.subscribe((news) -> received(target, news, askedAtMs), (error) -> pullFailed(target, error));
+	}
+
+	private String nextTarget() {
+		String leader = knownLeader();
+		if (leader != null) {
+			return leader;
+		}
+		Set<String> candidates = new LinkedHashSet<>(this.seeds);
+		this.hosts.hosts().stream().filter(HostRecord::hasStore).forEach((host) -> candidates.add(host.hostId()));
+		this.hosts.hosts().forEach((host) -> candidates.add(host.hostId()));
+		candidates.remove(this.options.hostId());
+		if (candidates.isEmpty()) {
+			return this.options.hostId();
+		}
+		List<String> list = List.copyOf(candidates);
+		return list.get(Math.floorMod(this.nextCandidate++, list.size()));
+	}
+
+	private HostRecord self() {
+		return new HostRecord(this.options.hostId(), this.options.failureDomain(), this.incarnation,
+				(this.replica != null) ? this.replica.storeId() : null, this.ownState.get());
+	}
+
+	private void received(String from, SyncMessage.News news, long askedAtMs) {
+		long nowMs = this.clockMs.getAsLong();
+		if (!news.current()) {
+			if (!this.hub.isLeading() && news.hosts() != null) {
+				news.hosts().forEach((host) -> this.hosts.observe(host, nowMs));
+			}
+			boolean better = news.leaderHostId() != null && !news.leaderHostId().equals(from);
+			setLeader(better ? news.leaderHostId() : null);
+			pullLater(better ? 1 : this.options.timing().pullPauseMs());
+			return;
+		}
+		setLeader(from);
+		this.contactMs = nowMs;
+		if (news.document() != null) {
+			RoutingDocument newer = RoutingDocument.decode(news.document());
+			if (newer.number() > this.document.number()) {
+				this.document = newer;
+				this.listener.onDocument(newer);
+			}
+		}
+		this.listener.onConfirmed(askedAtMs);
+		if (news.servers() != null && news.servers().revision() != 0) {
+			applyServers(news.servers());
+		}
+		if (news.hosts() != null) {
+			if (!this.hub.isLeading()) {
+				this.hosts.replaceAll(news.hosts(), nowMs);
+			}
+			this.hostsRevision = news.hostsRevision();
+			this.listener.onHosts(news.hosts());
+		}
+		this.listener.onOtherRequests(news.otherRequests());
+		pullLater(Math.max(0, MIN_PULL_MS - (nowMs - askedAtMs)));
+	}
+
+	private void pullFailed(String target, Throwable error) {
+		logger.atInfo()
+			.atMostEvery(1, TimeUnit.SECONDS)
+			.log("Host %s does not answer, the last contact to the leader is %d ms old: %s", target, silenceMs(),
+					error.getMessage());
+		if (target.equals(this.leaderHostId)) {
+			setLeader(null);
+		}
+		pullLater(this.options.timing().pullPauseMs());
+	}
+
+	private void setLeader(String hostId) {
+		if (!Objects.equals(hostId, this.leaderHostId)) {
+			logger.atInfo().log("The leader is %s, before %s", hostId, this.leaderHostId);
+			this.leaderHostId = hostId;
+			this.hostsRevision = -1;
+		}
+	}
+
+	private void pullLater(long delayMs) {
+		this.scheduler.schedule(this::pull, delayMs, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Hands the leadership over to another host, if this one leads.
+	 */
+	public void yieldLeadership() {
+		if (this.replica != null) {
+			this.replica.yieldLeadership();
+		}
+	}
+
+	/**
+	 * Stops to take part and closes the replica. Called by another thread than the
+	 * scheduler's.
+	 */
+	public void stop() {
+		this.stopped = true;
+		if (this.ticker != null) {
+			this.ticker.dispose();
+		}
+		if (this.replica != null) {
+			this.replica.stop();
+		}
+	}
+
+	@Override
+	public String dumpName() {
+		return "fleet";
+	}
+
+	@Override
+	public Object dump() {
+		Map<String, Object> dump = new LinkedHashMap<>();
+		dump.put("hostId", this.options.hostId());
+		dump.put("leader", knownLeader());
+		dump.put("silenceMs", silenceMs());
+		dump.put("configuration", this.document.number());
+		dump.put("servers", this.servers);
+		dump.put("hosts", this.hosts.hosts());
+		dump.put("replica", (this.replica != null) ? this.replica.dump() : "no disk");
+		return dump;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
@@ -0,0 +1,41 @@
+package io.fescuehold.runtime.gateway;
+
+import java.util.Map;
+import java.util.Objects;
+
+import io.fescuehold.core.prompt.PromptShape;
+
+/**
+ * The head of a caller's request.
+ *
+ * @param requestId the id of this attempt of the caller, which names it in all logs
+ * @param hostName the host name, or null
+ * @param method the HTTP method
+ * @param uri the path and query as received
+ * @param apiKey the key, or null
+ * @param deadlineMs the time in milliseconds for which the caller waits, or 0 if unknown
+ * @param resumeAfter the position after which a stream continues, or 0
+ * @param prompt the shape of the prompt, or null
+ * @param headers the headers that are passed on
+ */
+public record CallerHead(String requestId, String hostName, String method, String uri, String apiKey, long deadlineMs,
+		long resumeAfter, PromptShape prompt, Map<String, String> headers) {
+
+	/**
+	 * Checks the arguments and copies the map.
+	 */
+	public CallerHead {
+		Objects.requireNonNull(requestId, "requestId");
+		headers = Map.copyOf(headers);
+	}
+
+	/**
+	 * Returns the path without the query.
+	 * @return the path
+	 */
+	public String path() {
+		int query = this.uri.indexOf('?');
+		return (query >= 0) ? this.uri.substring(0, query) : this.uri;
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -0,0 +1,192 @@
+package io.fescuehold.runtime.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.prompt.EngineChoice;
+import io.fescuehold.core.prompt.EnginePlacement;
+import io.fescuehold.core.prompt.PartHolders;
+import io.fescuehold.core.retry.WindowedRetryBudget;
+import io.fescuehold.core.servers.PlainChoice;
+import io.fescuehold.core.servers.ServerOutcome;
+import io.fescuehold.core.servers.ServerState;
+import io.fescuehold.runtime.backend.BackendPools;
+import io.fescuehold.runtime.backend.BackendRequest;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Chooses servers, prepares requests to them and keeps account of their load, health and
+ * the repeats. Used by one thread.
+ */
+final class Dispatcher {
+
+	/** The prompt parts that are remembered; a few kilobytes per hundred. */
+	private static final int MAX_PARTS = 8_192;
+
+	/** Engines keep unused parts for at least about this long at the load of a peak. */
+	private static final long PART_LIFE_MS = 30_000;
+
+	/** A server that is paused is mostly back within this time. */
+	private static final long NO_SERVER_RETRY_MS = 300;
+
+	private final GatewayBelief belief;
+
+	private final CallerProtocol protocol;
+
+	private final BackendPools pools;
+
+	private final LongSupplier clockMs;
+
+	private final WindowedRetryBudget budget;
+
+	private final PlainChoice plainChoice;
+
+	private final EnginePlacement enginePlacement;
+
+	private final PartHolders holders = new PartHolders(MAX_PARTS, PART_LIFE_MS);
+
+	private final GatewayMetrics metrics;
+
+	private final GatewayLog log;
+
+	Dispatcher(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, BackendPools pools,
+			LongSupplier clockMs, GatewayMetrics metrics, GatewayLog log, RandomGenerator random) {
+		this.belief = belief;
+		this.protocol = protocol;
+		this.pools = pools;
+		this.clockMs = clockMs;
+		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
+		this.plainChoice = new PlainChoice(options.failureDomain(), random);
+		this.enginePlacement = new EnginePlacement(this.holders);
+		this.metrics = metrics;
+		this.log = log;
+	}
+
+	long nowMs() {
+		return this.clockMs.getAsLong();
+	}
+
+	/**
+	 * Chooses the server of an attempt and counts the attempt.
+	 * @param request the request
+	 * @param attempt the number of the attempt, from 1
+	 * @param tried the servers that were tried before
+	 * @return the target; errors with code NO_SERVER
+	 */
+	Target choose(GatewayRequest request, int attempt, Set<String> tried) {
+		long nowMs = nowMs();
+		List<ServerState> all = this.belief.servers().of(request.service());
+		List<ServerState> candidates = candidates(all, tried, nowMs);
+		Target target = null;
+		if (request.head().prompt() != null) {
+			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
+			if (choice != null) {
+				target = new Target(choice.server(), choice.copyFrom(), choice.reason().name());
+			}
+		}
+		else {
+			ServerState server = this.plainChoice.choose(candidates, nowMs);
+			target = (server != null) ? new Target(server, null, "LEAST_COST") : null;
+		}
+		if (target == null) {
+			throw FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_MS, request.service());
+		}
+		if (attempt == 1) {
+			this.budget.request(request.service(), nowMs);
+		}
+		this.metrics.placed(target.reason());
+		this.log.placed(request, target, attempt);
+		return target;
+	}
+
+	private static List<ServerState> candidates(List<ServerState> all, Set<String> tried, long nowMs) {
+		List<ServerState> usable = new ArrayList<>();
+		List<ServerState> paused = new ArrayList<>();
+		for (ServerState server : all) {
+			if (!server.server().leaving() && !tried.contains(server.server().id())) {
+				(server.health().isUsable(nowMs) ? usable : paused).add(server);
+			}
+		}
+		return usable.isEmpty() ? paused : usable;
+	}
+
+	/**
+	 * Takes a repeat from the budget.
+	 * @param request the request
+	 * @param attempt the attempts so far
+	 * @return whether the request may be sent once more
+	 */
+	boolean mayRepeat(GatewayRequest request, int attempt) {
+		boolean allowed = attempt < request.route().maxAttempts()
+				&& this.budget.tryRepeat(request.service(), this.belief.serving(), nowMs());
+		if (allowed) {
+			this.metrics.repeated(request.service());
+		}
+		return allowed;
+	}
+
+	BackendRequest prepare(GatewayRequest request, Target target, long resumeAfter) {
+		String team = (request.team() != null) ? request.team().name() : null;
+		boolean engine = request.head().prompt() != null;
+		Forwarding forwarding = new Forwarding(target.server().server().id(), request.leftMs(nowMs()), team,
+				engine ? request.urgency() : null,
+				(target.copyFrom() != null) ? target.copyFrom().server().address() : null, resumeAfter);
+		return new BackendRequest(request.head().method(), request.head().uri(),
+				this.protocol.forward(request.head(), forwarding), request.body(), () -> {
+				});
+	}
+
+	Supplier<HttpClient> client(Target target) {
+		return () -> this.pools.pool(target.server().server().ip(), target.server().server().port()).pooled();
+	}
+
+	void begun(Target target) {
+		target.server().begin();
+	}
+
+	void ended(Target target) {
+		target.server().end();
+	}
+
+	/**
+	 * Records that a server has begun to answer, so that it holds the prompt.
+	 * @param request the request
+	 * @param target the server
+	 */
+	void promptRead(GatewayRequest request, Target target) {
+		if (request.head().prompt() != null) {
+			this.holders.read(request.head().prompt(), target.server().server().id(), nowMs());
+		}
+	}
+
+	void record(GatewayRequest request, Target target, ServerOutcome outcome) {
+		target.server().health().record(outcome, nowMs());
+		if (outcome != ServerOutcome.SERVED) {
+			this.metrics.failed(request.service(), outcome.name());
+		}
+	}
+
+	AnswerHead read(int status, Map<String, String> headers) {
+		return this.protocol.read(status, headers);
+	}
+
+	/**
+	 * The server of an attempt.
+	 *
+	 * @param server the server
+	 * @param copyFrom a server to copy prompt parts from, or null
+	 * @param reason why the server was chosen
+	 */
+	record Target(ServerState server, ServerState copyFrom, String reason) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -0,0 +1,144 @@
+package io.fescuehold.runtime.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.core.freshness.ConfigFreshness;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.routes.CallerLimits;
+import io.fescuehold.core.routes.RouteTable;
+import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.core.servers.ServerState;
+import io.fescuehold.core.servers.ServerTable;
+import io.fescuehold.runtime.discovery.FleetListener;
+
+/**
+ * What the gateway believes of the configuration, the servers and the other daemons. Used
+ * by one thread.
+ */
+public final class GatewayBelief implements FleetListener {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private final RoutingCodec codec;
+
+	private final LongSupplier clockMs;
+
+	private final ConfigFreshness freshness = new ConfigFreshness();
+
+	private final ServerTable servers = new ServerTable();
+
+	private RouteTable table;
+
+	private List<HostRecord> hosts = List.of();
+
+	/**
+	 * Creates a belief without a configuration.
+	 * @param codec reads configurations
+	 * @param clockMs the time in milliseconds
+	 */
+	public GatewayBelief(RoutingCodec codec, LongSupplier clockMs) {
+		this.codec = codec;
+		this.clockMs = clockMs;
+	}
+
+	@Override
+	public void onDocument(RoutingDocument document) {
+		this.table = new RouteTable(this.codec.decode(Documents.submitted(document)));
+		logger.atInfo()
+			.log("Configuration %d with %d routes is in force", document.number(), this.table.config().routes().size());
+	}
+
+	@Override
+	public void onConfirmed(long askedAtMs) {
+		this.freshness.confirm(askedAtMs);
+	}
+
+	@Override
+	public void onServers(ServerList list) {
+		this.servers.update(list);
+	}
+
+	@Override
+	public void onHosts(List<HostRecord> live) {
+		this.hosts = List.copyOf(live);
+	}
+
+	@Override
+	public void onOtherRequests(Map<String, Integer> requests) {
+		this.servers.all().forEach((server) -> server.setOtherRequests(requests.getOrDefault(server.server().id(), 0)));
+	}
+
+	@Override
+	public Map<String, Integer> ownRequests() {
+		Map<String, Integer> requests = new HashMap<>();
+		for (ServerState server : this.servers.all()) {
+			if (server.ownRequests() > 0) {
+				requests.put(server.server().id(), server.ownRequests());
+			}
+		}
+		return requests;
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the routes, or null before the first configuration
+	 */
+	public RouteTable table() {
+		return this.table;
+	}
+
+	/**
+	 * Returns the number of the configuration in force.
+	 * @return the number, or 0
+	 */
+	public long number() {
+		return (this.table != null) ? this.table.config().number() : 0;
+	}
+
+	/**
+	 * Returns the limits of callers.
+	 * @return the limits in force
+	 */
+	public CallerLimits limits() {
+		return (this.table != null) ? this.table.config().limits() : CallerLimits.DEFAULT;
+	}
+
+	/**
+	 * Returns the age of the newest proof that the configuration is the newest.
+	 * @return the age in milliseconds
+	 */
+	public long ageMs() {
+		return this.freshness.ageMs(this.clockMs.getAsLong());
+	}
+
+	/**
+	 * Returns the servers.
+	 * @return the servers of all services
+	 */
+	public ServerTable servers() {
+		return this.servers;
+	}
+
+	/**
+	 * Returns the live daemons.
+	 * @return the daemons as the leader last listed them
+	 */
+	public List<HostRecord> hosts() {
+		return this.hosts;
+	}
+
+	/**
+	 * Returns the number of daemons that serve callers.
+	 * @return the number, at least 1
+	 */
+	public int serving() {
+		return Math.max(1, (int) this.hosts.stream().filter((host) -> host.state() == HostState.READY).count());
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -0,0 +1,58 @@
+package io.fescuehold.runtime.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * The counters and histograms of the gateway. Names carry the route, the service or the
+ * reason as their last part.
+ */
+final class GatewayMetrics {
+
+	private static final String PREFIX = "gateway.";
+
+	private final MetricRegistry registry;
+
+	GatewayMetrics(MetricRegistry registry) {
+		this.registry = registry;
+	}
+
+	void request(String route) {
+		this.registry.counter(PREFIX + "requests." + route).inc();
+	}
+
+	void answered(String route, int status, long tookMs) {
+		this.registry.counter(PREFIX + "answers." + status).inc();
+		this.registry.timer(PREFIX + "latency." + route).update(tookMs, TimeUnit.MILLISECONDS);
+	}
+
+	void firstEvent(String route, long tookMs) {
+		this.registry.timer(PREFIX + "firstEvent." + route).update(tookMs, TimeUnit.MILLISECONDS);
+	}
+
+	void refused(String code) {
+		this.registry.counter(PREFIX + "refusals." + code).inc();
+	}
+
+	void repeated(String service) {
+		this.registry.counter(PREFIX + "repeats." + service).inc();
+	}
+
+	void failed(String service, String kind) {
+		this.registry.counter(PREFIX + "serverFailures." + service + "." + kind).inc();
+	}
+
+	void placed(String reason) {
+		this.registry.counter(PREFIX + "placements." + reason).inc();
+	}
+
+	void brokenOff() {
+		this.registry.counter(PREFIX + "brokenOff").inc();
+	}
+
+	void callerLeft() {
+		this.registry.counter(PREFIX + "callerLeft").inc();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -0,0 +1,362 @@
+package io.fescuehold.runtime.gateway;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.placement.RendezvousHash;
+import io.fescuehold.core.port.StateDump;
+import io.fescuehold.core.routes.GateDecision;
+import io.fescuehold.core.routes.RequestGate;
+import io.fescuehold.core.routes.Route;
+import io.fescuehold.core.routes.RouteTable;
+import io.fescuehold.runtime.backend.BackendAnswer;
+import io.fescuehold.runtime.backend.BackendPools;
+import io.fescuehold.runtime.http.BodyReader;
+import io.fescuehold.runtime.http.Problems;
+import io.fescuehold.runtime.http.RequestHeadTimer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.DisposableServer;
+import reactor.netty.channel.AbortedException;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * The HTTP server of the gateway: admits requests, passes them on and delivers what the
+ * servers answer.
+ */
+public final class GatewayServer implements StateDump {
+
+	private static final int MAX_LINE_BYTES = 8_192;
+
+	private static final int MAX_HEADER_BYTES = 65_536;
+
+	private static final byte[] NO_BODY = {};
+
+	/** The final answer leaves this long before the caller stops waiting. */
+	private static final long RETURN_TRIP_MS = 10;
+
+	private static final long DRAINING_RETRY_MS = 200;
+
+	private static final double MS_PER_S = 1_000;
+
+	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "transfer-encoding", "te",
+			"trailer", "upgrade", "proxy-connection", "content-length");
+
+	private final GatewayOptions options;
+
+	private final GatewayBelief belief;
+
+	private final CallerProtocol protocol;
+
+	private final Scheduler scheduler;
+
+	private final LoopResources loops;
+
+	private final LongSupplier clockMs;
+
+	private final RequestGate gate;
+
+	private final BackendPools pools;
+
+	private final GatewayMetrics metrics;
+
+	private final GatewayLog log;
+
+	private final Dispatcher dispatcher;
+
+	private DisposableServer server;
+
+	private int inFlight;
+
+	private boolean closing;
+
+	private boolean refusing;
+
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param options the options
+	 * @param belief what is known of configuration, servers and daemons
+	 * @param protocol the names of the headers
+	 * @param scheduler the thread of all state; its clock counts suspensions
+	 * @param loops the threads of the connections, one of which is the scheduler's
+	 * @param registry the registry of the metrics
+	 * @param random the source of random choices
+	 */
+	public GatewayServer(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, Scheduler scheduler,
+			LoopResources loops, MetricRegistry registry, RandomGenerator random) {
+		this.options = options;
+		this.belief = belief;
+		this.protocol = protocol;
+		this.scheduler = scheduler;
+		this.loops = loops;
+		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
+		this.gate = new RequestGate(options.keyAgeMs(), options.absenceAgeMs());
+		this.pools = new BackendPools(options.backend(), loops);
+		this.metrics = new GatewayMetrics(registry);
+		this.log = new GatewayLog(belief, this.clockMs);
+		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs, this.metrics, this.log,
+				random);
+	}
+
+	/**
+	 * Starts to listen.
+	 */
+	public void start() {
+		this.server = HttpServer.create()
+			.host(this.options.address())
+			.port(this.options.port())
+			.runOn(this.loops, false)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.httpRequestDecoder((spec) -> spec.maxInitialLineLength(MAX_LINE_BYTES).maxHeaderSize(MAX_HEADER_BYTES))
+			.doOnChannelInit((observer, channel, address) -> {
+				RequestHeadTimer.install(channel.pipeline(), this.belief.limits().headerTimeoutMs());
+				IdleCloser.install(channel.pipeline(), () -> this.belief.limits().idleTimeoutMs());
+			})
+			.handle(this::handle)
+			.bindNow();
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port that the server listens on
+	 */
+	public int port() {
+		return this.server.port();
+	}
+
+	/**
+	 * Closes each connection after its next answer, so that callers look for another
+	 * daemon.
+	 */
+	public void closeConnections() {
+		this.closing = true;
+	}
+
+	/**
+	 * Refuses new requests.
+	 */
+	public void refuseRequests() {
+		this.refusing = true;
+	}
+
+	/**
+	 * Returns the requests in flight.
+	 * @return the number
+	 */
+	public int inFlight() {
+		return this.inFlight;
+	}
+
+	/**
+	 * Closes the pools of servers that are no longer listed.
+	 */
+	public void closeUnusedPools() {
+		this.pools.retain(this.belief.servers()
+			.all()
+			.stream()
+			.map((state) -> state.server().address())
+			.collect(Collectors.toSet()));
+	}
+
+	/**
+	 * Stops to listen and closes all connections.
+	 */
+	public void stop() {
+		if (this.server != null) {
+			this.server.disposeNow(Duration.ofMillis(1));
+		}
+		this.pools.close();
+	}
+
+	private Publisher<Void> handle(HttpServerRequest http, HttpServerResponse response) {
+		long receivedAtMs = this.clockMs.getAsLong();
+		this.inFlight++;
+		CallerHead head;
+		try {
+			head = this.protocol.read(http.method().name(), http.uri(), http.requestHeaders());
+		}
+		catch (FescueholdException ex) {
+			this.inFlight--;
+			response.keepAlive(false);
+			return write(response, ex);
+		}
+		if (this.closing) {
+			response.keepAlive(false);
+		}
+		BodyReader bodies = new BodyReader(this.belief.limits().maxBodyBytes(), bodyTimeoutMs(head), this.scheduler);
+		return bodies.read(http)
+			.defaultIfEmpty(NO_BODY)
+			.flatMap((body) -> serve(head, body, receivedAtMs, response))
+			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response))
+			.doOnCancel(() -> {
+				this.metrics.callerLeft();
+				this.log.callerLeft(head, this.clockMs.getAsLong() - receivedAtMs);
+			})
+			.doFinally((signal) -> this.inFlight--);
+	}
+
+	private static int bodyTimeoutMs(CallerHead head) {
+		return (head.deadlineMs() > 0) ? (int) Math.min(head.deadlineMs(), Integer.MAX_VALUE) : 60_000;
+	}
+
+	private Mono<Void> serve(CallerHead head, byte[] body, long receivedAtMs, HttpServerResponse response) {
+		if (this.refusing) {
+			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_MS));
+		}
+		RouteTable table = this.belief.table();
+		GateDecision decision = this.gate.decide(table, this.belief.ageMs(), head.hostName(), head.path(),
+				head.apiKey());
+		return switch (decision) {
+			case GateDecision.Refused(FescueholdException refusal) -> Mono.error(refusal);
+			case GateDecision.Admitted(Route route, var team) -> {
+				this.metrics.request(route.name());
+				double unit = RendezvousHash.unit(RendezvousHash.hash(head.requestId()));
+				yield forward(new GatewayRequest(head, body, route, team, route.serviceFor(unit), receivedAtMs,
+						receivedAtMs + limitMs(head, route)), response);
+			}
+		};
+	}
+
+	private static long limitMs(CallerHead head, Route route) {
+		if (head.deadlineMs() <= 0) {
+			return route.timeoutMs();
+		}
+		return Math.min(route.timeoutMs(), Math.max(1, head.deadlineMs() - RETURN_TRIP_MS));
+	}
+
+	private Mono<Void> forward(GatewayRequest request, HttpServerResponse response) {
+		if (!request.route().isStreaming()) {
+			return new CallExchange(this.dispatcher, this.scheduler, this.log, request).run()
+				.flatMap((answer) -> deliver(request, answer, response));
+		}
+		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, request);
+		return Mono.from(exchange.run()
+			.switchOnFirst((first, items) -> deliverStream(request, exchange, first.get(), items, response)));
+	}
+
+	private Mono<Void> deliver(GatewayRequest request, BackendAnswer answer, HttpServerResponse response) {
+		answered(request, answer.status());
+		response.status(answer.status());
+		addHeaders(response, answer.headers());
+		response.header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(answer.body().length));
+		return response.sendObject(Unpooled.wrappedBuffer(answer.body())).then();
+	}
+
+	private Publisher<Void> deliverStream(GatewayRequest request, StreamExchange exchange, StreamItem first,
+			Flux<StreamItem> items, HttpServerResponse response) {
+		return switch (first) {
+			case StreamItem.Whole whole -> items.then(deliver(request, whole.answer(), response));
+			case StreamItem.Head head -> {
+				this.metrics.firstEvent(request.route().name(), this.clockMs.getAsLong() - request.receivedAtMs());
+				response.status(head.status());
+				addHeaders(response, head.headers());
+				Flux<ByteBuf> events = items.ofType(StreamItem.Event.class)
+					.map((event) -> Unpooled.wrappedBuffer(event.bytes()))
+					.cast(ByteBuf.class)
+					.doOnComplete(() -> answered(request, head.status()))
+					.doOnError((error) -> {
+						this.metrics.brokenOff();
+						this.log.brokenOff(request, exchange.position(), error,
+								this.clockMs.getAsLong() - request.receivedAtMs());
+					});
+				yield response.send(events, (buffer) -> true).then();
+			}
+			case StreamItem.Event event -> items.then(Mono.error(new IllegalStateException("An event without a head")));
+			case null -> items.then();
+		};
+	}
+
+	private void answered(GatewayRequest request, int status) {
+		long tookMs = this.clockMs.getAsLong() - request.receivedAtMs();
+		this.metrics.answered(request.route().name(), status, tookMs);
+		this.log.answered(request, status, tookMs);
+	}
+
+	private static void addHeaders(HttpServerResponse response, Map<String, String> headers) {
+		headers.forEach((name, value) -> {
+			if (!CONNECTION_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+				response.header(name, value);
+			}
+		});
+	}
+
+	private Mono<Void> refuse(CallerHead head, Throwable error, long receivedAtMs, HttpServerResponse response) {
+		if (error instanceof AbortedException || AbortedException.isConnectionReset(error)) {
+			this.metrics.callerLeft();
+			this.log.callerLeft(head, this.clockMs.getAsLong() - receivedAtMs);
+			return Mono.empty();
+		}
+		if (response.hasSentHeaders()) {
+			// The error closes the connection, so that the response does not look
+			// complete.
+			return Mono.error(error);
+		}
+		if (!(error instanceof FescueholdException refusal)) {
+			this.log.failed(head, error);
+			return Mono.error(error);
+		}
+		this.metrics.refused(refusal.code().name());
+		this.log.refused(head, refusal, this.clockMs.getAsLong() - receivedAtMs);
+		boolean unread = refusal.code() == ErrorCode.BODY_TOO_LARGE || refusal.code() == ErrorCode.BAD_REQUEST
+				|| refusal.code() == ErrorCode.DRAINING;
+		if (unread) {
+			response.keepAlive(false);
+		}
+		return write(response, refusal);
+	}
+
+	private static Mono<Void> write(HttpServerResponse response, FescueholdException refusal) {
+		byte[] body = Problems.json(refusal);
+		response.status(refusal.code().httpStatus())
+			.header(HttpHeaderNames.CONTENT_TYPE, Problems.MEDIA_TYPE)
+			.header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(body.length));
+		if (refusal.retryAfterMs() > 0) {
+			response.header(HttpHeaderNames.RETRY_AFTER, String.valueOf(refusal.retryAfterMs() / MS_PER_S));
+		}
+		return response.sendObject(Unpooled.wrappedBuffer(body)).then();
+	}
+
+	@Override
+	public String dumpName() {
+		return "gateway";
+	}
+
+	@Override
+	public Object dump() {
+		Map<String, Object> dump = new TreeMap<>();
+		dump.put("configuration", this.belief.number());
+		dump.put("configurationAgeMs", this.belief.ageMs());
+		dump.put("inFlight", this.inFlight);
+		dump.put("pools", this.pools.size());
+		Map<String, Object> servers = new TreeMap<>();
+		this.belief.servers()
+			.all()
+			.forEach((state) -> servers.put(state.server().id(),
+					Map.of("server", state.server(), "load", state.load(), "own", state.ownRequests(), "failureRate",
+							state.health().failureRate(this.clockMs.getAsLong()), "usable",
+							state.health().isUsable(this.clockMs.getAsLong()))));
+		dump.put("servers", servers);
+		return dump;
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
@@ -8,17 +8,30 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.netty.http.server.HttpServerRequest;
 
 /**
  * Reads request bodies within limits of size and time.
  */
-final class BodyReader {
+public final class BodyReader {
 
-	private final RouterContext context;
+	private final int limit;
 
-	BodyReader(RouterContext context) {
-		this.context = context;
+	private final int timeoutMs;
+
+	private final Scheduler scheduler;
+
+	/**
+	 * Creates a reader.
+	 * @param limit the size of a body in bytes at most
+	 * @param timeoutMs the longest time in milliseconds until a body is complete
+	 * @param scheduler runs the time-out
+	 */
+	public BodyReader(int limit, int timeoutMs, Scheduler scheduler) {
+		this.limit = limit;
+		this.timeoutMs = timeoutMs;
+		this.scheduler = scheduler;
 	}
 
 	/**
@@ -27,20 +40,18 @@
 	 * @return the body, possibly empty, or a {@link FescueholdException} with code
 	 * BODY_TOO_LARGE or BAD_REQUEST
 	 */
-	Mono<byte[]> read(HttpServerRequest request) {
-		int limit = this.context.options().maxBodyBytes();
+	public Mono<byte[]> read(HttpServerRequest request) {
 		long announced = announced(request);
-		if (announced > limit) {
-			return Mono.error(new FescueholdException(ErrorCode.BODY_TOO_LARGE, announced, limit));
+		if (announced > this.limit) {
+			return Mono.error(new FescueholdException(ErrorCode.BODY_TOO_LARGE, announced, this.limit));
 		}
-		int timeoutMs = this.context.options().requestReadTimeoutMs();
 		return request.receive()
-			.reduceWith(ByteArrayOutputStream::new, (bytes, chunk) -> append(bytes, chunk, limit))
+			.reduceWith(ByteArrayOutputStream::new, (bytes, chunk) -> append(bytes, chunk, this.limit))
 			.map(ByteArrayOutputStream::toByteArray)
-			.timeout(Duration.ofMillis(timeoutMs),
-					Mono.error(() -> new FescueholdException(ErrorCode.BAD_REQUEST, "The body",
-							"it did not arrive within " + timeoutMs + " ms", "send it faster")),
-					this.context.scheduler());
+			.timeout(
+					Duration.ofMillis(this.timeoutMs), Mono.error(() -> new FescueholdException(ErrorCode.BAD_REQUEST,
+							"The body", "it did not arrive within " + this.timeoutMs + " ms", "send it faster")),
+					this.scheduler);
 	}
 
 	private static long announced(HttpServerRequest request) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ChatHandler.java
@@ -37,7 +37,8 @@
 
 	ChatHandler(RouterContext context) {
 		this.context = context;
-		this.bodies = new BodyReader(context);
+		this.bodies = new BodyReader(context.options().maxBodyBytes(), context.options().requestReadTimeoutMs(),
+				context.scheduler());
 		this.encoder = new SseEncoder(context);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/Problems.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/Problems.java
@@ -15,11 +15,12 @@
 /**
  * Writes refusals as RFC 9457 problem details.
  */
-final class Problems {
+public final class Problems {
 
 	private static final JsonMapper MAPPER = new JsonMapper();
 
-	private static final String MEDIA_TYPE = "application/problem+json";
+	/** The media type of problem details. */
+	public static final String MEDIA_TYPE = "application/problem+json";
 
 	private static final long MS_PER_S = 1_000;
 
@@ -48,7 +49,7 @@
 	 * @param refusal the refusal
 	 * @return the problem details as JSON
 	 */
-	static byte[] json(FescueholdException refusal) {
+	public static byte[] json(FescueholdException refusal) {
 		Map<String, Object> problem = new LinkedHashMap<>();
 		problem.put("type", "about:blank");
 		problem.put("status", refusal.code().httpStatus());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
@@ -15,7 +15,7 @@
 /**
  * Closes a connection whose request head does not arrive in time after its first byte.
  */
-final class RequestHeadTimer extends ChannelInboundHandlerAdapter {
+public final class RequestHeadTimer extends ChannelInboundHandlerAdapter {
 
 	private final int timeoutMs;
 
@@ -32,7 +32,7 @@
 	 * @param pipeline the pipeline
 	 * @param timeoutMs the longest time in milliseconds for a request head
 	 */
-	static void install(ChannelPipeline pipeline, int timeoutMs) {
+	public static void install(ChannelPipeline pipeline, int timeoutMs) {
 		RequestHeadTimer timer = new RequestHeadTimer(timeoutMs);
 		pipeline.addBefore(NettyPipeline.HttpCodec, "fescuehold.headTimer", timer);
 		pipeline.addAfter(NettyPipeline.HttpCodec, "fescuehold.headEnd", timer.new HeadEnd());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
@@ -29,7 +29,8 @@
 
 	ServiceHandler(RouterContext context) {
 		this.context = context;
-		this.bodies = new BodyReader(context);
+		this.bodies = new BodyReader(context.options().maxBodyBytes(), context.options().requestReadTimeoutMs(),
+				context.scheduler());
 		this.servers = new ServiceServers(context);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/MonotonicScheduler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/MonotonicScheduler.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.replica;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
@@ -13,17 +14,29 @@
 
 	private final Scheduler delegate;
 
+	private final LongSupplier clockNs;
+
 	/**
-	 * Creates a scheduler.
+	 * Creates a scheduler with the steady clock.
 	 * @param delegate the scheduler that runs the tasks
 	 */
 	public MonotonicScheduler(Scheduler delegate) {
+		this(delegate, System::nanoTime);
+	}
+
+	/**
+	 * Creates a scheduler with another clock, for example one that counts suspensions.
+	 * @param delegate the scheduler that runs the tasks
+	 * @param clockNs a clock in nanoseconds that never goes back
+	 */
+	public MonotonicScheduler(Scheduler delegate, LongSupplier clockNs) {
 		this.delegate = delegate;
+		this.clockNs = clockNs;
 	}
 
 	@Override
 	public long now(TimeUnit unit) {
-		return unit.convert(System.nanoTime(), TimeUnit.NANOSECONDS);
+		return unit.convert(this.clockNs.getAsLong(), TimeUnit.NANOSECONDS);
 	}
 
 	@Override
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
@@ -192,6 +192,19 @@
 		return change(MembershipChange.replace(requestId, lostHostId, newHostId));
 	}
 
+	/**
+	 * Hands the leadership over to another voter, if this replica leads.
+	 * @return completes when the hand-over has begun
+	 */
+	public Mono<Void> handOver() {
+		return onLoop((sink) -> {
+			if (this.driver.isLeading()) {
+				this.driver.node().handOver(this.loop.nowMs());
+			}
+			sink.success();
+		});
+	}
+
 	/**
 	 * Registers a listener that is called on the event loop with the index up to which
 	 * entries have been applied.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
@@ -55,7 +56,11 @@
 
 	private final Set<PeerSession> sessions = ConcurrentHashMap.newKeySet();
 
-	private final LoopResources loops = LoopResources.create("fescuehold-peer", LOOP_THREADS, true);
+	private final LoopResources loops;
+
+	private final boolean ownsLoops;
+
+	private volatile Function<String, PeerAddress> discovery = (hostId) -> null;
 
 	private volatile DisposableServer server;
 
@@ -68,6 +73,25 @@
 	 * @param scheduler runs time-outs
 	 */
 	public TcpPeerTransport(TransportOptions options, MetricRegistry metrics, Scheduler scheduler) {
+		this(options, metrics, scheduler, LoopResources.create("fescuehold-peer", LOOP_THREADS, true), true);
+	}
+
+	/**
+	 * Creates a transport that shares its threads with other parts of the process.
+	 * @param options the addresses and limits
+	 * @param metrics where the byte counters are registered
+	 * @param scheduler runs time-outs
+	 * @param loops the threads, which closing the transport leaves running
+	 */
+	public TcpPeerTransport(TransportOptions options, MetricRegistry metrics, Scheduler scheduler,
+			LoopResources loops) {
+		this(options, metrics, scheduler, loops, false);
+	}
+
+	private TcpPeerTransport(TransportOptions options, MetricRegistry metrics, Scheduler scheduler, LoopResources loops,
+			boolean ownsLoops) {
+		this.loops = loops;
+		this.ownsLoops = ownsLoops;
 		this.options = options;
 		this.scheduler = scheduler;
 		this.counters = new TrafficCounters(metrics);
@@ -118,6 +142,24 @@
 			.moveTo(address);
 	}
 
+	/**
+	 * Lets this transport exchange messages with hosts that were not configured.
+	 * @param addresses finds the address of a host id, or returns null to refuse the host
+	 */
+	public void discoverPeers(Function<String, PeerAddress> addresses) {
+		this.discovery = addresses;
+	}
+
+	private PeerLink link(String hostId) {
+		PeerLink known = this.links.get(hostId);
+		PeerAddress discovered = (known == null) ? this.discovery.apply(hostId) : null;
+		if (discovered != null) {
+			setPeer(hostId, discovered);
+			return this.links.get(hostId);
+		}
+		return known;
+	}
+
 	@Override
 	public void send(String hostId, PeerMessage message) {
 		if (hostId.equals(this.options.hostId())) {
@@ -126,7 +168,7 @@
 			return;
 		}
 		String group = this.types.nameOf(message.getClass()).group();
-		PeerLink link = this.links.get(hostId);
+		PeerLink link = link(hostId);
 		byte[] body = this.codec.encode(this.codec.message(Frame.SEND, 0, message));
 		if (link == null || body.length > this.options.limits().maxFrameBytes()) {
 			logger.atWarning()
@@ -146,7 +188,7 @@
 					Mono.error(() -> Outgoing.lost("no reply arrived within " + timeout.toMillis() + " ms")),
 					this.scheduler);
 		}
-		PeerLink link = this.links.get(hostId);
+		PeerLink link = link(hostId);
 		if (link == null) {
 			return Mono.error(Outgoing.unreachable(hostId, "the host is not configured"));
 		}
@@ -214,6 +256,9 @@
 			// wait for the silence limit.
 			this.sessions.forEach((session) -> session.channel.close());
 		}
+		if (!this.ownsLoops) {
+			return;
+		}
 		this.loops.disposeLater(Duration.ZERO, Duration.ofMillis(CLOSE_TIMEOUT_MS))
 			.block(Duration.ofMillis(2 * CLOSE_TIMEOUT_MS));
 	}
@@ -256,7 +301,7 @@
 		}
 
 		private void greet(String hostId) throws IOException {
-			if (!TcpPeerTransport.this.links.containsKey(hostId)) {
+			if (link(hostId) == null) {
 				throw new IOException("Host \"" + hostId + "\" is not configured as a peer");
 			}
 			this.fromHostId = hostId;
