--- a/fescuehold-core/src/main/java/io/fescuehold/core/membership/VoterPlan.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/membership/VoterPlan.java
@@ -113,9 +113,7 @@
 		this.absentSinceMs.keySet().retainAll(absent);
 	}
 
-	/**
-	 * Chooses a host that is no voter, in the failure domain with the fewest voters.
-	 */
+	// Chooses a host that is no voter, in the failure domain with the fewest voters.
 	private static HostRecord standIn(List<Voter> members, Voter leaving, List<HostRecord> live, Set<String> voterIds) {
 		Map<String, Integer> byDomain = new HashMap<>();
 		members.stream()
--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
@@ -84,10 +84,8 @@
 		return new EngineChoice(chosen, source(prompt, chosen, sources, nowMs), reason);
 	}
 
-	/**
-	 * Finds a server to copy shared parts from: the one that holds most of the parts that
-	 * the chosen server is not known to hold.
-	 */
+	// Finds a server to copy shared parts from: the one that holds most of the parts that
+	// the chosen server is not known to hold.
 	private ServerState source(PromptShape prompt, ServerState chosen, List<ServerState> sources, long nowMs) {
 		List<PromptPart> shared = prompt.sharedParts();
 		for (int index = shared.size() - 1; index >= 0; index--) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
@@ -21,6 +21,12 @@
 public record FleetOptions(String hostId, String failureDomain, int peerPort, List<String> seeds, boolean firstStart,
 		Path dataFolder, int losses, Timing timing) {
 
+	/**
+	 * The times of the agreement group: a leader is replaced within two seconds, and a
+	 * few lost packets do not depose it.
+	 */
+	public static final AgreementTiming AGREEMENT = new AgreementTiming(150, 800, 600, 400);
+
 	/**
 	 * Checks the arguments and copies the list.
 	 */
@@ -55,10 +61,4 @@
 
 	}
 
-	/**
-	 * The times of the agreement group: a leader is replaced within two seconds, and a
-	 * few lost packets do not depose it.
-	 */
-	public static final AgreementTiming AGREEMENT = new AgreementTiming(150, 800, 600, 400);
-
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -152,12 +152,12 @@
 
 	private PeerLink link(String hostId) {
 		PeerLink known = this.links.get(hostId);
-		PeerAddress discovered = (known == null) ? this.discovery.apply(hostId) : null;
-		if (discovered != null) {
-			setPeer(hostId, discovered);
-			return this.links.get(hostId);
+		PeerAddress discovered = (known != null) ? null : this.discovery.apply(hostId);
+		if (discovered == null) {
+			return known;
 		}
-		return known;
+		setPeer(hostId, discovered);
+		return this.links.get(hostId);
 	}
 
 	@Override
