--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
@@ -47,8 +47,22 @@
 	 * @param nowMs the time
 	 */
 	public AgreementNode(AgreementOptions options, StoredState stored, RandomGenerator random, long nowMs) {
+		this(options, stored, random, nowMs, nowMs);
+	}
+
+	/**
+	 * Creates a replica of a process that has run for some time.
+	 * @param options the options
+	 * @param stored the state read from the store
+	 * @param random the source of random election timeouts
+	 * @param nowMs the time
+	 * @param silentSinceMs the time since which this replica has certainly acknowledged
+	 * nothing, for example the start of the process
+	 */
+	public AgreementNode(AgreementOptions options, StoredState stored, RandomGenerator random, long nowMs,
+			long silentSinceMs) {
 		this.context = new NodeContext(options, stored, random, nowMs);
-		this.election = new Election(this.context, this::onElected, this::onSteppedDown);
+		this.election = new Election(this.context, silentSinceMs, this::onElected, this::onSteppedDown);
 		this.leadership = new Leadership(this.context);
 		this.leaderReplication = new LeaderReplication(this.context, this.leadership);
 		this.followerReplication = new FollowerReplication(this.context, this.election);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
@@ -24,13 +24,14 @@
 
 	private long preVoteTerm;
 
-	Election(NodeContext context, Runnable onElected, Runnable onSteppedDown) {
+	Election(NodeContext context, long silentSinceMs, Runnable onElected, Runnable onSteppedDown) {
 		this.context = context;
 		this.onElected = onElected;
 		this.onSteppedDown = onSteppedDown;
-		// A restarted replica may have acknowledged a leader's lease just before.
-		this.leaderContactMs = (context.term > 0) ? context.nowMs : Progress.NEVER;
-		resetTimer();
+		// A restarted replica may have acknowledged a leader's lease just before it ended.
+		this.leaderContactMs = (context.term > 0) ? silentSinceMs : Progress.NEVER;
+		long timeoutMs = context.timing().electionTimeoutMs();
+		this.deadlineMs = Math.max(context.nowMs, silentSinceMs + timeoutMs) + context.random.nextLong(timeoutMs);
 	}
 
 	void tick() {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
@@ -66,7 +66,7 @@
 		double homeScore = Double.POSITIVE_INFINITY;
 		double withinScore = Double.POSITIVE_INFINITY;
 		for (ServerState candidate : candidates) {
-			double score = RendezvousHash.score(key, RendezvousHash.hash(candidate.server().id()), 1);
+			double score = score(key, candidate);
 			if (score < homeScore) {
 				homeScore = score;
 				home = candidate;
@@ -81,17 +81,23 @@
 		if (within != null) {
 			reason = (within == home) ? EngineChoice.Reason.HOME : EngineChoice.Reason.SPILL;
 		}
-		return new EngineChoice(chosen, source(prompt, chosen, sources, nowMs), reason);
+		return new EngineChoice(chosen, source(prompt, key, chosen, sources, nowMs), reason);
 	}
 
-	// Finds a server to copy shared parts from: the one that holds most of the parts that
-	// the chosen server is not known to hold.
-	private ServerState source(PromptShape prompt, ServerState chosen, List<ServerState> sources, long nowMs) {
+	// Finds a server to copy shared parts from, unless the chosen one is known to hold them.
+	// Without a server that is known to hold them it is the one that the hash would lead to
+	// if the chosen one did not exist: that was the home before the chosen one came, or is
+	// the home that the load bound passed over.
+	private ServerState source(PromptShape prompt, long key, ServerState chosen, List<ServerState> sources,
+			long nowMs) {
+		if (this.holders.holds(prompt.subject(), chosen.server().id(), nowMs)) {
+			return null;
+		}
 		List<PromptPart> shared = prompt.sharedParts();
 		for (int index = shared.size() - 1; index >= 0; index--) {
 			PromptPart part = shared.get(index);
 			if (this.holders.holds(part, chosen.server().id(), nowMs)) {
-				return null;
+				break;
 			}
 			Map<String, Long> uses = this.holders.holders(part);
 			ServerState source = sources.stream()
@@ -103,7 +109,14 @@
 				return source;
 			}
 		}
-		return null;
+		return sources.stream()
+			.filter((server) -> server != chosen && server.health().isUsable(nowMs))
+			.min(Comparator.comparingDouble((server) -> score(key, server)))
+			.orElse(null);
+	}
+
+	private static double score(long key, ServerState server) {
+		return RendezvousHash.score(key, RendezvousHash.hash(server.server().id()), 1);
 	}
 
 	private static ServerState leastLoaded(List<ServerState> candidates, long nowMs) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
@@ -17,6 +17,9 @@
 	/** A rejecting server had its queue full a moment ago. */
 	static final long REJECTED_PAUSE_MS = 60;
 
+	/** The list names an instance that is gone for some seconds longer. */
+	static final long REPLACED_PAUSE_MS = 8_000;
+
 	/** The weight of the newest answer; the last ten or so answers count. */
 	static final double NEWEST_WEIGHT = 0.15;
 
@@ -46,6 +49,7 @@
 			}
 			case FAILED -> rate(1, nowMs);
 			case REJECTED -> this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + REJECTED_PAUSE_MS);
+			case REPLACED -> this.pausedUntilMs = nowMs + REPLACED_PAUSE_MS;
 			case UNREACHABLE -> {
 				long pauseMs = FIRST_PAUSE_MS << Math.min(this.unreachable, MAX_DOUBLINGS);
 				this.unreachable++;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerOutcome.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerOutcome.java
@@ -14,6 +14,9 @@
 	/** It said that it did not run the request. */
 	REJECTED,
 
+	/** Another instance answered at its address, so it no longer runs. */
+	REPLACED,
+
 	/** No connection could be opened. */
 	UNREACHABLE
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -121,7 +121,8 @@
 				random);
 		this.fleet = new Fleet(
 				new FleetOptions(settings.hostId(), settings.failureDomain(), settings.peerPort(), settings.seeds(),
-						settings.firstStart(), settings.dataFolder(), settings.losses(), FleetOptions.Timing.DEFAULT),
+						settings.firstStart(), settings.dataFolder(), settings.losses(), this.clock.nowMs(),
+						FleetOptions.Timing.DEFAULT),
 				this.transport, new AgreementTransport(this.transport), this.scheduler, listSource, this.belief,
 				this::state, this.metrics, random, System.currentTimeMillis());
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
@@ -169,6 +170,14 @@
 		return state() == HostState.READY && this.belief.ageMs() < this.settings.revocationMs() * KEY_AGE_PART;
 	}
 
+	/**
+	 * Returns the port that callers reach.
+	 * @return the port
+	 */
+	public int callerPort() {
+		return this.server.port();
+	}
+
 	/**
 	 * Returns where a caller may connect.
 	 * @param failureDomain the failure domain of the caller, or null
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
@@ -112,7 +112,8 @@
 
 	private void open(List<String> initialHostIds) {
 		ReplicaOptions replicaOptions = new ReplicaOptions(GROUP, this.options.hostId(), this.options.dataFolder(),
-				initialHostIds, Map.of(this.options.hostId(), this.options.failureDomain()), FleetOptions.AGREEMENT);
+				initialHostIds, Map.of(this.options.hostId(), this.options.failureDomain()), FleetOptions.AGREEMENT,
+				this.options.startedAtMs());
 		this.replica = new ReplicaRuntime(replicaOptions, this.transport, this.state, this.scheduler, this.metrics,
 				this.seed);
 		this.replica.failure()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
@@ -16,16 +16,18 @@
  * @param firstStart whether the whole fleet starts for the first time with empty disks
  * @param dataFolder the folder for the replica, or null if the host has no disk
  * @param losses the hosts with a disk that may be lost at the same time
+ * @param startedAtMs when the process started at the latest, in milliseconds of the
+ * fleet's clock
  * @param timing the times
  */
 public record FleetOptions(String hostId, String failureDomain, int peerPort, List<String> seeds, boolean firstStart,
-		Path dataFolder, int losses, Timing timing) {
+		Path dataFolder, int losses, long startedAtMs, Timing timing) {
 
 	/**
-	 * The times of the agreement group: a leader is replaced within two seconds, and a
+	 * The times of the agreement group: a leader is replaced within about a second, and a
 	 * few lost packets do not depose it.
 	 */
-	public static final AgreementTiming AGREEMENT = new AgreementTiming(150, 800, 600, 400);
+	public static final AgreementTiming AGREEMENT = new AgreementTiming(100, 500, 400, 400);
 
 	/**
 	 * Checks the arguments and copies the list.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -21,6 +21,9 @@
 	/** Servers that may refuse a connection before the request is given up. */
 	private static final int MAX_UNREACHABLE = 3;
 
+	/** Servers that may decline a request before it is given up. */
+	private static final int MAX_REJECTIONS = 2;
+
 	/** A queue that was full has mostly drained after this time. */
 	private static final long FULL_RETRY_MS = 150;
 
@@ -39,6 +42,8 @@
 
 	private int unreachable;
 
+	private int rejections;
+
 	private boolean onItsWay;
 
 	private boolean mayHaveRun;
@@ -86,13 +91,17 @@
 	/**
 	 * Decides what follows when the server did not run the request.
 	 * @param answer the server's answer
+	 * @param replaced whether another instance answered at the server's address
 	 * @return null if another server is to be tried, or the refusal
 	 */
-	FescueholdException afterRejection(BackendAnswer answer) {
+	FescueholdException afterRejection(BackendAnswer answer, boolean replaced) {
 		this.onItsWay = false;
-		this.dispatcher.record(this.request, this.target, ServerOutcome.REJECTED);
-		boolean harmless = !this.mayHaveRun || this.request.route().isRepeatable();
-		if (harmless && this.dispatcher.mayRepeat(this.request, this.count)) {
+		this.rejections++;
+		this.dispatcher.record(this.request, this.target,
+				replaced ? ServerOutcome.REPLACED : ServerOutcome.REJECTED);
+		// A server that did not run the request does not count as one of the attempts.
+		this.count--;
+		if (this.rejections <= MAX_REJECTIONS && this.dispatcher.mayRepeat(this.request, this.count)) {
 			this.log.serverFailed(this.request, serverId(), "not run, status " + answer.status(), "trying another");
 			return null;
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -79,7 +79,7 @@
 					"the answer belongs to request " + head.requestId(), null)));
 		}
 		if (head.notRun()) {
-			return orElseAttempt(this.attempts.afterRejection(answer));
+			return orElseAttempt(this.attempts.afterRejection(answer, head.otherInstance()));
 		}
 		if (!head.signed()) {
 			return orElseAttempt(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -175,8 +175,9 @@
 		if (!(item instanceof StreamItem.Whole(BackendAnswer answer, boolean judged)) || judged) {
 			return Mono.just(item);
 		}
-		if (this.dispatcher.read(answer.status(), answer.headers()).notRun()) {
-			return orElseAttempt(this.attempts.afterRejection(answer));
+		AnswerHead head = this.dispatcher.read(answer.status(), answer.headers());
+		if (head.notRun()) {
+			return orElseAttempt(this.attempts.afterRejection(answer, head.otherInstance()));
 		}
 		if (answer.status() >= 500 && this.attempts.repeatsAfterError(answer)) {
 			return attempt();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -120,7 +120,8 @@
 				AgreementOptions.DEFAULT_MAX_BATCH_BYTES, AgreementOptions.DEFAULT_MAX_LOG_BYTES,
 				AgreementOptions.DEFAULT_MAX_IN_FLIGHT_ENTRIES);
 		this.writer = new DiskWriter(this.storage, diskScheduler, new DiskListener(), metrics, metricPrefix);
-		this.node = new AgreementNode(nodeOptions, opened.state(), new Random(seed), this.loop.nowMs());
+		this.node = new AgreementNode(nodeOptions, opened.state(), new Random(seed), this.loop.nowMs(),
+				Math.min(this.loop.nowMs(), this.options.silentSinceMs()));
 		this.running = true;
 		this.transport.receive(this.options.group(),
 				(message) -> this.loop.execute(() -> whileRunning((now) -> this.node.receive(now, message))));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaOptions.java
@@ -18,9 +18,15 @@
  * @param initialHostIds the hosts that form the group when all their stores are empty
  * @param failureDomains the failure domain of each known host by host id
  * @param timing the times
+ * @param silentSinceMs a time in milliseconds of the replica's clock since which the
+ * process has certainly run, or {@link #NOW} if the start of the replica is the only one
+ * known
  */
 public record ReplicaOptions(String group, String hostId, Path dataFolder, List<String> initialHostIds,
-		Map<String, String> failureDomains, AgreementTiming timing) {
+		Map<String, String> failureDomains, AgreementTiming timing, long silentSinceMs) {
+
+	/** Stands for the start of the replica. */
+	public static final long NOW = Long.MAX_VALUE;
 
 	/**
 	 * Checks the arguments and copies the collections.
@@ -34,6 +40,20 @@
 		failureDomains = Map.copyOf(failureDomains);
 	}
 
+	/**
+	 * Creates options of a replica that starts with its process.
+	 * @param group the name of the agreement group
+	 * @param hostId the own host id
+	 * @param dataFolder the data folder of the process
+	 * @param initialHostIds the hosts that form the group when all their stores are empty
+	 * @param failureDomains the failure domain of each known host by host id
+	 * @param timing the times
+	 */
+	public ReplicaOptions(String group, String hostId, Path dataFolder, List<String> initialHostIds,
+			Map<String, String> failureDomains, AgreementTiming timing) {
+		this(group, hostId, dataFolder, initialHostIds, failureDomains, timing, NOW);
+	}
+
 	/**
 	 * Returns the folder of the store.
 	 * @return the folder
