--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
@@ -28,7 +28,8 @@
 		this.context = context;
 		this.onElected = onElected;
 		this.onSteppedDown = onSteppedDown;
-		// A restarted replica may have acknowledged a leader's lease just before it ended.
+		// A restarted replica may have acknowledged a leader's lease just before it
+		// ended.
 		this.leaderContactMs = (context.term > 0) ? silentSinceMs : Progress.NEVER;
 		long timeoutMs = context.timing().electionTimeoutMs();
 		this.deadlineMs = Math.max(context.nowMs, silentSinceMs + timeoutMs) + context.random.nextLong(timeoutMs);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
@@ -24,7 +24,7 @@
 	static final double NEWEST_WEIGHT = 0.15;
 
 	/** The time in milliseconds in which a failure rate without new answers halves. */
-	static final double HALF_LIFE_MS = 4_000;
+	static final long HALF_LIFE_MS = 4_000;
 
 	private static final int MAX_DOUBLINGS = 3;
 
@@ -74,7 +74,7 @@
 	 * @return a number from 0 to 1
 	 */
 	public double failureRate(long nowMs) {
-		return this.failureRate * Math.pow(0.5, (nowMs - this.ratedMs) / HALF_LIFE_MS);
+		return this.failureRate * Math.pow(0.5, (nowMs - this.ratedMs) / (double) HALF_LIFE_MS);
 	}
 
 	private void rate(double failed, long nowMs) {
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/membership/VoterPlanTests.java
@@ -0,0 +1,112 @@
+package io.fescuehold.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.fescuehold.core.agreement.MembershipChange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests which hosts replicate when hosts come, go and lose their disks.
+ */
+class VoterPlanTests {
+
+	private static final long ABSENCE_MS = 1_200;
+
+	@Test
+	void groupOfThreeSpreadsOverTheFailureDomains() {
+		List<HostRecord> hosts = List.of(host("1", "a"), host("2", "a"), host("3", "b"), host("4", "c"),
+				diskless("5", "c"));
+		assertThat(new VoterPlan(1, ABSENCE_MS).initialVoters(hosts)).containsExactlyInAnyOrder("1", "3", "4");
+	}
+
+	@Test
+	void twoLossesNeedFiveVoters() {
+		List<HostRecord> hosts = new ArrayList<>();
+		for (int index = 0; index < 8; index++) {
+			hosts.add(host("h" + index, "d" + index / 2));
+		}
+		assertThat(new VoterPlan(2, ABSENCE_MS).initialVoters(hosts)).hasSize(5);
+	}
+
+	@Test
+	void evenNumberOfDisksFormsTheNextSmallerGroup() {
+		assertThat(new VoterPlan(2, ABSENCE_MS)
+			.initialVoters(List.of(host("1", "a"), host("2", "b"), host("3", "c"), host("4", "d")))).hasSize(3);
+		assertThat(new VoterPlan(1, ABSENCE_MS).initialVoters(List.of(diskless("1", "a")))).isEmpty();
+	}
+
+	@Test
+	void hostThatLostItsDiskReplacesItselfAtOnce() {
+		VoterPlan plan = new VoterPlan(1, ABSENCE_MS);
+		HostRecord returned = new HostRecord("2", "b", 9, "other-store", HostState.READY);
+		MembershipChange change = plan.next(voters(), List.of(host("1", "a"), returned, host("3", "c")), 0);
+		assertThat(change.addHostId()).isEqualTo("2");
+		assertThat(change.removeHostId()).isEqualTo("2");
+	}
+
+	@Test
+	void silentVoterIsReplacedOnlyAfterTheAbsence() {
+		VoterPlan plan = new VoterPlan(1, ABSENCE_MS);
+		List<HostRecord> live = List.of(host("1", "a"), host("3", "c"), host("4", "c"), host("5", "b"));
+		assertThat(plan.next(voters(), live, 0)).isNull();
+		assertThat(plan.next(voters(), live, ABSENCE_MS - 1)).isNull();
+		MembershipChange change = plan.next(voters(), live, ABSENCE_MS);
+		assertThat(change.removeHostId()).isEqualTo("2");
+		assertThat(change.addHostId()).as("a host of the failure domain without a voter").isEqualTo("5");
+	}
+
+	@Test
+	void voterThatIsHeardOfAgainStays() {
+		VoterPlan plan = new VoterPlan(1, ABSENCE_MS);
+		List<HostRecord> without = List.of(host("1", "a"), host("3", "c"), host("4", "b"));
+		List<HostRecord> with = List.of(host("1", "a"), host("2", "b"), host("3", "c"), host("4", "b"));
+		plan.next(voters(), without, 0);
+		assertThat(plan.next(voters(), with, 800)).isNull();
+		assertThat(plan.next(voters(), without, 1_300)).isNull();
+		assertThat(plan.next(voters(), without, 2_400)).isNull();
+		assertThat(plan.next(voters(), without, 2_500)).isNotNull();
+	}
+
+	@Test
+	void silentVoterWithoutAStandInStays() {
+		VoterPlan plan = new VoterPlan(1, ABSENCE_MS);
+		List<HostRecord> live = List.of(host("1", "a"), host("3", "c"), diskless("4", "b"));
+		plan.next(voters(), live, 0);
+		assertThat(plan.next(voters(), live, 60_000)).isNull();
+	}
+
+	@Test
+	void drainingHostDoesNotStandIn() {
+		VoterPlan plan = new VoterPlan(1, ABSENCE_MS);
+		HostRecord draining = new HostRecord("4", "b", 1, "store-4", HostState.DRAINING);
+		List<HostRecord> live = List.of(host("1", "a"), host("3", "c"), draining);
+		plan.next(voters(), live, 0);
+		assertThat(plan.next(voters(), live, 60_000)).isNull();
+	}
+
+	@Test
+	void smallGroupGrowsByTwo() {
+		VoterPlan plan = new VoterPlan(2, ABSENCE_MS);
+		List<HostRecord> four = List.of(host("1", "a"), host("2", "b"), host("3", "c"), host("4", "d"));
+		assertThat(plan.next(voters(), four, 0)).as("an even group survives no more").isNull();
+		List<HostRecord> five = List.of(host("1", "a"), host("2", "b"), host("3", "c"), host("4", "d"), host("5", "a"));
+		assertThat(plan.next(voters(), five, 0).addHostId()).isEqualTo("4");
+	}
+
+	private static List<VoterPlan.Voter> voters() {
+		return List.of(new VoterPlan.Voter("1", "store-1", "a"), new VoterPlan.Voter("2", "store-2", "b"),
+				new VoterPlan.Voter("3", "store-3", "c"));
+	}
+
+	private static HostRecord host(String id, String domain) {
+		return new HostRecord(id, domain, 1, "store-" + id, HostState.READY);
+	}
+
+	private static HostRecord diskless(String id, String domain) {
+		return new HostRecord(id, domain, 1, null, HostState.READY);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/retry/WindowedRetryBudgetTests.java
@@ -0,0 +1,51 @@
+package io.fescuehold.core.retry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the repeats of a whole fleet stay below the agreed limit in every window.
+ */
+class WindowedRetryBudgetTests {
+
+	private static final long WINDOW_MS = 10_000;
+
+	private static final double RATIO = 0.2;
+
+	private static final double EXTRA = 58;
+
+	private static final int DAEMONS = 7;
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3 })
+	void fleetStaysBelowTheLimitInEveryWindowWhileAllServersFail(long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		List<WindowedRetryBudget> budgets = new ArrayList<>();
+		for (int daemon = 0; daemon < DAEMONS; daemon++) {
+			budgets.add(new WindowedRetryBudget(RATIO, EXTRA, WINDOW_MS));
+		}
+		List<Long> requests = new ArrayList<>();
+		List<Long> repeats = new ArrayList<>();
+		for (long nowMs = 0; nowMs < 60_000; nowMs += 20) {
+			WindowedRetryBudget budget = budgets.get(random.nextInt(DAEMONS));
+			budget.request("s", nowMs);
+			requests.add(nowMs);
+			while (budget.tryRepeat("s", DAEMONS, nowMs)) {
+				repeats.add(nowMs);
+			}
+			assertThat(within(repeats, nowMs)).isLessThanOrEqualTo((int) (RATIO * within(requests, nowMs) + EXTRA));
+		}
+		assertThat(repeats).hasSizeGreaterThan(300);
+	}
+
+	private static int within(List<Long> times, long nowMs) {
+		return (int) times.stream().filter((time) -> time > nowMs - WINDOW_MS).count();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/routes/RoutingRulesTests.java
@@ -0,0 +1,76 @@
+package io.fescuehold.core.routes;
+
+import java.util.List;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+/**
+ * Tests that an invalid configuration is refused with the place, the value and the
+ * remedy.
+ */
+class RoutingRulesTests {
+
+	@Test
+	void soundConfigurationIsAccepted() {
+		assertThatCode(() -> RoutingRules.check(RoutingSamples.config(1, List.of(RoutingSamples.route("r", "/a/")))))
+			.doesNotThrowAnyException();
+	}
+
+	@Test
+	void unknownServiceIsRefused() {
+		assertRefused(RoutingSamples.config(1, List.of(RoutingSamples.route("r", "/a/", 10, "other"))),
+				"route \"r\" service is other; name one of the configured services");
+	}
+
+	@Test
+	void samePlaceIsRefused() {
+		assertRefused(
+				RoutingSamples.config(1, List.of(RoutingSamples.route("r", "/a/"), RoutingSamples.route("s", "/a/"))),
+				"route \"s\" is h.example/a/; use a host name and path prefix that no other route has");
+	}
+
+	@Test
+	void timeoutOfZeroIsRefused() {
+		assertRefused(RoutingSamples.config(1, List.of(RoutingSamples.route("r", "/a/", 0, "service"))),
+				"route \"r\" timeout is 0; use a positive number of milliseconds");
+	}
+
+	@Test
+	void weightsWithoutSumAreRefused() {
+		Route route = new Route("r", "h.example", "/a/", RouteKind.STREAMING, true, 10, 10, 10, 0,
+				List.of(new ServiceWeight("service", 0)), 1, false);
+		assertRefused(RoutingSamples.config(1, List.of(route)),
+				"route \"r\" weights is 0; give at least one service a positive weight");
+	}
+
+	@Test
+	void prefixWithoutSlashIsRefused() {
+		assertRefused(RoutingSamples.config(1, List.of(RoutingSamples.route("r", "/a"))),
+				"route \"r\" path prefix is /a; begin and end it with a slash");
+	}
+
+	@Test
+	void sharedKeyIsRefusedWithoutShowingIt() {
+		RoutingConfig config = new RoutingConfig(1, List.of(), List.of(), CallerLimits.DEFAULT,
+				List.of(new TeamAccess("a", List.of("secret"), 0), new TeamAccess("b", List.of("secret"), 0)));
+		assertRefused(config, "team \"b\" key is a key of another team; give each team keys of its own");
+	}
+
+	@Test
+	void numberOfZeroIsRefused() {
+		assertRefused(RoutingSamples.config(0, List.of()), "number is 0; use a positive number");
+	}
+
+	private static void assertRefused(RoutingConfig config, String message) {
+		FescueholdException refusal = catchThrowableOfType(FescueholdException.class, () -> RoutingRules.check(config));
+		assertThat(refusal.code()).isEqualTo(ErrorCode.ROUTING_INVALID);
+		assertThat(refusal).hasMessage(message);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerHealthTests.java
@@ -0,0 +1,59 @@
+package io.fescuehold.core.servers;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests what a server's answers say of its health.
+ */
+class ServerHealthTests {
+
+	private final ServerHealth health = new ServerHealth();
+
+	@Test
+	void unreachableServerIsLeftOutForLongerEachTime() {
+		long now = 0;
+		long expected = ServerHealth.FIRST_PAUSE_MS;
+		for (int failure = 0; failure < 6; failure++) {
+			this.health.record(ServerOutcome.UNREACHABLE, now);
+			assertThat(this.health.isUsable(now + expected - 1)).isFalse();
+			assertThat(this.health.isUsable(now + expected)).isTrue();
+			now += expected;
+			expected = Math.min(2 * expected, ServerHealth.LONGEST_PAUSE_MS);
+		}
+	}
+
+	@Test
+	void serverThatIsBackStartsWithAShortPauseAgain() {
+		this.health.record(ServerOutcome.UNREACHABLE, 0);
+		this.health.record(ServerOutcome.UNREACHABLE, 400);
+		this.health.record(ServerOutcome.SERVED, 2_000);
+		this.health.record(ServerOutcome.UNREACHABLE, 3_000);
+		assertThat(this.health.isUsable(3_000 + ServerHealth.FIRST_PAUSE_MS)).isTrue();
+	}
+
+	@Test
+	void failureRateFollowsTheAnswersAndFades() {
+		for (int answer = 0; answer < 200; answer++) {
+			this.health.record((answer % 2 == 0) ? ServerOutcome.FAILED : ServerOutcome.SERVED, answer);
+		}
+		assertThat(this.health.failureRate(200)).isBetween(0.4, 0.6);
+		assertThat(this.health.failureRate(200 + 4 * ServerHealth.HALF_LIFE_MS)).isLessThan(0.05);
+	}
+
+	@Test
+	void replacedInstanceGetsNothingUntilTheListHasForgottenIt() {
+		this.health.record(ServerOutcome.REPLACED, 0);
+		assertThat(this.health.isUsable(ServerHealth.REPLACED_PAUSE_MS - 1)).isFalse();
+	}
+
+	@Test
+	void fullServerRestsBriefly() {
+		this.health.record(ServerOutcome.REJECTED, 0);
+		assertThat(this.health.isUsable(ServerHealth.REJECTED_PAUSE_MS - 1)).isFalse();
+		assertThat(this.health.isUsable(ServerHealth.REJECTED_PAUSE_MS)).isTrue();
+		assertThat(this.health.failureRate(1)).isZero();
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -97,8 +97,7 @@
 	FescueholdException afterRejection(BackendAnswer answer, boolean replaced) {
 		this.onItsWay = false;
 		this.rejections++;
-		this.dispatcher.record(this.request, this.target,
-				replaced ? ServerOutcome.REPLACED : ServerOutcome.REJECTED);
+		this.dispatcher.record(this.request, this.target, replaced ? ServerOutcome.REPLACED : ServerOutcome.REJECTED);
 		// A server that did not run the request does not count as one of the attempts.
 		this.count--;
 		if (this.rejections <= MAX_REJECTIONS && this.dispatcher.mayRepeat(this.request, this.count)) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -1,6 +1,5 @@
 package io.fescuehold.runtime.gateway;
 
-import java.time.Duration;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -183,7 +182,7 @@
 	 */
 	public void stop() {
 		if (this.server != null) {
-			this.server.disposeNow(Duration.ofMillis(1));
+			this.server.dispose();
 		}
 		this.pools.close();
 	}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
@@ -0,0 +1,195 @@
+package io.fescuehold.runtime.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import io.fescuehold.runtime.http.ScriptedServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import reactor.core.Disposable;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that streams arrive without a gap or a repeat, or visibly broken off.
+ */
+@Timeout(30)
+class GatewayStreamTests {
+
+	private final List<String> arrivals = Collections.synchronizedList(new ArrayList<>());
+
+	@Test
+	void streamIsDeliveredUnchanged() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			begin(connection, request);
+			events(connection, 1, 4);
+			connection.send("0\r\n\r\n");
+		}); TestGateway gateway = new TestGateway(server)) {
+			TestGateway.Answer answer = gateway.send("/once/x", "r1", "prompt");
+			assertThat(answer.body()).isEqualTo(text(1, 4));
+			assertThat(answer.header("X-Signature")).isEqualTo("s");
+		}
+	}
+
+	@Test
+	void streamThatBreaksOffInsideAnEventGoesOnAtAnotherServer() {
+		ScriptedServer.Script breaking = (request, connection) -> {
+			int after = resumeAfter(request);
+			this.arrivals.add("after " + after);
+			begin(connection, request);
+			if (after == 0) {
+				events(connection, 1, 3);
+				connection.chunk("id: 4\nda");
+				resetOnceRead(connection);
+			}
+			else {
+				events(connection, after + 1, 6);
+				connection.send("0\r\n\r\n");
+			}
+		};
+		try (ScriptedServer one = new ScriptedServer(breaking);
+				ScriptedServer two = new ScriptedServer(breaking);
+				TestGateway gateway = new TestGateway(one, two)) {
+			TestGateway.Answer answer = gateway.send("/resumable/x", "r1", "prompt");
+			assertThat(answer.brokenOff()).isFalse();
+			assertThat(answer.body()).isEqualTo(text(1, 6));
+			assertThat(this.arrivals).containsExactly("after 0", "after 3");
+			assertThat(one.received()).hasSize(1);
+			assertThat(two.received()).hasSize(1);
+		}
+	}
+
+	@Test
+	void silentStreamGoesOnAtAnotherServer() {
+		ScriptedServer.Script silent = (request, connection) -> {
+			int after = resumeAfter(request);
+			begin(connection, request);
+			if (after == 0) {
+				events(connection, 1, 2);
+				connection.hang();
+			}
+			events(connection, after + 1, 5);
+			connection.send("0\r\n\r\n");
+		};
+		try (ScriptedServer one = new ScriptedServer(silent);
+				ScriptedServer two = new ScriptedServer(silent);
+				TestGateway gateway = new TestGateway(one, two)) {
+			assertThat(gateway.send("/resumable/x", "r1", "prompt").body()).isEqualTo(text(1, 5));
+		}
+	}
+
+	@Test
+	void eventsThatTheCallerHasAreNotRepeated() {
+		ScriptedServer.Script repeating = (request, connection) -> {
+			begin(connection, request);
+			if (request.headers().containsKey("Last-Event-ID")) {
+				events(connection, 1, 5);
+				connection.send("0\r\n\r\n");
+			}
+			else {
+				events(connection, 1, 3);
+				resetOnceRead(connection);
+			}
+		};
+		try (ScriptedServer one = new ScriptedServer(repeating);
+				ScriptedServer two = new ScriptedServer(repeating);
+				TestGateway gateway = new TestGateway(one, two)) {
+			assertThat(gateway.send("/resumable/x", "r1", "prompt").body()).isEqualTo(text(1, 5));
+		}
+	}
+
+	@Test
+	void streamThatMayNotGoOnIsVisiblyBrokenOff() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			begin(connection, request);
+			events(connection, 1, 2);
+			resetOnceRead(connection);
+		}); TestGateway gateway = new TestGateway(server)) {
+			assertThat(gateway.send("/once/x", "r1", "prompt").brokenOff()).isTrue();
+			assertThat(server.received()).hasSize(1);
+			assertThat(gateway.counter("gateway.brokenOff")).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void streamWithoutItsNextEventIsNotJoined() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			begin(connection, request);
+			events(connection, 1, 2);
+			events(connection, 4, 5);
+			connection.send("0\r\n\r\n");
+		}); TestGateway gateway = new TestGateway(server)) {
+			assertThat(gateway.send("/once/x", "r1", "prompt").brokenOff()).isTrue();
+		}
+	}
+
+	@Test
+	void serverHearsWithinHalfASecondThatTheCallerHasLeft() throws InterruptedException {
+		long[] closedNs = new long[1];
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			begin(connection, request);
+			try {
+				for (int event = 1; event < 1_000; event++) {
+					events(connection, event, event);
+					Thread.sleep(20);
+				}
+			}
+			catch (IOException ex) {
+				closedNs[0] = System.nanoTime();
+			}
+		}); TestGateway gateway = new TestGateway(server)) {
+			Disposable caller = gateway.request("/resumable/x", "r1", "prompt").subscribe();
+			Thread.sleep(500);
+			long leftNs = System.nanoTime();
+			caller.dispose();
+			Thread.sleep(500);
+			assertThat(closedNs[0]).isNotZero();
+			assertThat((closedNs[0] - leftNs) / 1_000_000).isLessThan(500);
+			assertThat(gateway.server().inFlight()).isZero();
+		}
+	}
+
+	@Test
+	void errorBeforeTheStreamIsDelivered() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection
+			.send("HTTP/1.1 500 Status\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nbad"));
+				TestGateway gateway = new TestGateway(server)) {
+			TestGateway.Answer answer = gateway.send("/once/x", "r1", "prompt");
+			assertThat(answer.status()).isEqualTo(500);
+			assertThat(answer.body()).isEqualTo("bad");
+		}
+	}
+
+	// A reset discards what the receiver has not read yet.
+	private static void resetOnceRead(ScriptedServer.Connection connection) throws IOException, InterruptedException {
+		Thread.sleep(100);
+		connection.reset();
+	}
+
+	private static int resumeAfter(ScriptedServer.Received request) {
+		return Integer.parseInt(request.headers().getOrDefault("Last-Event-ID", "0"));
+	}
+
+	private static void begin(ScriptedServer.Connection connection, ScriptedServer.Received request)
+			throws IOException {
+		connection.send("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + request.headers().get("X-Request")
+				+ "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+	}
+
+	private static void events(ScriptedServer.Connection connection, int first, int last) throws IOException {
+		for (int event = first; event <= last; event++) {
+			connection.chunk(text(event, event));
+		}
+	}
+
+	private static String text(int first, int last) {
+		StringBuilder text = new StringBuilder();
+		for (int event = first; event <= last; event++) {
+			text.append("id: ").append(event).append("\ndata: token ").append(event).append("\n\n");
+		}
+		return text.toString();
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -0,0 +1,138 @@
+package io.fescuehold.runtime.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.routes.CallerLimits;
+import io.fescuehold.core.routes.Route;
+import io.fescuehold.core.routes.RouteKind;
+import io.fescuehold.core.routes.RoutedService;
+import io.fescuehold.core.routes.RoutingConfig;
+import io.fescuehold.core.routes.ServiceWeight;
+import io.fescuehold.core.routes.TeamAccess;
+import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.runtime.backend.BackendOptions;
+import io.fescuehold.runtime.http.ScriptedServer;
+import io.fescuehold.runtime.replica.MonotonicScheduler;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A gateway in front of scripted servers, with one route of each kind.
+ */
+final class TestGateway implements AutoCloseable {
+
+	static final int TIMEOUT_MS = 1_500;
+
+	static final int OBJECTIVE_MS = 300;
+
+	private final LoopResources loops = LoopResources.create("test-gateway", 1, true);
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final GatewayBelief belief;
+
+	private final GatewayServer server;
+
+	private final Scheduler scheduler;
+
+	TestGateway(ScriptedServer... servers) {
+		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
+		this.belief = new GatewayBelief((submitted) -> config(), () -> this.scheduler.now(TimeUnit.MILLISECONDS));
+		GatewayOptions options = new GatewayOptions("127.0.0.1", 0, "a", 60_000, 1_000, 0.2, 100, 10_000,
+				BackendOptions.DEFAULT);
+		this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.scheduler, this.loops,
+				this.metrics, new SplittableRandom(1));
+		this.belief.onDocument(Documents.of(1, "{}".getBytes(StandardCharsets.UTF_8)));
+		this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
+		this.belief.onHosts(List.of(new HostRecord("127.0.0.1", "a", 1, null, HostState.READY)));
+		List<BackendServer> list = new ArrayList<>();
+		for (int index = 0; index < servers.length; index++) {
+			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", 4, false));
+		}
+		this.belief.onServers(new ServerList(1, list));
+		this.server.start();
+	}
+
+	private static RoutingConfig config() {
+		return new RoutingConfig(1,
+				List.of(route("lookup", RouteKind.IDEMPOTENT, false, 2),
+						route("order", RouteKind.NON_IDEMPOTENT, false, 1),
+						route("resumable", RouteKind.STREAMING, true, 2), route("once", RouteKind.STREAMING, false, 1)),
+				List.of(new RoutedService("service", "/", 10, null)), CallerLimits.DEFAULT,
+				List.of(new TeamAccess("team", List.of("key"), 0)));
+	}
+
+	private static Route route(String name, RouteKind kind, boolean resumable, int attempts) {
+		return new Route(name, "h.example", "/" + name + "/", kind, resumable, TIMEOUT_MS, OBJECTIVE_MS, 200, 0,
+				List.of(new ServiceWeight("service", 1)), attempts, false);
+	}
+
+	GatewayServer server() {
+		return this.server;
+	}
+
+	long counter(String name) {
+		return this.metrics.counter(name).getCount();
+	}
+
+	HttpClient client() {
+		return HttpClient.create()
+			.host("127.0.0.1")
+			.port(this.server.port())
+			.headers((headers) -> headers.set("Host", "h.example").set("X-Key", "key"));
+	}
+
+	Answer send(String path, String requestId, String body) {
+		return request(path, requestId, body).block();
+	}
+
+	Mono<Answer> request(String path, String requestId, String body) {
+		return client().headers((headers) -> headers.set("X-Request", requestId))
+			.post()
+			.uri(path)
+			.send((request, outbound) -> outbound.sendString(Mono.just(body)))
+			.responseSingle((head, content) -> content.asString()
+				.defaultIfEmpty("")
+				.map((text) -> new Answer(head, text, false))
+				.onErrorReturn(new Answer(head, "", true)));
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+		this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(2)).block();
+	}
+
+	/**
+	 * An answer.
+	 *
+	 * @param head the head
+	 * @param body the body
+	 * @param brokenOff whether the connection ended before the answer
+	 */
+	record Answer(HttpClientResponse head, String body, boolean brokenOff) {
+
+		int status() {
+			return this.head.status().code();
+		}
+
+		String header(String name) {
+			return this.head.responseHeaders().get(name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -0,0 +1,60 @@
+package io.fescuehold.runtime.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import io.fescuehold.core.prompt.PromptPart;
+import io.fescuehold.core.prompt.PromptShape;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Headers for tests.
+ */
+final class TestProtocol implements CallerProtocol {
+
+	@Override
+	public CallerHead read(String method, String uri, HttpHeaders headers) {
+		Map<String, String> passedOn = new HashMap<>();
+		for (String name : List.of("X-Request", "X-Custom", "Host")) {
+			if (headers.contains(name)) {
+				passedOn.put(name, headers.get(name));
+			}
+		}
+		List<PromptPart> parts = new ArrayList<>();
+		if (headers.contains("X-Parts")) {
+			for (String part : headers.get("X-Parts").split(",")) {
+				parts.add(new PromptPart(part, 100));
+			}
+		}
+		return new CallerHead(headers.get("X-Request", ""), headers.get("Host"), method, uri, headers.get("X-Key"),
+				headers.getInt("X-Left-Ms", 0), headers.getInt("Last-Event-ID", 0),
+				parts.isEmpty() ? null : new PromptShape(parts, 10), passedOn);
+	}
+
+	@Override
+	public Map<String, String> forward(CallerHead head, Forwarding forwarding) {
+		Map<String, String> headers = new HashMap<>(head.headers());
+		headers.put("X-Left-Ms", String.valueOf(forwarding.leftMs()));
+		headers.put("X-Instance", forwarding.instanceId());
+		if (forwarding.team() != null) {
+			headers.put("X-Team", forwarding.team());
+		}
+		if (forwarding.copyFrom() != null) {
+			headers.put("X-Copy-From", forwarding.copyFrom());
+		}
+		if (forwarding.resumeAfter() >= 0) {
+			headers.put("Last-Event-ID", String.valueOf(forwarding.resumeAfter()));
+		}
+		return headers;
+	}
+
+	@Override
+	public AnswerHead read(int status, Map<String, String> headers) {
+		return new AnswerHead(headers.get("x-request".toLowerCase(Locale.ROOT)), headers.containsKey("x-signature"),
+				headers.containsKey("x-not-run") || status == 421, status == 421);
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the gateway against scripted servers.
+ */
+package io.fescuehold.runtime.gateway;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
@@ -19,7 +19,7 @@
 /**
  * A backend server on loopback whose script decides byte by byte what it sends.
  */
-final class ScriptedServer implements AutoCloseable {
+public final class ScriptedServer implements AutoCloseable {
 
 	private final ServerSocket listener;
 
@@ -31,7 +31,7 @@
 
 	private final AtomicInteger connections = new AtomicInteger();
 
-	ScriptedServer(Script script) {
+	public ScriptedServer(Script script) {
 		this.script = script;
 		try {
 			this.listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
@@ -99,19 +99,19 @@
 		return line.toString().strip();
 	}
 
-	int port() {
+	public int port() {
 		return this.listener.getLocalPort();
 	}
 
-	int connections() {
+	public int connections() {
 		return this.connections.get();
 	}
 
-	List<Received> received() {
+	public List<Received> received() {
 		return this.received;
 	}
 
-	long count(String method) {
+	public long count(String method) {
 		return this.received.stream().filter((request) -> request.method().equals(method)).count();
 	}
 
@@ -128,25 +128,25 @@
 		}
 	}
 
-	interface Script {
+	public interface Script {
 
 		void serve(Received request, Connection connection) throws Exception;
 
 	}
 
-	record Received(int connection, String method, String target, Map<String, String> headers, String body) {
+	public record Received(int connection, String method, String target, Map<String, String> headers, String body) {
 
-		boolean isChat() {
+		public boolean isChat() {
 			return this.target.equals("/v1/chat/completions");
 		}
 
-		long from() {
+		public long from() {
 			return Long.parseLong(this.target.substring(this.target.indexOf("from=") + "from=".length()));
 		}
 
 	}
 
-	static final class Connection {
+	public static final class Connection {
 
 		private final Socket socket;
 
@@ -154,23 +154,23 @@
 			this.socket = socket;
 		}
 
-		void send(String text) throws IOException {
+		public void send(String text) throws IOException {
 			OutputStream out = this.socket.getOutputStream();
 			out.write(text.getBytes(StandardCharsets.UTF_8));
 			out.flush();
 		}
 
-		void answer(int status, String body) throws IOException {
+		public void answer(int status, String body) throws IOException {
 			send("HTTP/1.1 " + status + " Status\r\nContent-Type: application/json\r\nContent-Length: "
 					+ body.getBytes(StandardCharsets.UTF_8).length + "\r\n\r\n" + body);
 		}
 
-		void beginStream(String streamId) throws IOException {
+		public void beginStream(String streamId) throws IOException {
 			send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Stream-Id: " + streamId
 					+ "\r\nTransfer-Encoding: chunked\r\n\r\n");
 		}
 
-		void chunk(String text) throws IOException {
+		public void chunk(String text) throws IOException {
 			int length = text.getBytes(StandardCharsets.UTF_8).length;
 			send(Integer.toHexString(length).toUpperCase(Locale.ROOT) + "\r\n" + text + "\r\n");
 		}
@@ -194,12 +194,12 @@
 			send("0\r\n\r\n");
 		}
 
-		void reset() throws IOException {
+		public void reset() throws IOException {
 			this.socket.setSoLinger(true, 0);
 			this.socket.close();
 		}
 
-		void hang() throws InterruptedException {
+		public void hang() throws InterruptedException {
 			Thread.sleep(60_000);
 		}
 
