--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
@@ -4,7 +4,8 @@
  * The health of a server as its answers show it. Health checks are not consulted, because
  * a server can fail part of its requests while its check passes. A server that cannot be
  * reached is left out for a time that doubles with each failure; a server that fails
- * requests gets fewer of them in proportion.
+ * requests gets fewer of them in proportion. A silent server counts as one that cannot be
+ * reached, because its open connections do not show that it is gone.
  */
 public final class ServerHealth {
 
@@ -50,7 +51,7 @@
 			case FAILED -> rate(1, nowMs);
 			case REJECTED -> this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + REJECTED_PAUSE_MS);
 			case REPLACED -> this.pausedUntilMs = nowMs + REPLACED_PAUSE_MS;
-			case UNREACHABLE -> {
+			case UNREACHABLE, SILENT -> {
 				long pauseMs = FIRST_PAUSE_MS << Math.min(this.unreachable, MAX_DOUBLINGS);
 				this.unreachable++;
 				this.pausedUntilMs = nowMs + Math.min(pauseMs, LONGEST_PAUSE_MS);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerOutcome.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerOutcome.java
@@ -11,6 +11,9 @@
 	/** It ran the request and failed, broke off or fell silent. */
 	FAILED,
 
+	/** It took the request and was not heard of again. */
+	SILENT,
+
 	/** It said that it did not run the request. */
 	REJECTED,
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -159,7 +159,8 @@
 		if (this.drain != null) {
 			return HostState.DRAINING;
 		}
-		return (this.belief.table() != null) ? HostState.READY : HostState.STARTING;
+		boolean knowing = this.belief.table() != null && this.belief.servers().revision() != 0;
+		return knowing ? HostState.READY : HostState.STARTING;
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
@@ -106,6 +106,16 @@
 		open(hostIds);
 	}
 
+	/**
+	 * Opens the replica of a host that the formed group did not choose, so that it can
+	 * become a voter later.
+	 */
+	void standBy() {
+		if (this.replica == null) {
+			form(List.of());
+		}
+	}
+
 	boolean isOpen() {
 		return this.replica != null;
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -347,6 +347,9 @@
 		}
 		setLeader(from);
 		this.contactMs = nowMs;
+		if (this.replica != null) {
+			this.replica.standBy();
+		}
 		if (news.document() != null) {
 			RoutingDocument newer = RoutingDocument.decode(news.document());
 			if (newer.number() > this.document.number()) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -132,10 +132,17 @@
 			return refusal;
 		}
 		String reason = String.valueOf(failure.getMessage());
+		boolean silent = failure instanceof BackendFailure stalled && stalled.kind() == BackendFailure.Kind.STALLED;
 		boolean notSent = !this.onItsWay
 				|| (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.NOT_SENT);
 		this.onItsWay = false;
-		this.dispatcher.record(this.request, this.target, notSent ? ServerOutcome.UNREACHABLE : ServerOutcome.FAILED);
+		if (silent) {
+			this.dispatcher.silent(this.request, this.target);
+		}
+		else {
+			this.dispatcher.record(this.request, this.target,
+					notSent ? ServerOutcome.UNREACHABLE : ServerOutcome.FAILED);
+		}
 		if (notSent) {
 			this.unreachable++;
 			this.count--;
@@ -167,6 +174,9 @@
 	 * @return a refusal that says not run only if no server may have run it
 	 */
 	FescueholdException deadlineExceeded() {
+		if (this.onItsWay) {
+			this.dispatcher.silent(this.request, this.target);
+		}
 		if (this.onItsWay || this.mayHaveRun) {
 			return FescueholdException.of(ErrorCode.DEADLINE_EXCEEDED, RunStatus.UNKNOWN, 0,
 					this.request.deadlineAtMs() - this.request.receivedAtMs());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -18,6 +18,7 @@
 import io.fescuehold.core.servers.PlainChoice;
 import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.core.servers.ServerState;
+import io.fescuehold.runtime.backend.BackendPool;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.fescuehold.runtime.backend.BackendRequest;
 import reactor.netty.http.client.HttpClient;
@@ -174,6 +175,18 @@
 		}
 	}
 
+	/**
+	 * Records that a server was not heard of again. Its idle connections may be dead as
+	 * well and are not used again.
+	 * @param request the request
+	 * @param target the server
+	 */
+	void silent(GatewayRequest request, Target target) {
+		record(request, target, ServerOutcome.SILENT);
+		BackendPool pool = this.pools.pool(target.server().server().ip(), target.server().server().port());
+		pool.evictIdle(pool.generation());
+	}
+
 	AnswerHead read(int status, Map<String, String> headers) {
 		return this.protocol.read(status, headers);
 	}
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -0,0 +1,297 @@
+package io.fescuehold.runtime.discovery;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.routes.SubmissionOutcome;
+import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.runtime.gateway.Documents;
+import io.fescuehold.runtime.replica.AgreementTransport;
+import io.fescuehold.runtime.replica.MonotonicScheduler;
+import io.fescuehold.runtime.replica.ReplicaStatus;
+import io.fescuehold.runtime.transport.PeerAddress;
+import io.fescuehold.runtime.transport.TcpPeerTransport;
+import io.fescuehold.runtime.transport.TransportOptions;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * A fleet whose daemons listen on loopback addresses of their own. Three failure domains;
+ * the first hosts have a disk.
+ */
+final class TestFleet implements AutoCloseable {
+
+	static final Duration LIMIT = Duration.ofSeconds(15);
+
+	final AtomicInteger listReads = new AtomicInteger();
+
+	private final Path folder;
+
+	private final int port;
+
+	private final int disks;
+
+	private final Map<String, Host> hosts = new TreeMap<>();
+
+	private final List<String> seeds = List.of(hostId(1), hostId(2), hostId(3));
+
+	TestFleet(Path folder, int disks, int diskless) {
+		this.folder = folder;
+		this.disks = disks;
+		this.port = freePort();
+		for (int number = 1; number <= disks + diskless; number++) {
+			start(number, true);
+		}
+	}
+
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	static String hostId(int number) {
+		return "127.0.0." + (10 + number);
+	}
+
+	Host start(int number, boolean firstStart) {
+		Host host = new Host(number, firstStart);
+		this.hosts.put(hostId(number), host);
+		return host;
+	}
+
+	Host host(int number) {
+		return this.hosts.get(hostId(number));
+	}
+
+	List<Host> hosts() {
+		return List.copyOf(this.hosts.values());
+	}
+
+	void stop(int number) {
+		this.hosts.remove(hostId(number)).stop();
+	}
+
+	void wipe(int number) {
+		Path disk = this.folder.resolve(hostId(number));
+		try (Stream<Path> files = Files.walk(disk)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	int leader() {
+		for (Host host : this.hosts.values()) {
+			if (host.leads()) {
+				return host.number;
+			}
+		}
+		return 0;
+	}
+
+	// Whether a host is a voter with its present store and no change is in progress.
+	boolean isSettledVoter(int number) {
+		int leader = leader();
+		if (leader == 0 || !(host(leader).replica() instanceof ReplicaStatus status)
+				|| !(host(number).replica() instanceof ReplicaStatus own)) {
+			return false;
+		}
+		return status.pendingChange() == null && status.members()
+			.stream()
+			.anyMatch((member) -> member.voter() && member.hostId().equals(hostId(number))
+					&& member.storeId().equals(own.storeId()));
+	}
+
+	static void await(String what, BooleanSupplier condition) {
+		long untilNs = System.nanoTime() + LIMIT.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > untilNs) {
+				throw new AssertionError("Not within " + LIMIT.toSeconds() + " s: " + what);
+			}
+			try {
+				Thread.sleep(20);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	static RoutingDocument document(long number, String content) {
+		return Documents.of(number, content.getBytes(StandardCharsets.UTF_8));
+	}
+
+	// Submits as an operator does: again until there is a clear answer.
+	SubmissionOutcome submit(int number, RoutingDocument document) {
+		SubmissionOutcome[] outcome = new SubmissionOutcome[1];
+		await("submission " + document.number(), () -> {
+			outcome[0] = host(number).fleet.submit(document).onErrorResume((error) -> Mono.empty()).block(LIMIT);
+			return outcome[0] != null;
+		});
+		return outcome[0];
+	}
+
+	void awaitInForce(long number) {
+		await("configuration " + number + " in force everywhere",
+				() -> this.hosts.values().stream().allMatch((host) -> host.number() == number));
+	}
+
+	@Override
+	public void close() {
+		List.copyOf(this.hosts.values()).forEach(Host::stop);
+	}
+
+	/**
+	 * One daemon.
+	 */
+	final class Host implements FleetListener {
+
+		private final int number;
+
+		private final LoopResources loops;
+
+		private final TcpPeerTransport transport;
+
+		private final Fleet fleet;
+
+		private final List<Long> inForce = new ArrayList<>();
+
+		private volatile long documentNumber;
+
+		private volatile ServerList servers = ServerList.EMPTY;
+
+		private volatile List<HostRecord> live = List.of();
+
+		private volatile HostState state = HostState.READY;
+
+		private volatile long confirmedMs;
+
+		Host(int number, boolean firstStart) {
+			this.number = number;
+			this.loops = LoopResources.create("test-fleet-" + number, 1, true);
+			Scheduler scheduler = new MonotonicScheduler(
+					Schedulers.fromExecutorService(this.loops.onServer(false).next()));
+			MetricRegistry metrics = new MetricRegistry();
+			this.transport = new TcpPeerTransport(new TransportOptions(hostId(number),
+					new PeerAddress(hostId(number), TestFleet.this.port), Map.of()), metrics, scheduler, this.loops);
+			this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, TestFleet.this.port));
+			Path disk = (number <= TestFleet.this.disks) ? TestFleet.this.folder.resolve(hostId(number)) : null;
+			FleetOptions options = new FleetOptions(hostId(number), "domain-" + number % 3, TestFleet.this.port,
+					TestFleet.this.seeds, firstStart, disk, 1, scheduler.now(TimeUnit.MILLISECONDS),
+					FleetOptions.Timing.DEFAULT);
+			this.fleet = new Fleet(options, this.transport, new AgreementTransport(this.transport), scheduler,
+					() -> Mono.fromSupplier(this::list), this, () -> this.state, metrics, new SplittableRandom(number),
+					System.nanoTime());
+			this.transport.start().block(LIMIT);
+			this.fleet.start();
+		}
+
+		private List<BackendServer> list() {
+			TestFleet.this.listReads.incrementAndGet();
+			return List.of(new BackendServer("i-1", "service", "10.0.0.1:80", "a", 4, false));
+		}
+
+		Fleet fleet() {
+			return this.fleet;
+		}
+
+		long number() {
+			return this.documentNumber;
+		}
+
+		List<Long> inForce() {
+			return this.inForce;
+		}
+
+		ServerList servers() {
+			return this.servers;
+		}
+
+		List<HostRecord> live() {
+			return this.live;
+		}
+
+		void setState(HostState newState) {
+			this.state = newState;
+		}
+
+		Object replica() {
+			return ((Map<?, ?>) this.fleet.dump()).get("replica");
+		}
+
+		boolean leads() {
+			return hostId(this.number).equals(((Map<?, ?>) this.fleet.dump()).get("leader"));
+		}
+
+		long confirmedMs() {
+			return this.confirmedMs;
+		}
+
+		void stop() {
+			this.transport.close();
+			this.fleet.stop();
+			this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(2)).block(LIMIT);
+		}
+
+		@Override
+		public void onDocument(RoutingDocument document) {
+			this.documentNumber = document.number();
+			this.inForce.add(document.number());
+		}
+
+		@Override
+		public void onConfirmed(long askedAtMs) {
+			this.confirmedMs = askedAtMs;
+		}
+
+		@Override
+		public void onServers(ServerList list) {
+			this.servers = list;
+		}
+
+		@Override
+		public void onHosts(List<HostRecord> hosts) {
+			this.live = hosts;
+		}
+
+		@Override
+		public void onOtherRequests(Map<String, Integer> requests) {
+		}
+
+		@Override
+		public Map<String, Integer> ownRequests() {
+			return Map.of();
+		}
+
+	}
+
+}
