--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -47,7 +47,7 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-	private static final long TICK_MS = 50;
+	private static final long TICK_MS = 100;
 
 	/** Bounds the questions while news follow each other. */
 	private static final long MIN_PULL_MS = 20;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetOptions.java
@@ -27,7 +27,7 @@
 	 * The times of the agreement group: a leader is replaced within about a second, and a
 	 * few lost packets do not depose it.
 	 */
-	public static final AgreementTiming AGREEMENT = new AgreementTiming(100, 500, 400, 400);
+	public static final AgreementTiming AGREEMENT = new AgreementTiming(150, 600, 450, 400);
 
 	/**
 	 * Checks the arguments and copies the list.
@@ -59,7 +59,7 @@
 		 * Times for a few dozen daemons about a millisecond apart, with revocations that
 		 * bind within five seconds.
 		 */
-		public static final Timing DEFAULT = new Timing(250, 800, 60, 2_000, 1_200, 1_000, 2_500, 5_000, 850);
+		public static final Timing DEFAULT = new Timing(350, 800, 60, 2_000, 1_200, 1_000, 2_500, 5_000, 850);
 
 	}
 
