--- /dev/null
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/PlatformNamesTests.java
@@ -0,0 +1,47 @@
+package io.fescuehold.it;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Keeps the platform's names for headers, calls and fields inside the adapter.
+ */
+class PlatformNamesTests {
+
+	private static final Pattern NAMES = Pattern.compile(
+			"(?i)attempt-id\"|server-stamp|expect-instance|not-executed|prefix-hash|token-usage|kv-(fetch|from|backup)"
+					+ "|/api/(config|resolve|readyz|report)|route_kind|path_prefix|ttl_s|api_keys|page_token");
+
+	@Test
+	void nothingOutsideTheAdapterKnowsThePlatformsNames() throws IOException {
+		Path root = Path.of("..").toRealPath();
+		try (Stream<Path> files = Files.walk(root)) {
+			List<Path> sources = files.filter((file) -> file.toString().endsWith(".java"))
+				.filter((file) -> !file.startsWith(root.resolve("platform"))
+						&& !file.startsWith(root.resolve("target")))
+				.filter((file) -> !file.endsWith("PlatformNamesTests.java"))
+				.toList();
+			assertThat(sources).hasSizeGreaterThan(300);
+			assertThat(sources.stream().filter(PlatformNamesTests::holdsName)).isEmpty();
+		}
+	}
+
+	private static boolean holdsName(Path file) {
+		try {
+			return NAMES.matcher(Files.readString(file)).find();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
