Elect right after a restarted replica's old lease is out

A host without a confirmed configuration names one second to come back, because shorter waits were refused again.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
@@ -10,6 +10,9 @@
  */
 final class Election {
 
+	/** The margin for the drift of clocks is this part of the lease. */
+	private static final long DRIFT_PART = 10;
+
 	private final NodeContext context;
 
 	private final Runnable onElected;
@@ -28,11 +31,19 @@
 		this.context = context;
 		this.onElected = onElected;
 		this.onSteppedDown = onSteppedDown;
-		// A restarted replica may have acknowledged a leader's lease just before it
-		// ended.
-		this.leaderContactMs = (context.term > 0) ? silentSinceMs : Progress.NEVER;
 		long timeoutMs = context.timing().electionTimeoutMs();
-		this.deadlineMs = Math.max(context.nowMs, silentSinceMs + timeoutMs) + context.random.nextLong(timeoutMs);
+		if (silentSinceMs >= context.nowMs) {
+			// A restarted replica may have acknowledged a leader's lease just before.
+			this.leaderContactMs = (context.term > 0) ? context.nowMs : Progress.NEVER;
+			resetTimer();
+			return;
+		}
+		// Such a lease is out once it has passed since the process started, with a margin
+		// for the drift of clocks.
+		long leaseMs = context.timing().leaseMs();
+		long leaseOutMs = silentSinceMs + leaseMs + leaseMs / DRIFT_PART;
+		this.leaderContactMs = (context.term > 0) ? leaseOutMs - timeoutMs : Progress.NEVER;
+		this.deadlineMs = Math.max(context.nowMs, leaseOutMs) + context.random.nextLong(Math.max(1, timeoutMs / 2));
 	}
 
 	void tick() {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -111,11 +111,8 @@
 	/** Other content is in force under the number. Arguments: number. */
 	ROUTING_CONFLICT(409, "Number %s is in force with other content; read it back and submit under a higher number"),
 
-	/**
-	 * No configuration of routes is known yet, or it may be outdated. Argument: age in
-	 * ms.
-	 */
-	ROUTING_STALE(503, "The configuration was last confirmed %s ms ago; come back after Retry-After"),
+	/** No configuration of routes is known, or it may be outdated. Argument: when. */
+	ROUTING_STALE(503, "The configuration was last confirmed: %s; come back after Retry-After"),
 
 	/** No route takes the request. Arguments: host name, path. */
 	NO_ROUTE(404, "No route takes host \"%s\" and path \"%s\"; use a configured host name and path"),
--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RequestGate.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RequestGate.java
@@ -11,8 +11,13 @@
  */
 public final class RequestGate {
 
-	/** A daemon that has lost the leader mostly finds the next one within this time. */
-	static final long STALE_RETRY_MS = 500;
+	/**
+	 * A daemon that starts or has lost the leader mostly has the newest within this time.
+	 */
+	static final long STALE_RETRY_MS = 1_000;
+
+	/** Ages from here on mean that there was no confirmation at all. */
+	private static final long NEVER_MS = 1L << 40;
 
 	private final long keyAgeMs;
 
@@ -62,8 +67,9 @@
 	}
 
 	private static GateDecision stale(long ageMs) {
+		Object age = (ageMs < NEVER_MS) ? Math.max(0, ageMs) + " ms ago" : "never";
 		return new GateDecision.Refused(
-				FescueholdException.of(ErrorCode.ROUTING_STALE, RunStatus.NO, STALE_RETRY_MS, Math.max(0, ageMs)));
+				FescueholdException.of(ErrorCode.ROUTING_STALE, RunStatus.NO, STALE_RETRY_MS, age));
 	}
 
 	private static GateDecision refused(ErrorCode code, Object... arguments) {
