--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/CoreReplica.java
@@ -39,6 +39,9 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** Stands for the store of a host that may form the group. */
+	private static final String UNFORMED = "unformed";
+
 	private static final String FORMATION_FILE = "initial-hosts";
 
 	private final FleetOptions options;
@@ -135,12 +138,12 @@
 	}
 
 	/**
-	 * Returns the id of the store.
-	 * @return the id, or a placeholder while the group is not formed
+	 * Returns the id of the store. While the store is being opened there is none yet: an
+	 * id that is not the store's would say that the disk was lost.
+	 * @return the id, a placeholder while the group is not formed, or null
 	 */
 	String storeId() {
-		String storeId = (this.replica != null) ? this.replica.status().storeId() : null;
-		return (storeId != null) ? storeId : "unformed";
+		return (this.replica != null) ? this.replica.status().storeId() : UNFORMED;
 	}
 
 	boolean isLeading() {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
@@ -116,6 +116,24 @@
 		}
 	}
 
+	@Test
+	void restartedHostIsNotTakenForOneThatLostItsDisk() throws InterruptedException {
+		try (TestFleet fleet = new TestFleet(this.folder, 3, 1)) {
+			fleet.submit(1, TestFleet.document(7, "a"));
+			fleet.awaitInForce(7);
+			TestFleet.await("all know all", () -> fleet.host(4).live().size() == 4);
+			TestFleet.await("host 2 is a voter", () -> fleet.isSettledVoter(2));
+			fleet.stop(2);
+			TestFleet.await("host 2 is forgotten", () -> fleet.host(4).live().size() == 3);
+			fleet.storeIds.clear();
+			fleet.start(2, false);
+			TestFleet.await("host 2 is back", () -> fleet.host(4).live().size() == 4);
+			TestFleet.await("host 2 is a voter", () -> fleet.isSettledVoter(2));
+			Thread.sleep(1_000);
+			assertThat(fleet.storeIds).as("one store for each host with a disk").hasSize(3);
+		}
+	}
+
 	@Test
 	void oneDaemonReadsTheServerListForAll() throws InterruptedException {
 		try (TestFleet fleet = new TestFleet(this.folder, 3, 3)) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -12,8 +12,10 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -48,6 +50,9 @@
 
 	final AtomicInteger listReads = new AtomicInteger();
 
+	/** All ids of stores that any host was told of. */
+	final Set<String> storeIds = ConcurrentHashMap.newKeySet();
+
 	private final Path folder;
 
 	private final int port;
@@ -281,6 +286,7 @@
 		@Override
 		public void onHosts(List<HostRecord> hosts) {
 			this.live = hosts;
+			hosts.stream().filter(HostRecord::hasStore).forEach((host) -> TestFleet.this.storeIds.add(host.storeId()));
 		}
 
 		@Override
