--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
@@ -71,12 +71,4 @@
 		return this.usesByPart.getOrDefault(part.id(), Map.of());
 	}
 
-	/**
-	 * Forgets a server that is gone or was started again.
-	 * @param serverId the server
-	 */
-	public void forget(String serverId) {
-		this.usesByPart.values().forEach((uses) -> uses.remove(serverId));
-	}
-
 }
