--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
@@ -84,13 +84,9 @@
 		return new EngineChoice(chosen, source(prompt, key, chosen, sources, nowMs), reason);
 	}
 
-	// Finds a server to copy shared parts from, unless the chosen one is known to hold
-	// them.
-	// Without a server that is known to hold them it is the one that the hash would lead
-	// to
-	// if the chosen one did not exist: that was the home before the chosen one came, or
-	// is
-	// the home that the load bound passed over.
+	// Without a server that is known to hold the parts, they are copied from the one that
+	// the hash would lead to if the chosen one did not exist: that was the home before it
+	// came, or is the home that the load bound passed over.
 	private ServerState source(PromptShape prompt, long key, ServerState chosen, List<ServerState> sources,
 			long nowMs) {
 		if (this.holders.holds(prompt.subject(), chosen.server().id(), nowMs)) {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -75,8 +75,6 @@
 
 	private final MetricRegistry metrics = new MetricRegistry();
 
-	private final LoopResources loops;
-
 	private final SuspensionClock clock;
 
 	private final Scheduler scheduler;
@@ -105,7 +103,6 @@
 			ServerListSource listSource) {
 		this.settings = settings;
 		this.codec = codec;
-		this.loops = loops;
 		this.clock = new SuspensionClock(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
 				System::currentTimeMillis);
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(loops.onServer(false).next()),
