Commands for operators of a gateway fleet: check, show, diff, preview, dump, metrics

The daemon could only check its settings file; state and configuration were read with an HTTP client by hand. The commands live in the product's command line and learn what they need of the platform from the adapter. Four commands that only read a path became one class.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
@@ -71,4 +71,12 @@
 		return this.usesByPart.getOrDefault(part.id(), Map.of());
 	}
 
+	/**
+	 * Returns how many parts are remembered.
+	 * @return the number
+	 */
+	public int size() {
+		return this.usesByPart.size();
+	}
+
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/retry/WindowedRetryBudget.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/retry/WindowedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Limits the repeated requests to each service in a sliding window. The limit holds for
@@ -52,15 +53,36 @@
 	 * @return whether the request may be repeated
 	 */
 	public boolean tryRepeat(String service, int daemons, long nowMs) {
-		Window window = window(service, nowMs);
-		double allowed = SAFETY * (this.ratio * sum(window.requests) + this.extra / Math.max(1, daemons));
-		if (sum(window.repeats) + 1 > allowed) {
+		Usage usage = usage(service, daemons, nowMs);
+		if (usage.repeats() + 1 > usage.allowed()) {
 			return false;
 		}
-		window.repeats[slot(nowMs)]++;
+		window(service, nowMs).repeats[slot(nowMs)]++;
 		return true;
 	}
 
+	/**
+	 * Returns what is left of the budget of a service.
+	 * @param service the service
+	 * @param daemons the daemons that share the budget
+	 * @param nowMs the time in milliseconds
+	 * @return the use of the budget in the window that ends now
+	 */
+	public Usage usage(String service, int daemons, long nowMs) {
+		Window window = window(service, nowMs);
+		int requests = sum(window.requests);
+		return new Usage(requests, sum(window.repeats),
+				SAFETY * (this.ratio * requests + this.extra / Math.max(1, daemons)));
+	}
+
+	/**
+	 * Returns the services that the budget has seen.
+	 * @return the names
+	 */
+	public Set<String> services() {
+		return Set.copyOf(this.windows.keySet());
+	}
+
 	private Window window(String service, long nowMs) {
 		Window window = this.windows.computeIfAbsent(service, (name) -> new Window());
 		long slice = Math.floorDiv(nowMs, this.sliceMs);
@@ -88,6 +110,17 @@
 		return sum;
 	}
 
+	/**
+	 * The use of the budget of a service in one window.
+	 *
+	 * @param requests the first attempts
+	 * @param repeats the repeats
+	 * @param allowed the repeats that are allowed
+	 */
+	public record Usage(int requests, int repeats, double allowed) {
+
+	}
+
 	private static final class Window {
 
 		private final int[] requests = new int[SLICES + 1];
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
@@ -16,17 +16,42 @@
  */
 public final class CommandLine {
 
-	private static final Map<String, Entry> COMMANDS = commands();
+	private final Map<String, Entry> commands;
 
 	private final Console console;
 
+	private CommandLine(Map<String, Entry> commands, PrintStream out, PrintStream err) {
+		this.commands = commands;
+		this.console = new Console(out, err);
+	}
+
 	/**
-	 * Creates a command line.
+	 * Creates the command line of a fleet whose daemons are listed in their settings.
 	 * @param out where results go
 	 * @param err where messages for people go
 	 */
 	public CommandLine(PrintStream out, PrintStream err) {
-		this.console = new Console(out, err);
+		this(commands(), out, err);
+	}
+
+	/**
+	 * Creates the command line of a gateway fleet.
+	 * @param tools what the commands need to know of the platform
+	 * @param out where results go
+	 * @param err where messages for people go
+	 * @return the command line
+	 */
+	public static CommandLine ofGateway(GatewayTools tools, PrintStream out, PrintStream err) {
+		Map<String, Entry> commands = new TreeMap<>();
+		commands.put("check",
+				new Entry("check a settings file or a configuration file", () -> new GatewayCheckCommand(tools)));
+		commands.put("show",
+				new Entry("print the configuration in force", () -> new ReadCommand(tools.configurationPath())));
+		commands.put("diff", new Entry("print what differs between two configurations", () -> new DiffCommand(tools)));
+		commands.put("preview", new Entry("print what a configuration would change", () -> new PreviewCommand(tools)));
+		commands.put("dump", new Entry("print the state of a daemon", () -> new ReadCommand("/dump")));
+		commands.put("metrics", new Entry("print the metrics of a daemon", () -> new ReadCommand("/metrics")));
+		return new CommandLine(commands, out, err);
 	}
 
 	private static Map<String, Entry> commands() {
@@ -40,8 +65,9 @@
 		commands.put("replica", new Entry("replace, add or remove a replica of a share", ReplicaCommand::new));
 		commands.put("order", new Entry("send an order to a model server", OrderCommand::new));
 		commands.put("drain", new Entry("stop a daemon gracefully", DrainCommand::new));
-		commands.put("dump", new Entry("print the state of a daemon", DumpCommand::new));
-		commands.put("metrics", new Entry("print the metrics of a daemon", MetricsCommand::new));
+		commands.put("dump", new Entry("print the state of a daemon", () -> new ReadCommand("/fescuehold/v1/dump")));
+		commands.put("metrics",
+				new Entry("print the metrics of a daemon", () -> new ReadCommand("/fescuehold/v1/metrics")));
 		return commands;
 	}
 
@@ -55,9 +81,9 @@
 			printHelp();
 			return (args.length == 0) ? ExitCode.USAGE : ExitCode.OK;
 		}
-		Entry entry = COMMANDS.get(args[0]);
+		Entry entry = this.commands.get(args[0]);
 		if (entry == null) {
-			this.console.message("unknown command \"" + args[0] + "\"; use one of " + COMMANDS.keySet());
+			this.console.message("unknown command \"" + args[0] + "\"; use one of " + this.commands.keySet());
 			return ExitCode.USAGE;
 		}
 		return run(entry.create().get(), args[0], Arrays.copyOfRange(args, 1, args.length));
@@ -86,7 +112,7 @@
 
 	private void printHelp() {
 		this.console.err().println("Usage: fescuehold COMMAND [options]");
-		COMMANDS.forEach((name, entry) -> this.console.err().printf("  %-8s %s%n", name, entry.summary()));
+		this.commands.forEach((name, entry) -> this.console.err().printf("  %-8s %s%n", name, entry.summary()));
 		this.console.err().println("Run \"fescuehold COMMAND --help\" for the options of a command.");
 		this.console.err().println("Exit codes: 0 done, 1 refused, 2 wrong arguments or settings, 3 unreachable.");
 	}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RemoteCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RemoteCommand.java
@@ -16,7 +16,7 @@
 	private static final int DEFAULT_TIMEOUT_MS = 15_000;
 
 	@Option(name = "--endpoint", metaVar = "URL",
-			usage = "administration API of any daemon, such as http://127.0.0.1:7101", required = true)
+			usage = "address of a daemon that serves the command, such as http://127.0.0.1:7101", required = true)
 	private String endpoint;
 
 	@Option(name = "--token-file", metaVar = "FILE", usage = "file that holds the bearer token")
--- /dev/null
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingFiles.java
@@ -0,0 +1,40 @@
+package io.fescuehold.daemon.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.routes.RoutingConfig;
+import io.fescuehold.core.routes.RoutingRules;
+import io.fescuehold.runtime.gateway.RoutingCodec;
+
+/**
+ * Reads configurations of routes from files.
+ */
+final class RoutingFiles {
+
+	private RoutingFiles() {
+	}
+
+	/**
+	 * Reads and checks a configuration.
+	 * @param file the file
+	 * @param codec reads the content
+	 * @return the configuration; errors with code BAD_SETTING if the file cannot be read,
+	 * with ROUTING_INVALID if a daemon would refuse it
+	 */
+	static RoutingConfig read(Path file, RoutingCodec codec) {
+		try {
+			RoutingConfig config = codec.decode(Files.readAllBytes(file));
+			RoutingRules.check(config);
+			return config;
+		}
+		catch (IOException ex) {
+			throw new FescueholdException(ErrorCode.BAD_SETTING, file, "the file",
+					"cannot be read (" + ex.getMessage() + "); name a readable configuration file");
+		}
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -187,6 +188,17 @@
 		pool.evictIdle(pool.generation());
 	}
 
+	/**
+	 * Describes placement and retry budget.
+	 * @return the state in a form that Jackson can write
+	 */
+	Map<String, Object> dump() {
+		Map<String, Object> budgets = new TreeMap<>();
+		this.budget.services()
+			.forEach((service) -> budgets.put(service, this.budget.usage(service, this.belief.serving(), nowMs())));
+		return Map.of("rememberedParts", this.holders.size(), "retryBudgets", budgets);
+	}
+
 	AnswerHead read(int status, Map<String, String> headers) {
 		return this.protocol.read(status, headers);
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -19,6 +19,8 @@
 import io.fescuehold.core.routes.RequestGate;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteTable;
+import io.fescuehold.core.routes.RoutingConfig;
+import io.fescuehold.core.routes.TeamAccess;
 import io.fescuehold.runtime.backend.BackendAnswer;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.fescuehold.runtime.http.BodyReader;
@@ -355,6 +357,13 @@
 							state.health().failureRate(this.clockMs.getAsLong()), "usable",
 							state.health().isUsable(this.clockMs.getAsLong()))));
 		dump.put("servers", servers);
+		dump.put("dispatch", this.dispatcher.dump());
+		if (this.belief.table() != null) {
+			RoutingConfig config = this.belief.table().config();
+			dump.put("routes", config.routes());
+			dump.put("services", config.services());
+			dump.put("teams", config.teams().stream().map(TeamAccess::name).toList());
+		}
 		return dump;
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
@@ -46,6 +46,17 @@
 		}
 	}
 
+	@Test
+	void dumpShowsRoutesServersAndTheRetryBudgetButNoKey() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> ok(connection, request, "x"));
+				TestGateway gateway = new TestGateway(server)) {
+			gateway.send("/lookup/x", "r1", "");
+			String dump = gateway.dump();
+			assertThat(dump).contains("routes=", "services=", "i-0", "rememberedParts=", "requests=1", "teams=[team]");
+			assertThat(dump).doesNotContain("apiKeys");
+		}
+	}
+
 	@Test
 	void lostAnswerOfAnOrderIsNeverSaidNotToHaveRun() {
 		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection.reset());
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -95,6 +95,11 @@
 		}
 	}
 
+	// Read by the thread that owns the state.
+	String dump() {
+		return Mono.fromSupplier(() -> this.server.dump().toString()).subscribeOn(this.scheduler).block();
+	}
+
 	long counter(String name) {
 		return this.metrics.counter(name).getCount();
 	}
