Drop a reply to a peer that has closed its connection with a log line

Writing to a closed channel threw inside the subscriber, where nothing handles it. The write is now left out and logged; what waits for a reply is failed by the end of the connection as before. The test failed first with "channel not registered to an event loop".

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/FrameChannel.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/FrameChannel.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,6 +17,8 @@
  */
 final class FrameChannel {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	private static final int LENGTH_BYTES = 4;
 
 	private static final String PING_GROUP = "ping";
@@ -72,6 +75,13 @@
 	 */
 	void write(byte[] body, String group) {
 		Channel channel = this.connection.channel();
+		if (!channel.isActive()) {
+			// The end of the connection has already failed whatever waits for a reply.
+			logger.atInfo()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.log("A message of group %s was not sent because its connection has been closed", group);
+			return;
+		}
 		ByteBuf buffer = channel.alloc().buffer(LENGTH_BYTES + body.length);
 		buffer.writeInt(body.length).writeBytes(body);
 		channel.writeAndFlush(buffer);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/transport/TcpPeerTransportTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/transport/TcpPeerTransportTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -19,7 +20,9 @@
 import org.assertj.core.api.Assertions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Hooks;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Schedulers;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -66,6 +69,35 @@
 			.isEqualTo(new TestMessage.Answer("", new Shape.Point()));
 	}
 
+	@Test
+	void replyToAPeerThatHasLeftIsNotAnUnhandledError() throws Exception {
+		TcpPeerTransport a = start("a");
+		TcpPeerTransport b = start("b");
+		connect(a, b);
+		CountDownLatch asked = new CountDownLatch(1);
+		Sinks.One<PeerMessage> answer = Sinks.one();
+		CountDownLatch answered = new CountDownLatch(1);
+		b.onMessage(TestMessage.Ask.class, (from, ask) -> {
+			asked.countDown();
+			return answer.asMono().delayElement(Duration.ofMillis(300)).doFinally((signal) -> answered.countDown());
+		});
+		List<Throwable> unhandled = new CopyOnWriteArrayList<>();
+		Hooks.onErrorDropped(unhandled::add);
+		try {
+			a.request("b", new TestMessage.Ask("", null), WAIT).subscribe((reply) -> {
+			}, (error) -> {
+			});
+			assertThat(asked.await(5, TimeUnit.SECONDS)).isTrue();
+			a.close();
+			answer.tryEmitValue(new TestMessage.Answer("", null)).orThrow();
+			assertThat(answered.await(5, TimeUnit.SECONDS)).isTrue();
+			assertThat(unhandled).isEmpty();
+		}
+		finally {
+			Hooks.resetOnErrorDropped();
+		}
+	}
+
 	@Test
 	void errorOfTheHandlerArrivesWithItsCode() {
 		TcpPeerTransport a = start("a");
