--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -98,9 +98,11 @@
 	 * @param protocol the names of callers' and servers' headers
 	 * @param codec reads configurations
 	 * @param listSource reads the list of servers
+	 * @param startedNs when the process started at the latest, as
+	 * {@link System#nanoTime()} shows it
 	 */
 	public GatewayNode(GatewaySettings settings, LoopResources loops, CallerProtocol protocol, RoutingCodec codec,
-			ServerListSource listSource) {
+			ServerListSource listSource, long startedNs) {
 		this.settings = settings;
 		this.codec = codec;
 		this.clock = new SuspensionClock(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
@@ -118,8 +120,8 @@
 				random);
 		this.fleet = new Fleet(
 				new FleetOptions(settings.hostId(), settings.failureDomain(), settings.peerPort(), settings.seeds(),
-						settings.firstStart(), settings.dataFolder(), settings.losses(), this.clock.nowMs(),
-						FleetOptions.Timing.DEFAULT),
+						settings.firstStart(), settings.dataFolder(), settings.losses(),
+						TimeUnit.NANOSECONDS.toMillis(startedNs), FleetOptions.Timing.DEFAULT),
 				this.transport, new AgreementTransport(this.transport), this.scheduler, listSource, this.belief,
 				this::state, this.metrics, random, System.currentTimeMillis());
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.ErrorCode;
@@ -76,6 +77,8 @@
 
 	private final Supplier<HostState> ownState;
 
+	private final Counter announcements;
+
 	private final List<String> seeds = new ArrayList<>();
 
 	private GroupFormation formation;
@@ -96,10 +99,15 @@
 
 	private boolean readingList;
 
+	private boolean leadAnnounced;
+
 	private boolean stopped;
 
 	private Disposable ticker;
 
+	/** The question that waits to be sent, null while one is on its way. */
+	private Disposable nextPull;
+
 	/**
 	 * Creates the daemon's part without starting it.
 	 * @param options the options
@@ -123,6 +131,7 @@
 		this.listSource = listSource;
 		this.listener = listener;
 		this.ownState = ownState;
+		this.announcements = metrics.counter("fleet.announcements");
 		this.random = random;
 		this.incarnation = incarnation;
 		this.hosts = new HostTable(options.timing().silenceMs());
@@ -147,6 +156,10 @@
 			}
 			return Mono.empty();
 		});
+		onMessage(SyncMessage.Leading.class, (leading) -> {
+			announced(leading.hostId());
+			return Mono.empty();
+		});
 		this.scheduler.schedule(() -> {
 			this.contactMs = this.clockMs.getAsLong();
 			this.formation = new GroupFormation(this.options, this.transport, this.scheduler, this.contactMs);
@@ -257,6 +270,7 @@
 		long nowMs = this.clockMs.getAsLong();
 		this.hosts.observe(self(), nowMs);
 		this.hub.tick(nowMs);
+		announce();
 		this.formation.tick(this.hosts.hosts(), this.replica != null && this.replica.isOpen(), nowMs);
 		if (this.replica != null) {
 			this.replica.adaptVoters(this.hub.liveHosts(), nowMs);
@@ -264,6 +278,31 @@
 		readListIfDue(nowMs);
 	}
 
+	private void announce() {
+		boolean leads = this.hub.isLeading();
+		if (leads && !this.leadAnnounced) {
+			this.hosts.hosts()
+				.stream()
+				.map(HostRecord::hostId)
+				.filter((hostId) -> !hostId.equals(this.options.hostId()))
+				.forEach((hostId) -> this.transport.send(hostId, new SyncMessage.Leading(this.options.hostId())));
+		}
+		this.leadAnnounced = leads;
+	}
+
+	// The claim is not trusted: the answer to the next question proves it or names
+	// another.
+	private void announced(String hostId) {
+		this.announcements.inc();
+		if (!this.hub.isLeading()) {
+			setLeader(hostId);
+			if (this.nextPull != null) {
+				this.nextPull.dispose();
+				pull();
+			}
+		}
+	}
+
 	private void readListIfDue(long nowMs) {
 		FleetOptions.Timing timing = this.options.timing();
 		boolean leads = this.hub.isLeading();
@@ -300,6 +339,7 @@
 	}
 
 	private void pull() {
+		this.nextPull = null;
 		if (this.stopped) {
 			return;
 		}
@@ -358,7 +398,7 @@
 			}
 		}
 		this.listener.onConfirmed(askedAtMs);
-		if (news.servers() != null && news.servers().revision() != 0) {
+		if (news.servers() != null && news.servers().revision() != this.servers.revision()) {
 			applyServers(news.servers());
 		}
 		if (news.hosts() != null) {
@@ -392,7 +432,7 @@
 	}
 
 	private void pullLater(long delayMs) {
-		this.scheduler.schedule(this::pull, delayMs, TimeUnit.MILLISECONDS);
+		this.nextPull = this.scheduler.schedule(this::pull, delayMs, TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -81,4 +81,12 @@
 	record Form(List<String> hostIds) implements SyncMessage {
 	}
 
+	/**
+	 * Announces a new leader, so that no daemon has to search for it. Not answered.
+	 *
+	 * @param hostId the leader
+	 */
+	record Leading(String hostId) implements SyncMessage {
+	}
+
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
@@ -56,6 +56,18 @@
 		}
 	}
 
+	@Test
+	void newLeaderIsAnnouncedToHostsWithoutADisk() {
+		try (TestFleet fleet = new TestFleet(this.folder, 3, 1)) {
+			fleet.submit(1, TestFleet.document(7, "a"));
+			fleet.awaitInForce(7);
+			long heard = fleet.host(4).announcements();
+			TestFleet.await("a leader", () -> fleet.leader() != 0);
+			fleet.stop(fleet.leader());
+			TestFleet.await("host 4 hears of the next leader", () -> fleet.host(4).announcements() > heard);
+		}
+	}
+
 	@Test
 	void hostThatLostItsDiskIsRepairedBeforeTheNextOneIsLost() {
 		try (TestFleet fleet = new TestFleet(this.folder, 3, 1)) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -188,6 +188,8 @@
 
 		private final Fleet fleet;
 
+		private final MetricRegistry metrics = new MetricRegistry();
+
 		private final List<Long> inForce = new ArrayList<>();
 
 		private volatile long documentNumber;
@@ -205,17 +207,17 @@
 			this.loops = LoopResources.create("test-fleet-" + number, 1, true);
 			Scheduler scheduler = new MonotonicScheduler(
 					Schedulers.fromExecutorService(this.loops.onServer(false).next()));
-			MetricRegistry metrics = new MetricRegistry();
 			this.transport = new TcpPeerTransport(new TransportOptions(hostId(number),
-					new PeerAddress(hostId(number), TestFleet.this.port), Map.of()), metrics, scheduler, this.loops);
+					new PeerAddress(hostId(number), TestFleet.this.port), Map.of()), this.metrics, scheduler,
+					this.loops);
 			this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, TestFleet.this.port));
 			Path disk = (number <= TestFleet.this.disks) ? TestFleet.this.folder.resolve(hostId(number)) : null;
 			FleetOptions options = new FleetOptions(hostId(number), "domain-" + number % 3, TestFleet.this.port,
 					TestFleet.this.seeds, firstStart, disk, 1, scheduler.now(TimeUnit.MILLISECONDS),
 					FleetOptions.Timing.DEFAULT);
 			this.fleet = new Fleet(options, this.transport, new AgreementTransport(this.transport), scheduler,
-					() -> Mono.fromSupplier(this::list), this, () -> this.state, metrics, new SplittableRandom(number),
-					System.nanoTime());
+					() -> Mono.fromSupplier(this::list), this, () -> this.state, this.metrics,
+					new SplittableRandom(number), System.nanoTime());
 			this.transport.start().block(LIMIT);
 			this.fleet.start();
 		}
@@ -229,6 +231,10 @@
 			return this.fleet;
 		}
 
+		long announcements() {
+			return this.metrics.counter("fleet.announcements").getCount();
+		}
+
 		long number() {
 			return this.documentNumber;
 		}
