Tell the other daemons which servers read which prompt parts

Each daemon now tells the leader with its next question what was read where for the first time, and hears what the others told.

An empty answer no longer ends the questions of a daemon for good (FleetTests#hostGoesOnAskingAfterAnEmptyAnswer failed first). A request to a server is built once.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PartHolders.java
@@ -1,12 +1,14 @@
 package io.fescuehold.core.prompt;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Which servers were sent which prompt parts by this daemon, and when. Bounded; the parts
- * that were not used for longest are forgotten.
+ * Which servers were sent which prompt parts, and when: by this daemon, or by others as
+ * far as they told. Bounded; the parts that were not used for longest are forgotten.
  */
 public final class PartHolders {
 
@@ -16,6 +18,10 @@
 
 	private final LinkedHashMap<String, Map<String, Long>> usesByPart;
 
+	private Map<String, Set<String>> untold = new HashMap<>();
+
+	private int untoldParts;
+
 	/**
 	 * Creates an empty memory.
 	 * @param maxParts the parts that are remembered at most
@@ -44,9 +50,46 @@
 	 * @param nowMs the time in milliseconds
 	 */
 	public void read(PromptShape prompt, String serverId, long nowMs) {
-		for (PromptPart part : prompt.parts()) {
-			this.usesByPart.computeIfAbsent(part.id(), (id) -> new HashMap<>(4)).put(serverId, nowMs);
+		for (PromptPart part : prompt.sharedParts()) {
+			if (!holds(part, serverId, nowMs) && this.untoldParts < this.maxParts
+					&& this.untold.computeIfAbsent(serverId, (id) -> new HashSet<>()).add(part.id())) {
+				this.untoldParts++;
+			}
 		}
+		prompt.parts().forEach((part) -> put(part.id(), serverId, nowMs));
+	}
+
+	private void put(String partId, String serverId, long nowMs) {
+		this.usesByPart.computeIfAbsent(partId, (id) -> new HashMap<>(4)).put(serverId, nowMs);
+	}
+
+	/**
+	 * Takes what the other daemons have not been told of: the parts that a server was
+	 * sent for the first time in a while.
+	 * @return the ids of the parts by server
+	 */
+	public Map<String, Set<String>> takeUntold() {
+		Map<String, Set<String>> taken = this.untold;
+		this.untold = new HashMap<>();
+		this.untoldParts = 0;
+		return taken;
+	}
+
+	/**
+	 * Records what other daemons sent.
+	 * @param partsByServer the ids of the parts by server
+	 * @param nowMs the time in milliseconds
+	 */
+	public void readByOthers(Map<String, Set<String>> partsByServer, long nowMs) {
+		partsByServer.forEach((serverId, parts) -> parts.forEach((partId) -> put(partId, serverId, nowMs)));
+	}
+
+	/**
+	 * Forgets what a server held, which is gone with its process.
+	 * @param serverId the server
+	 */
+	public void forget(String serverId) {
+		this.usesByPart.values().forEach((uses) -> uses.remove(serverId));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -346,9 +346,10 @@
 		String target = nextTarget();
 		long askedAtMs = this.clockMs.getAsLong();
 		SyncMessage.Pull pull = new SyncMessage.Pull(self(), this.document.number(), this.servers.revision(),
-				this.hostsRevision, this.listener.ownRequests());
+				this.hostsRevision, this.listener.ownRequests(), this.listener.takePartsRead());
 		this.transport.request(target, pull, Duration.ofMillis(this.options.timing().pullTimeoutMs()))
 			.cast(SyncMessage.News.class)
+			.switchIfEmpty(Mono.error(() -> new FescueholdException(ErrorCode.NOT_LEADER, "unknown")))
 			.publishOn(this.scheduler)
 			.subscribe((news) -> received(target, news, askedAtMs), (error) -> pullFailed(target, error));
 	}
@@ -409,6 +410,7 @@
 			this.listener.onHosts(news.hosts());
 		}
 		this.listener.onOtherRequests(news.otherRequests());
+		this.listener.onPartsRead(news.otherPartsRead());
 		pullLater(Math.max(0, MIN_PULL_MS - (nowMs - askedAtMs)));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
@@ -7,6 +7,7 @@
 
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostTable;
+import io.fescuehold.core.prompt.PartNews;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.servers.FleetLoad;
 import io.fescuehold.core.servers.ServerList;
@@ -20,6 +21,9 @@
  */
 final class FleetHub {
 
+	/** The parts of some seconds of a fleet that reads a thousand new ones a second. */
+	private static final int MAX_PART_NEWS = 4_096;
+
 	private final FleetOptions options;
 
 	private final CoreReplica replica;
@@ -28,6 +32,8 @@
 
 	private final FleetLoad load;
 
+	private final PartNews partNews;
+
 	private final List<Waiter> waiters = new ArrayList<>();
 
 	private ServerList servers = ServerList.EMPTY;
@@ -39,6 +45,7 @@
 		this.replica = replica;
 		this.hosts = hosts;
 		this.load = new FleetLoad(options.timing().silenceMs());
+		this.partNews = new PartNews(MAX_PART_NEWS, options.timing().silenceMs());
 	}
 
 	void setServers(ServerList list) {
@@ -57,15 +64,16 @@
 		this.hosts.observe(pull.sender(), nowMs);
 		if (!isLeading()) {
 			return Mono.just(new SyncMessage.News(leaderHostId, false, null, null, this.hosts.revision(),
-					this.hosts.hosts(), Map.of()));
+					this.hosts.hosts(), Map.of(), Map.of()));
 		}
 		this.load.put(pull.sender().hostId(), pull.requests(), nowMs);
+		this.partNews.put(pull.sender().hostId(), pull.partsRead(), nowMs);
 		Mono<Void> held = hasNews(pull) ? Mono.empty() : Mono
 			.create((sink) -> this.waiters.add(new Waiter(pull, sink, nowMs + this.options.timing().holdMs())));
 		return held.then(this.replica.barrier())
 			.then(Mono.fromSupplier(() -> news(pull, nowMs)))
 			.onErrorResume((error) -> Mono.just(new SyncMessage.News(null, false, null, null, this.hosts.revision(),
-					this.hosts.hosts(), Map.of())));
+					this.hosts.hosts(), Map.of(), Map.of())));
 	}
 
 	private SyncMessage.News news(SyncMessage.Pull pull, long nowMs) {
@@ -74,7 +82,7 @@
 				(document.number() > pull.number()) ? document.encode() : null,
 				hasOtherServers(pull) ? this.servers : null, this.hosts.revision(),
 				(this.hosts.revision() != pull.hostsRevision()) ? this.hosts.hosts() : null,
-				this.load.totalWithout(pull.sender().hostId(), nowMs));
+				this.load.totalWithout(pull.sender().hostId(), nowMs), this.partNews.take(pull.sender().hostId()));
 	}
 
 	private boolean hasOtherServers(SyncMessage.Pull pull) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetListener.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetListener.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.routes.RoutingDocument;
@@ -48,4 +49,16 @@
 	 */
 	Map<String, Integer> ownRequests();
 
+	/**
+	 * The other daemons reported prompt parts that servers have read.
+	 * @param partsByServer the ids of the parts by server
+	 */
+	void onPartsRead(Map<String, Set<String>> partsByServer);
+
+	/**
+	 * Takes the prompt parts that servers have read for this daemon since the last call.
+	 * @return the ids of the parts by server
+	 */
+	Map<String, Set<String>> takePartsRead();
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.port.PeerMessage;
@@ -21,9 +22,11 @@
 	 * @param serversRevision the revision of the server list that the sender holds
 	 * @param hostsRevision the revision of the hosts that the sender holds
 	 * @param requests the requests that the sender holds by server
+	 * @param partsRead the prompt parts that servers have read for the sender since its
+	 * last question, by server
 	 */
-	record Pull(HostRecord sender, long number, long serversRevision, long hostsRevision,
-			Map<String, Integer> requests) implements SyncMessage {
+	record Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
+			Map<String, Set<String>> partsRead) implements SyncMessage {
 	}
 
 	/**
@@ -38,9 +41,12 @@
 	 * @param hostsRevision the revision of the hosts
 	 * @param hosts the live daemons, or null if the asker holds them
 	 * @param otherRequests the requests of all daemons but the asker by server
+	 * @param otherPartsRead the prompt parts that servers have read for the other daemons
+	 * since the asker's last question, by server
 	 */
 	record News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
-			List<HostRecord> hosts, Map<String, Integer> otherRequests) implements SyncMessage {
+			List<HostRecord> hosts, Map<String, Integer> otherRequests,
+			Map<String, Set<String>> otherPartsRead) implements SyncMessage {
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -75,9 +75,7 @@
 	 * @return the request
 	 */
 	BackendRequest prepare(long resumeAfter) {
-		BackendRequest prepared = this.dispatcher.prepare(this.request, this.target, resumeAfter);
-		return new BackendRequest(prepared.method(), prepared.uri(), prepared.headers(), prepared.body(),
-				() -> this.onItsWay = true);
+		return this.dispatcher.prepare(this.request, this.target, resumeAfter, () -> this.onItsWay = true);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -14,7 +14,6 @@
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
-import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.retry.WindowedRetryBudget;
 import io.fescuehold.core.servers.PlainChoice;
 import io.fescuehold.core.servers.ServerOutcome;
@@ -30,12 +29,6 @@
  */
 final class Dispatcher {
 
-	/** The prompt parts that are remembered; a few kilobytes per hundred. */
-	private static final int MAX_PARTS = 8_192;
-
-	/** Engines keep unused parts for at least about this long at the load of a peak. */
-	private static final long PART_LIFE_MS = 30_000;
-
 	/** A server that is paused is mostly back within this time. */
 	private static final long NO_SERVER_RETRY_MS = 300;
 
@@ -53,8 +46,6 @@
 
 	private final EnginePlacement enginePlacement;
 
-	private final PartHolders holders = new PartHolders(MAX_PARTS, PART_LIFE_MS);
-
 	private final GatewayMetrics metrics;
 
 	private final GatewayLog log;
@@ -67,7 +58,7 @@
 		this.clockMs = clockMs;
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
 		this.plainChoice = new PlainChoice(options.failureDomain(), random);
-		this.enginePlacement = new EnginePlacement(this.holders);
+		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.metrics = metrics;
 		this.log = log;
 	}
@@ -135,15 +126,23 @@
 		return allowed;
 	}
 
-	BackendRequest prepare(GatewayRequest request, Target target, long resumeAfter) {
+	/**
+	 * Prepares the request to a server.
+	 * @param request the request
+	 * @param target the server
+	 * @param resumeAfter the position after which a stream continues, or a negative
+	 * number to leave it to the caller's headers
+	 * @param onSent called when the first byte is about to be sent
+	 * @return the request
+	 */
+	BackendRequest prepare(GatewayRequest request, Target target, long resumeAfter, Runnable onSent) {
 		String team = (request.team() != null) ? request.team().name() : null;
 		boolean engine = request.head().prompt() != null;
 		Forwarding forwarding = new Forwarding(target.server().server().id(), request.leftMs(nowMs()), team,
 				engine ? request.urgency() : null,
 				(target.copyFrom() != null) ? target.copyFrom().server().address() : null, resumeAfter);
 		return new BackendRequest(request.head().method(), request.head().uri(),
-				this.protocol.forward(request.head(), forwarding), request.body(), () -> {
-				});
+				this.protocol.forward(request.head(), forwarding), request.body(), onSent);
 	}
 
 	Supplier<HttpClient> client(Target target) {
@@ -165,12 +164,16 @@
 	 */
 	void promptRead(GatewayRequest request, Target target) {
 		if (request.head().prompt() != null) {
-			this.holders.read(request.head().prompt(), target.server().server().id(), nowMs());
+			this.belief.holders().read(request.head().prompt(), target.server().server().id(), nowMs());
 		}
 	}
 
 	void record(GatewayRequest request, Target target, ServerOutcome outcome) {
 		target.server().health().record(outcome, nowMs());
+		if (outcome == ServerOutcome.UNREACHABLE) {
+			// A process that no longer listens has taken its memory with it.
+			this.belief.holders().forget(target.server().server().id());
+		}
 		if (outcome != ServerOutcome.SERVED) {
 			this.metrics.failed(request.service(), outcome.name());
 		}
@@ -196,7 +199,7 @@
 		Map<String, Object> budgets = new TreeMap<>();
 		this.budget.services()
 			.forEach((service) -> budgets.put(service, this.budget.usage(service, this.belief.serving(), nowMs())));
-		return Map.of("rememberedParts", this.holders.size(), "retryBudgets", budgets);
+		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets);
 	}
 
 	AnswerHead read(int status, Map<String, String> headers) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -3,12 +3,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.freshness.ConfigFreshness;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingDocument;
@@ -25,6 +27,15 @@
 
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+	/** The prompt parts that are remembered; a few kilobytes per hundred. */
+	private static final int MAX_PARTS = 8_192;
+
+	/**
+	 * Engines keep unused parts for about this long at the load of a peak. A part that
+	 * has gone costs no more than one that was not known.
+	 */
+	private static final long PART_LIFE_MS = 120_000;
+
 	private final RoutingCodec codec;
 
 	private final LongSupplier clockMs;
@@ -33,6 +44,8 @@
 
 	private final ServerTable servers = new ServerTable();
 
+	private final PartHolders holders = new PartHolders(MAX_PARTS, PART_LIFE_MS);
+
 	private RouteTable table;
 
 	private List<HostRecord> hosts = List.of();
@@ -85,6 +98,24 @@
 		return requests;
 	}
 
+	@Override
+	public void onPartsRead(Map<String, Set<String>> partsByServer) {
+		this.holders.readByOthers(partsByServer, this.clockMs.getAsLong());
+	}
+
+	@Override
+	public Map<String, Set<String>> takePartsRead() {
+		return this.holders.takeUntold();
+	}
+
+	/**
+	 * Returns which servers hold which prompt parts.
+	 * @return the holders of the parts
+	 */
+	public PartHolders holders() {
+		return this.holders;
+	}
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the routes, or null before the first configuration
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
@@ -1,13 +1,16 @@
 package io.fescuehold.runtime.discovery;
 
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.gateway.Documents;
+import io.fescuehold.runtime.transport.TcpPeerTransport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import reactor.core.publisher.Mono;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -56,6 +59,40 @@
 		}
 	}
 
+	@Test
+	void hostGoesOnAskingAfterAnEmptyAnswer() {
+		AtomicInteger questions = new AtomicInteger();
+		try (TestFleet fleet = new TestFleet(this.folder, 1, 0)) {
+			TcpPeerTransport silent = fleet.transport(2);
+			silent.onMessage(SyncMessage.Pull.class, (from, pull) -> {
+				questions.incrementAndGet();
+				return Mono.empty();
+			});
+			silent.start().block(TestFleet.LIMIT);
+			try {
+				TestFleet.await("three questions", () -> questions.get() >= 3);
+			}
+			finally {
+				silent.close();
+			}
+		}
+	}
+
+	@Test
+	void everyOtherHostHearsWhichPartsServersHaveRead() {
+		try (TestFleet fleet = new TestFleet(this.folder, 3, 1)) {
+			fleet.submit(1, TestFleet.document(7, "a"));
+			fleet.awaitInForce(7);
+			fleet.host(4).readPart("part-1");
+			TestFleet.await("three hosts hear of the part",
+					() -> fleet.hosts()
+						.stream()
+						.filter((host) -> host != fleet.host(4))
+						.allMatch((host) -> host.partsHeard().contains("part-1")));
+			assertThat(fleet.host(4).partsHeard()).isEmpty();
+		}
+	}
+
 	@Test
 	void newLeaderIsAnnouncedToHostsWithoutADisk() {
 		try (TestFleet fleet = new TestFleet(this.folder, 3, 1)) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -91,6 +91,15 @@
 		return host;
 	}
 
+	// A host that speaks the protocol but takes no part in the fleet.
+	TcpPeerTransport transport(int number) {
+		TcpPeerTransport transport = new TcpPeerTransport(
+				new TransportOptions(hostId(number), new PeerAddress(hostId(number), this.port), Map.of()),
+				new MetricRegistry(), Schedulers.parallel());
+		transport.discoverPeers((hostId) -> new PeerAddress(hostId, this.port));
+		return transport;
+	}
+
 	Host host(int number) {
 		return this.hosts.get(hostId(number));
 	}
@@ -202,6 +211,10 @@
 
 		private volatile long confirmedMs;
 
+		private volatile Set<String> partsRead = Set.of();
+
+		private final Set<String> partsHeard = ConcurrentHashMap.newKeySet();
+
 		Host(int number, boolean firstStart) {
 			this.number = number;
 			this.loops = LoopResources.create("test-fleet-" + number, 1, true);
@@ -231,6 +244,14 @@
 			return this.fleet;
 		}
 
+		void readPart(String part) {
+			this.partsRead = Set.of(part);
+		}
+
+		Set<String> partsHeard() {
+			return this.partsHeard;
+		}
+
 		long announcements() {
 			return this.metrics.counter("fleet.announcements").getCount();
 		}
@@ -304,6 +325,18 @@
 			return Map.of();
 		}
 
+		@Override
+		public void onPartsRead(Map<String, Set<String>> partsByServer) {
+			partsByServer.forEach((server, parts) -> this.partsHeard.addAll(parts));
+		}
+
+		@Override
+		public Map<String, Set<String>> takePartsRead() {
+			Set<String> parts = this.partsRead;
+			this.partsRead = Set.of();
+			return parts.isEmpty() ? Map.of() : Map.of("i-1", parts);
+		}
+
 	}
 
 }
