--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/prompt/PartNewsTests.java
@@ -0,0 +1,67 @@
+package io.fescuehold.core.prompt;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests what daemons learn from each other of the parts that servers hold.
+ */
+class PartNewsTests {
+
+	private static final PromptPart SUBJECT = new PromptPart("subject", 600);
+
+	private static final PromptShape PROMPT = new PromptShape(
+			List.of(new PromptPart("common", 200), SUBJECT, new PromptPart("own", 50)), 10);
+
+	private final PartNews news = new PartNews(3, 2_000);
+
+	private final PartHolders holders = new PartHolders(100, 10_000);
+
+	@Test
+	void everyOtherDaemonHearsEachPartOnce() {
+		this.news.put("h1", Map.of(), 0);
+		this.news.put("h2", Map.of("i-1", Set.of("a")), 10);
+		assertThat(this.news.take("h1")).containsOnly(Map.entry("i-1", Set.of("a")));
+		assertThat(this.news.take("h1")).isEmpty();
+		assertThat(this.news.take("h2")).as("what it told itself").isEmpty();
+	}
+
+	@Test
+	void partsThatWaitForOneDaemonAreBounded() {
+		this.news.put("h1", Map.of(), 0);
+		this.news.put("h2", Map.of("i-1", Set.of("a", "b", "c", "d", "e")), 10);
+		assertThat(this.news.take("h1").get("i-1")).hasSize(3);
+	}
+
+	@Test
+	void daemonThatHasNotAskedForLongIsForgotten() {
+		this.news.put("h1", Map.of(), 0);
+		this.news.put("h2", Map.of("i-1", Set.of("a")), 2_000);
+		assertThat(this.news.take("h1")).isEmpty();
+	}
+
+	@Test
+	void sharedPartsAreToldWhenAServerReadsThemForTheFirstTimeInAWhile() {
+		this.holders.read(PROMPT, "i-1", 0);
+		assertThat(this.holders.takeUntold()).containsOnly(Map.entry("i-1", Set.of("common", "subject")));
+		this.holders.read(PROMPT, "i-1", 100);
+		assertThat(this.holders.takeUntold()).isEmpty();
+		this.holders.read(PROMPT, "i-1", 10_100);
+		assertThat(this.holders.takeUntold()).as("after the life of a part").isNotEmpty();
+	}
+
+	@Test
+	void partsThatOthersTellOfCountUntilTheServerIsGone() {
+		this.holders.readByOthers(Map.of("i-1", Set.of("subject")), 0);
+		assertThat(this.holders.holds(SUBJECT, "i-1", 100)).isTrue();
+		assertThat(this.holders.takeUntold()).as("what others told is not told again").isEmpty();
+		this.holders.forget("i-1");
+		assertThat(this.holders.holds(SUBJECT, "i-1", 100)).isFalse();
+	}
+
+}
