--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/RestartElectionTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/RestartElectionTests.java
@@ -44,6 +44,26 @@
 		assertThat(grantsPreVote(9_900, 9_900 + TIMING.leaseMs() + TIMING.leaseMs() / 5)).isTrue();
 	}
 
+	@Test
+	void votersThatStartAfterTheFirstCandidateAreAskedSoon() {
+		for (int seed = 0; seed < 20; seed++) {
+			AgreementNode node = node(seed, 10_000, 5_000);
+			List<Long> askedMs = new ArrayList<>();
+			for (long nowMs = 10_000; nowMs < 12_000; nowMs += 5) {
+				node.tick(nowMs);
+				long now = nowMs;
+				node.takeOutputs(nowMs)
+					.stream()
+					.filter((output) -> output instanceof Output.Send(String host, AgreementMessage.PreVoteRequest ask))
+					.forEach((output) -> askedMs.add(now));
+			}
+			for (int index = 1; index < askedMs.size(); index++) {
+				assertThat(askedMs.get(index) - askedMs.get(index - 1)).isLessThan(TIMING.electionTimeoutMs() / 2);
+			}
+			assertThat(askedMs).hasSizeGreaterThan(5);
+		}
+	}
+
 	private static long firstElectionMs(int seed, long startMs, long silentSinceMs) {
 		AgreementNode node = node(seed, startMs, silentSinceMs);
 		for (long nowMs = startMs; nowMs < startMs + 5_000; nowMs += 5) {
