Accept questions and answers of daemons that know nothing of prompt parts

While a fleet is upgraded host by host, a daemon of the version before sends no parts; the leader would have failed on its question and the daemon would have lost touch.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 import io.fescuehold.core.membership.HostRecord;
@@ -27,6 +28,12 @@
 	 */
 	record Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
 			Map<String, Set<String>> partsRead) implements SyncMessage {
+
+		// A daemon of an earlier version sends no parts.
+		public Pull {
+			partsRead = Objects.requireNonNullElse(partsRead, Map.of());
+		}
+
 	}
 
 	/**
@@ -47,6 +54,12 @@
 	record News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
 			List<HostRecord> hosts, Map<String, Integer> otherRequests,
 			Map<String, Set<String>> otherPartsRead) implements SyncMessage {
+
+		// A daemon of an earlier version sends no parts.
+		public News {
+			otherPartsRead = Objects.requireNonNullElse(otherPartsRead, Map.of());
+		}
+
 	}
 
 	/**
