Close the port of the test proxy before the call returns

A server socket that a virtual thread waits on is closed by that thread, which had not run yet. Ruled out: another listener at the port. The proxy now waits for the thread; a test of 2,000 rounds failed first and passes.

--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/proxy/FaultProxy.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/proxy/FaultProxy.java
@@ -32,6 +32,8 @@
 
 	private ServerSocket listener;
 
+	private Thread acceptor;
+
 	private FaultProxy(int port, int targetPort) {
 		this.targetPort = targetPort;
 		this.listener = listen(port);
@@ -156,7 +158,7 @@
 			ServerSocket socket = new ServerSocket();
 			socket.setReuseAddress(true);
 			socket.bind(new InetSocketAddress(InetAddress.getByName(LoopbackServer.HOST), wantedPort), BACKLOG);
-			Thread.ofVirtual().name("proxy-accept").start(() -> accept(socket));
+			this.acceptor = Thread.ofVirtual().name("proxy-accept").start(() -> accept(socket));
 			return socket;
 		}
 		catch (IOException ex) {
@@ -198,10 +200,15 @@
 		try {
 			this.listener.close();
 			this.listener = null;
+			// The port is closed by the thread that waits for connections, not by the call.
+			this.acceptor.join();
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException("The port cannot be closed", ex);
 		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void resetConnections() {
--- a/fescuehold-standin/src/test/java/io/fescuehold/standin/proxy/FaultProxyTests.java
+++ b/fescuehold-standin/src/test/java/io/fescuehold/standin/proxy/FaultProxyTests.java
@@ -24,6 +24,8 @@
  */
 class FaultProxyTests {
 
+	private static final int REFUSALS = 2_000;
+
 	private static final int SILENCE_MS = 200;
 
 	private final List<Socket> sockets = new ArrayList<>();
@@ -114,6 +116,16 @@
 		assertThat(echo(connect(), 2)).isEqualTo(2);
 	}
 
+	/** Guards against a port that is still open when the call that closes it returns. */
+	@Test
+	void refusesAsSoonAsTheCallReturns() {
+		for (int round = 0; round < REFUSALS; round++) {
+			this.proxy.pass();
+			this.proxy.refuse();
+			assertThatExceptionOfType(ConnectException.class).isThrownBy(this::connect);
+		}
+	}
+
 	/** Guards against a one-way silence that also stops the other direction. */
 	@Test
 	void silenceToTheClientLetsBytesReachTheServer() throws IOException {
