--- a/fescuehold-standin/src/main/java/io/fescuehold/standin/proxy/FaultProxy.java
+++ b/fescuehold-standin/src/main/java/io/fescuehold/standin/proxy/FaultProxy.java
@@ -200,7 +200,8 @@
 		try {
 			this.listener.close();
 			this.listener = null;
-			// The port is closed by the thread that waits for connections, not by the call.
+			// The port is closed by the thread that waits for connections, not by the
+			// call.
 			this.acceptor.join();
 		}
 		catch (IOException ex) {
