--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/Election.java
@@ -162,8 +162,8 @@
 		this.granted.clear();
 		this.granted.add(this.context.self);
 		this.preVoteTerm = this.context.term + 1;
-		// Asked again soon: a pre-vote disturbs nobody, and the other voters may not listen
-		// yet after a loss of all processes.
+		// Asked again soon: a pre-vote disturbs nobody, and after a loss of all
+		// processes the other voters may not listen yet.
 		long pauseMs = this.context.timing().heartbeatMs();
 		this.deadlineMs = this.context.nowMs + pauseMs / 2 + this.context.random.nextLong(pauseMs);
 		if (hasMajority()) {
