Answer a body that never arrives before the connection is closed; wait for what a half has observed

AdminServerTests#bodyThatNeverArrivesEndsTheRequest: the limit of the body and the HTTP server's limit of a request were the same 500 ms, and the second closes without an answer (RequestTimeoutException in the log); it is now twice the first. HalvesTests#releaseAndClaimMoveTheTeamOnce: the routers know of a listing before the other half's group has applied what it observed; the test now waits until that half says so, its check is unchanged. Neither class is part of the gateway's path.

--- a/fescuehold-it/src/test/java/io/fescuehold/it/control/HalvesTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/control/HalvesTests.java
@@ -112,6 +112,14 @@
 			Eventually.isTrue("every router names north", ControlFleet.IN_FORCE, () -> allAt(stages, "north"));
 			Reply early = fleet.submit("s1", "south", claimed).join();
 			assertThat(early.code()).as("claim before the release").isEqualTo("SUBMISSION_INVALID");
+			// The routers hear of north before the group of south has applied what it
+			// observed, and only then south can know that the team is listed there.
+			Eventually.isTrue("south has observed the team in north", ControlFleet.IN_FORCE,
+					() -> fleet.submit("s1", "south", claimed)
+						.join()
+						.body()
+						.toString()
+						.contains("observed here at number " + listed.number() + " only"));
 			Reply taken = fleet
 				.submit("s1", "south", ShareConfigBuilder.share("south").number(south + 1).team("moving", TEAM).build())
 				.join();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
@@ -38,6 +38,12 @@
  */
 public final class AdminServer {
 
+	/**
+	 * The HTTP server closes a connection whose request is incomplete for this many times
+	 * the limit of a body, so that the reader of the body, which answers, ends first.
+	 */
+	private static final int REQUEST_TIMEOUT_FACTOR = 2;
+
 	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
 	private static final String PREFIX = "/fescuehold/v1/";
@@ -94,7 +100,7 @@
 				.host(this.options.address())
 				.port(this.options.port())
 				.idleTimeout(Duration.ofMillis(this.options.limits().idleMs()))
-				.requestTimeout(Duration.ofMillis(this.options.limits().bodyMs()))
+				.requestTimeout(Duration.ofMillis(REQUEST_TIMEOUT_FACTOR * this.options.limits().bodyMs()))
 				.handle(this::handle);
 			if (this.options.tls() != null) {
 				Http11SslContextSpec certificate = Http11SslContextSpec
