Log which prompt parts and how much of a response a lost connection carried

Callers saw streams cut and 502 while one server after the other ended. The logs named the lost requests but neither their prompt parts nor whether the server had begun to respond, so a guilty request, independent crashes and retries of few requests looked the same. One more line of the bounded log for each lost connection of a request with a prompt.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -50,6 +50,11 @@
 
 	private boolean retryReserved;
 
+	/** The number of events that the current server has sent. */
+	private int eventCount;
+
+	private long firstEventAtMs;
+
 	private Dispatcher.Target target;
 
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
@@ -66,10 +71,20 @@
 		this.target = this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried);
 		this.attemptCount++;
 		this.awaitingResponse = false;
+		this.eventCount = 0;
 		this.tried.add(serverId());
 		return this.target;
 	}
 
+	/**
+	 * Records that the current server has sent an event of the response.
+	 */
+	void eventReceived() {
+		if (this.eventCount++ == 0) {
+			this.firstEventAtMs = this.dispatcher.nowMs();
+		}
+	}
+
 	/**
 	 * Prepares the request to the chosen server.
 	 * @param resumeAfter the position after which a stream continues, or a negative
@@ -170,6 +185,10 @@
 			return fail(reason, ErrorCode.NO_SERVER, UNREACHABLE_RETRY_AFTER_MS);
 		}
 		this.mayHaveRun = true;
+		if (!stalled) {
+			this.log.connectionLost(this.request, serverId(), this.eventCount,
+					(this.eventCount > 0) ? this.dispatcher.nowMs() - this.firstEventAtMs : 0);
+		}
 		boolean retries = this.retryReserved || (this.request.route().isRepeatable()
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount));
 		this.retryReserved = false;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -4,6 +4,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.prompt.PromptPart;
 
 /**
  * Logs each decision on a request with the request id, the inputs of the decision, their
@@ -26,6 +27,8 @@
 
 	private static final double MS_PER_S = 1_000;
 
+	private static final int MAX_LOGGED_PARTS = 16;
+
 	private static final long DROP_REPORT_INTERVAL_MS = 5_000;
 
 	private final LongSupplier clockMs;
@@ -74,6 +77,15 @@
 		}
 	}
 
+	void connectionLost(GatewayRequest request, String serverId, int eventCount, long sinceFirstEventMs) {
+		if (request.head().prompt() != null && tryAcquire(0)) {
+			logger.atInfo()
+				.log("request %s: connection to server %s lost after %d events, %d ms after the first; prompt parts %s",
+						request.head().requestId(), serverId, eventCount, sinceFirstEventMs,
+						request.head().prompt().parts().stream().limit(MAX_LOGGED_PARTS).map(PromptPart::id).toList());
+		}
+	}
+
 	void answered(GatewayRequest request, int status, long tookMs) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -170,6 +170,7 @@
 			this.contiguous = true;
 			this.progressed = true;
 			this.progressAtMs = this.dispatcher.nowMs();
+			this.attempts.eventReceived();
 		}
 		StreamItem item = new StreamItem.Event(event.bytes());
 		return this.headSent ? Flux.just(item) : emitHead(target, head).concatWithValues(item);
