--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -48,6 +48,19 @@
 	/** The server failed while it ran the request. Arguments: server, reason. */
 	SERVER_FAILED(502, "Server \"%s\" failed: %s; retry if the request is idempotent"),
 
+	/** The prompt is known to crash servers. Arguments: parts, service. */
+	PROMPT_QUARANTINED(503,
+			"Prompt part %s is refused because several servers of \"%s\" crashed on it;"
+					+ " send the prompt without it or retry after the time in the Retry-After header"),
+
+	/**
+	 * The request was cancelled at a server because its prompt is known to crash servers.
+	 * Arguments: parts, server, service.
+	 */
+	PROMPT_CRASHES_SERVERS(502,
+			"Prompt part %s was cancelled at server \"%s\" because several servers of \"%s\" crashed on it;"
+					+ " send the prompt without it"),
+
 	/** The process is stopping. */
 	DRAINING(503, "This host is draining; ask an entry host for other addresses"),
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
@@ -28,6 +28,9 @@
 	/** The time in which the failure rate halves without new outcomes. */
 	static final long HALF_LIFE_MS = 4_000;
 
+	/** Most servers have restarted within this time. */
+	static final long RESTART_MS = 10_000;
+
 	private static final int MAX_DOUBLINGS = 3;
 
 	private double failureRate;
@@ -38,6 +41,8 @@
 
 	private int unreachableCount;
 
+	private long excusedUntilMs = Long.MIN_VALUE;
+
 	/**
 	 * Records the outcome of a request.
 	 * @param outcome the outcome
@@ -46,6 +51,7 @@
 	public void record(ServerOutcome outcome, long nowMs) {
 		switch (outcome) {
 			case SERVED -> {
+				this.excusedUntilMs = Long.MIN_VALUE;
 				this.unreachableCount = 0;
 				updateFailureRate(0, nowMs);
 			}
@@ -61,6 +67,17 @@
 		}
 	}
 
+	/**
+	 * Disregards the failures so far, and those of a restart, because a request was to
+	 * blame for them. A server that cannot be reached is still excluded for a while.
+	 * @param nowMs the time in milliseconds
+	 */
+	public void excuse(long nowMs) {
+		this.excusedUntilMs = nowMs + RESTART_MS;
+		this.failureRate = 0;
+		this.unreachableCount = 0;
+	}
+
 	/**
 	 * Returns whether requests may be sent to the server.
 	 * @param nowMs the time in milliseconds
@@ -80,6 +97,9 @@
 	}
 
 	private void updateFailureRate(double failed, long nowMs) {
+		if (nowMs < this.excusedUntilMs) {
+			return;
+		}
 		this.failureRate = failureRate(nowMs) * (1 - SMOOTHING_FACTOR) + failed * SMOOTHING_FACTOR;
 		this.failureRateUpdatedMs = nowMs;
 	}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
@@ -0,0 +1,223 @@
+package io.fescuehold.core.quarantine;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+
+import io.fescuehold.core.prompt.PromptPart;
+import io.fescuehold.core.prompt.PromptShape;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against prompts that crash one server after the other (BUDGET), and against
+ * sound prompts that are refused for them (LOST).
+ */
+class PromptQuarantineTests {
+
+	private static final String SERVICE = "model";
+
+	private static final long INTERVAL_MS = 500;
+
+	private final PromptQuarantine quarantine = new PromptQuarantine("h1");
+
+	private long nowMs = 1_000;
+
+	private static PromptShape prompt(String... parts) {
+		return new PromptShape(Arrays.stream(parts).map((part) -> new PromptPart(part, 100)).toList(), 10);
+	}
+
+	private void crash(String serverId, String... prompts) {
+		this.nowMs += INTERVAL_MS;
+		this.quarantine.recordCrash(SERVICE, serverId,
+				Arrays.stream(prompts).map((prompt) -> Set.of(prompt.split(" "))).toList(), this.nowMs, this.nowMs);
+	}
+
+	private void answer(String... parts) {
+		this.nowMs += 10;
+		this.quarantine.recordAnswer(SERVICE, prompt(parts), this.nowMs);
+	}
+
+	private boolean isQuarantined(String... parts) {
+		return this.quarantine.find(SERVICE, prompt(parts)) != null;
+	}
+
+	@Test
+	void partThatThreeCrashesHaveInCommonIsQuarantined() {
+		answer("common", "subject", "own");
+		crash("i-1", "common subject bad", "common other");
+		answer("common", "other", "own");
+		crash("i-2", "common subject2 bad", "common third");
+		assertThat(isQuarantined("common", "bad", "own")).isFalse();
+		crash("i-3", "common subject3 bad", "common fourth");
+		assertThat(isQuarantined("common", "subject4", "bad", "own")).isTrue();
+		assertThat(isQuarantined("common", "subject", "own")).isFalse();
+		assertThat(isQuarantined("common", "other", "own")).isFalse();
+	}
+
+	@Test
+	void commonPartThatIsNotAnsweredDuringTheCrashesIsNotBlamed() {
+		answer("common", "subject", "own");
+		crash("i-1", "common subject bad", "common other");
+		crash("i-2", "common subject bad", "common third");
+		crash("i-3", "common subject bad");
+		assertThat(this.quarantine.attributions()).singleElement()
+			.extracting(Attribution::parts)
+			.isEqualTo(Set.of("bad"));
+	}
+
+	@Test
+	void partThatStartsToCrashServersAfterItWasAnsweredIsQuarantined() {
+		answer("common", "own");
+		crash("i-1", "common");
+		crash("i-2", "common");
+		crash("i-3", "common");
+		assertThat(isQuarantined("common", "own")).isTrue();
+	}
+
+	@Test
+	void onlyTheCombinationIsRefusedWhileItsPartsCannotBeToldApart() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "new bad");
+		}
+		assertThat(isQuarantined("new", "bad", "own")).isTrue();
+		assertThat(isQuarantined("new", "other", "own")).isFalse();
+		assertThat(isQuarantined("other", "bad", "own")).isFalse();
+		crash("i-4", "other bad");
+		assertThat(isQuarantined("third", "bad", "own")).isTrue();
+		assertThat(isQuarantined("new", "other", "own")).isFalse();
+	}
+
+	@Test
+	void crashesThatAreExplainedDoNotCountAgainstOtherParts() {
+		for (int server = 1; server <= 3; server++) {
+			crash("i-" + server, "bad", "waiting");
+			answer("waiting", "own");
+		}
+		crash("i-4", "bad", "late");
+		crash("i-5", "bad", "late");
+		crash("i-6", "bad", "late");
+		assertThat(isQuarantined("bad", "own")).isTrue();
+		assertThat(isQuarantined("late", "own")).isFalse();
+	}
+
+	@Test
+	void serversThatFailTogetherCountOnce() {
+		this.nowMs += INTERVAL_MS;
+		for (int server = 1; server <= 6; server++) {
+			this.quarantine.recordCrash(SERVICE, "i-" + server, List.of(Set.of("new")), this.nowMs + server,
+					this.nowMs + 10);
+		}
+		assertThat(isQuarantined("new", "own")).isFalse();
+	}
+
+	@Test
+	void reportsOfSeveralDaemonsAboutOneCrashCountOnce() {
+		for (int report = 0; report < 5; report++) {
+			this.quarantine.merge(new QuarantineNews(List
+				.of(new QuarantineNews.Crash(SERVICE, "i-1", report * 50L, List.of(Set.of("new", "p" + report)))),
+					List.of()), this.nowMs);
+		}
+		assertThat(isQuarantined("new", "own")).isFalse();
+	}
+
+	@Test
+	void lastPartOfAPromptIsNeverBlamed() {
+		assertThat(PromptQuarantine.partIds(prompt("common", "own"))).containsExactly("common");
+	}
+
+	@Test
+	void soundAnswerEndsTheQuarantine() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "slandered");
+		}
+		assertThat(isQuarantined("slandered", "own")).isTrue();
+		answer("slandered", "own");
+		assertThat(isQuarantined("slandered", "own")).isFalse();
+	}
+
+	@Test
+	void otherServiceMayRunThePart() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "bad");
+		}
+		assertThat(this.quarantine.find("other", prompt("bad", "own"))).isNull();
+	}
+
+	@Test
+	void trialsAreSingleAndRarerAfterEachFailure() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "bad");
+		}
+		List<String> hosts = List.of("h1", "h2", "h3");
+		Attribution first = this.quarantine.attributions().getFirst();
+		assertThat(this.quarantine.tryTrial(first, hosts, first.heldUntilMs() - 1)).isFalse();
+		this.nowMs = first.heldUntilMs() + 10_000;
+		assertThat(this.quarantine.tryTrial(first, hosts, this.nowMs)).isTrue();
+		assertThat(this.quarantine.tryTrial(first, hosts, this.nowMs + 1)).isFalse();
+		crash("i-4", "bad");
+		Attribution second = this.quarantine.attributions().getFirst();
+		assertThat(second.heldUntilMs() - this.nowMs).isEqualTo(2 * Attribution.FIRST_HOLD_MS);
+		assertThat(this.quarantine.tryTrial(second, hosts, this.nowMs + Attribution.FIRST_HOLD_MS)).isFalse();
+	}
+
+	@Test
+	void daemonsTakeTurnsWithTrials() {
+		List<String> hosts = List.of("h1", "h2", "h3", "h4", "h5", "h6", "h7");
+		long trials = hosts.stream().filter((host) -> {
+			PromptQuarantine other = new PromptQuarantine(host);
+			for (int server = 1; server <= 3; server++) {
+				long atMs = server * INTERVAL_MS;
+				other.recordCrash(SERVICE, "i-" + server, List.of(Set.of("bad")), atMs, atMs);
+			}
+			Attribution attribution = other.attributions().getFirst();
+			return other.tryTrial(attribution, hosts, attribution.heldUntilMs() + 1_000);
+		}).count();
+		assertThat(trials).isEqualTo(1);
+	}
+
+	@Test
+	void daemonsThatSawDifferentCrashesConcludeTheSame() {
+		List<PromptQuarantine> daemons = List.of(new PromptQuarantine("h1"), new PromptQuarantine("h2"),
+				new PromptQuarantine("h3"), new PromptQuarantine("h4"));
+		for (int index = 0; index < 3; index++) {
+			long atMs = 1_000 + index * INTERVAL_MS;
+			daemons.get(index)
+				.recordCrash(SERVICE, "i-" + index, List.of(Set.of("common", "bad"), Set.of("common", "w" + index)),
+						atMs, atMs);
+			daemons.get(3).recordAnswer(SERVICE, prompt("common", "w" + index, "own"), atMs + 100);
+		}
+		for (int round = 0; round < 2; round++) {
+			for (PromptQuarantine from : daemons) {
+				daemons.forEach((to) -> to.merge(from.newsSince(0, 3_000), 3_000));
+			}
+		}
+		assertThat(daemons).allSatisfy((daemon) -> assertThat(daemon.attributions()).singleElement()
+			.extracting(Attribution::parts)
+			.isEqualTo(Set.of("bad")));
+	}
+
+	@Test
+	void newsWithoutNewEvidenceChangeNothing() {
+		crash("i-1", "bad");
+		long version = this.quarantine.version();
+		this.quarantine.merge(this.quarantine.newsSince(0, this.nowMs), this.nowMs);
+		assertThat(this.quarantine.version()).isEqualTo(version);
+	}
+
+	@Test
+	void evidenceIsBoundedInSize() {
+		for (int server = 0; server < 3 * PromptQuarantine.MAX_CRASHES; server++) {
+			String[] prompts = new String[3 * CrashRecord.MAX_PROMPTS];
+			for (int index = 0; index < prompts.length; index++) {
+				prompts[index] = "common part-" + server + "-" + index;
+			}
+			crash("i-" + server, prompts);
+		}
+		QuarantineNews news = this.quarantine.newsSince(0, this.nowMs);
+		assertThat(news.crashes()).hasSize(PromptQuarantine.MAX_CRASHES)
+			.allSatisfy((crash) -> assertThat(crash.prompts()).hasSizeLessThanOrEqualTo(CrashRecord.MAX_PROMPTS));
+	}
+
+}
--- /dev/null
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the quarantine of prompt parts.
+ */
+package io.fescuehold.core.quarantine;
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerHealthTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerHealthTests.java
@@ -48,6 +48,22 @@
 		assertThat(this.health.isUsable(ServerHealth.REPLACED_BACKOFF_MS - 1)).isFalse();
 	}
 
+	// A server that a guilty request crashed must not lose its good standing.
+	@Test
+	void excusedFailuresDoNotCount() {
+		for (int failure = 0; failure < 10; failure++) {
+			this.health.record(ServerOutcome.FAILED, failure);
+		}
+		this.health.excuse(10);
+		this.health.record(ServerOutcome.UNREACHABLE, 20);
+		assertThat(this.health.failureRate(20)).isZero();
+		assertThat(this.health.isUsable(20)).isFalse();
+		assertThat(this.health.isUsable(20 + ServerHealth.FIRST_BACKOFF_MS)).isTrue();
+		this.health.record(ServerOutcome.SERVED, 500);
+		this.health.record(ServerOutcome.FAILED, 600);
+		assertThat(this.health.failureRate(600)).isPositive();
+	}
+
 	@Test
 	void rejectingServerIsExcludedBriefly() {
 		this.health.record(ServerOutcome.REJECTED, 0);
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -20,6 +20,7 @@
 import io.fescuehold.core.routes.RoutingRules;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.backend.BackendOptions;
+import io.fescuehold.runtime.discovery.EvidenceGossip;
 import io.fescuehold.runtime.discovery.Fleet;
 import io.fescuehold.runtime.discovery.FleetOptions;
 import io.fescuehold.runtime.discovery.ServerListSource;
@@ -93,6 +94,8 @@
 
 	private final Fleet fleet;
 
+	private final EvidenceGossip gossip;
+
 	private final OperationsServer operations;
 
 	private volatile DrainSchedule drain;
@@ -121,7 +124,7 @@
 				new PeerAddress(settings.hostId(), settings.peerPort()), Map.of(), TRANSPORT), this.metrics,
 				this.scheduler, loops);
 		this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, settings.peerPort()));
-		this.belief = new GatewayBelief(codec, this.clock::nowMs);
+		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs);
 		this.server = new GatewayServer(options(settings), this.belief, protocol, this.scheduler, loops, this.metrics,
 				random);
 		this.fleet = new Fleet(
@@ -130,6 +133,8 @@
 						TimeUnit.NANOSECONDS.toMillis(startedNs), FleetOptions.Timing.DEFAULT),
 				this.transport, new AgreementTransport(this.transport), this.scheduler, listSource, this.belief,
 				this::hostState, this.metrics, random, System.currentTimeMillis());
+		this.gossip = new EvidenceGossip(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
+				this.belief.quarantine());
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
 				this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
@@ -152,6 +157,7 @@
 		this.operations.start();
 		this.transport.start().block(Duration.ofSeconds(5));
 		this.fleet.start();
+		this.gossip.start();
 		this.scheduler.schedulePeriodically(this.server::closeUnusedPools, POOL_CHECK_MS, POOL_CHECK_MS,
 				TimeUnit.MILLISECONDS);
 		logger.atInfo()
@@ -277,6 +283,7 @@
 	 * Stops the daemon.
 	 */
 	public void stop() {
+		this.gossip.stop();
 		this.fleet.stop();
 		this.server.stop();
 		logger.atInfo().log("Daemon %s has stopped", this.settings.hostId());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -115,6 +115,16 @@
 		return headers;
 	}
 
+	/**
+	 * Returns whether the end of a response is visible. The end of any other response is
+	 * the end of its connection, which is then not reused.
+	 * @param headers the headers by lower-case name
+	 * @return whether the response has a length or chunks
+	 */
+	public static boolean isFramed(Map<String, String> headers) {
+		return headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
+	}
+
 	private static void setHeaders(HttpHeaders headers, BackendRequest request) {
 		headers.remove(HttpHeaderNames.USER_AGENT);
 		request.headers().forEach(headers::set);
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -0,0 +1,145 @@
+package io.fescuehold.runtime.discovery;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.google.common.flogger.FluentLogger;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.port.PeerMessage;
+import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.quarantine.QuarantineNews;
+import io.fescuehold.core.relay.RingNeighbours;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Spreads evidence among the daemons without the leader. Each daemon sends new evidence
+ * to a few neighbours, which pass it on, and repeats it until a neighbour has confirmed
+ * it. A neighbour that has started anew receives all evidence. Without new evidence
+ * nothing is sent.
+ * <p>
+ * All state is confined to the thread of the scheduler.
+ */
+public final class EvidenceGossip {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	/** Short compared with the time within which all daemons must know the evidence. */
+	private static final long INTERVAL_MS = 100;
+
+	private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+	private final String hostId;
+
+	private final PeerTransport transport;
+
+	private final Scheduler scheduler;
+
+	private final Supplier<List<HostRecord>> hosts;
+
+	private final PromptQuarantine quarantine;
+
+	private final Map<String, Confirmed> confirmed = new HashMap<>();
+
+	private final Set<String> pending = new HashSet<>();
+
+	private Disposable ticker;
+
+	/**
+	 * Creates the exchange without starting it.
+	 * @param hostId the id of this daemon
+	 * @param transport the connections to the other daemons
+	 * @param scheduler the thread that owns all state
+	 * @param hosts supplies the daemons as far as this one knows
+	 * @param quarantine the evidence on crashing prompt parts
+	 */
+	public EvidenceGossip(String hostId, PeerTransport transport, Scheduler scheduler, Supplier<List<HostRecord>> hosts,
+			PromptQuarantine quarantine) {
+		this.hostId = hostId;
+		this.transport = transport;
+		this.scheduler = scheduler;
+		this.hosts = hosts;
+		this.quarantine = quarantine;
+	}
+
+	/**
+	 * Starts to send and to receive evidence.
+	 */
+	public void start() {
+		this.transport.onMessage(GossipMessage.Evidence.class, (from,
+				evidence) -> Mono.<PeerMessage>fromSupplier(() -> receive(evidence)).subscribeOn(this.scheduler));
+		this.ticker = this.scheduler.schedulePeriodically(this::tick, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Stops to send evidence.
+	 */
+	public void stop() {
+		if (this.ticker != null) {
+			this.ticker.dispose();
+		}
+	}
+
+	private GossipMessage.Received receive(GossipMessage.Evidence evidence) {
+		this.quarantine.merge(evidence.quarantine(), nowMs());
+		return new GossipMessage.Received();
+	}
+
+	private void tick() {
+		long version = this.quarantine.version();
+		if (version == 0) {
+			return;
+		}
+		Map<String, Long> incarnations = new HashMap<>();
+		this.hosts.get().forEach((host) -> incarnations.put(host.hostId(), host.incarnation()));
+		this.confirmed.keySet().retainAll(incarnations.keySet());
+		for (String neighbour : RingNeighbours.of(incarnations.keySet(), this.hostId)) {
+			Confirmed last = this.confirmed.get(neighbour);
+			boolean sameStart = last != null && last.incarnation == incarnations.get(neighbour);
+			long since = sameStart ? last.version : 0;
+			if (since < version && !this.pending.contains(neighbour)) {
+				send(neighbour, incarnations.get(neighbour), since);
+			}
+		}
+	}
+
+	private void send(String neighbour, long incarnation, long since) {
+		long version = this.quarantine.version();
+		QuarantineNews news = this.quarantine.newsSince(since, nowMs());
+		if (news.isEmpty()) {
+			this.confirmed.put(neighbour, new Confirmed(incarnation, version));
+			return;
+		}
+		this.pending.add(neighbour);
+		this.transport.request(neighbour, new GossipMessage.Evidence(news), TIMEOUT)
+			.publishOn(this.scheduler)
+			.subscribe((received) -> {
+				this.pending.remove(neighbour);
+				this.confirmed.put(neighbour, new Confirmed(incarnation, version));
+			}, (error) -> retryLater(neighbour, error));
+	}
+
+	private void retryLater(String neighbour, Throwable error) {
+		logger.atInfo()
+			.atMostEvery(5, TimeUnit.SECONDS)
+			.log("Evidence was not delivered to host %s: %s", neighbour, error.getMessage());
+		this.scheduler.schedule(() -> this.pending.remove(neighbour), TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
+	private record Confirmed(long incarnation, long version) {
+
+	}
+
+}
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
@@ -0,0 +1,33 @@
+package io.fescuehold.runtime.discovery;
+
+import java.util.Objects;
+
+import io.fescuehold.core.port.PeerMessage;
+import io.fescuehold.core.quarantine.QuarantineNews;
+
+/**
+ * Messages that daemons pass on to each other without the leader.
+ */
+public sealed interface GossipMessage extends PeerMessage {
+
+	/**
+	 * Evidence that the receiver may not have. The reply is {@link Received}.
+	 *
+	 * @param quarantine the evidence on crashing prompt parts
+	 */
+	record Evidence(QuarantineNews quarantine) implements GossipMessage {
+
+		// A daemon of another version may send no evidence.
+		public Evidence {
+			quarantine = Objects.requireNonNullElse(quarantine, QuarantineNews.EMPTY);
+		}
+
+	}
+
+	/**
+	 * Confirms that the evidence has arrived.
+	 */
+	record Received() implements GossipMessage {
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -6,10 +6,13 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendRequest;
 import io.fescuehold.runtime.backend.BackendResponse;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 /**
  * Tracks the attempts of one request: which servers were tried, whether one of them may
@@ -27,11 +30,19 @@
 	/** A full queue has usually drained after this time. */
 	private static final long REJECTED_RETRY_AFTER_MS = 150;
 
+	/**
+	 * A server that crashes on a prompt does so as it begins to answer; one that still
+	 * sends events after this time has survived that.
+	 */
+	private static final long SURVIVED_MS = 200;
+
 	/** Retry delay that callers are given when no server was reachable. */
 	private static final long UNREACHABLE_RETRY_AFTER_MS = 400;
 
 	private final Dispatcher dispatcher;
 
+	private final QuarantineGuard guard;
+
 	private final GatewayLog log;
 
 	private final GatewayRequest request;
@@ -55,10 +66,18 @@
 
 	private long firstEventAtMs;
 
+	/** Whether the current server is known to have survived the start of its response. */
+	private boolean answered;
+
+	private Sinks.One<Attribution> withdrawal = Sinks.one();
+
+	private Attribution withdrawnBy;
+
 	private Dispatcher.Target target;
 
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
 		this.dispatcher = dispatcher;
+		this.guard = dispatcher.quarantineGuard();
 		this.log = log;
 		this.request = request;
 	}
@@ -68,20 +87,95 @@
 	 * @return the server
 	 */
 	Dispatcher.Target next() {
+		Attribution quarantined = this.guard.check(this.request);
+		if (quarantined != null) {
+			throw quarantineError(quarantined);
+		}
 		this.target = this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried);
 		this.attemptCount++;
 		this.awaitingResponse = false;
 		this.eventCount = 0;
+		this.answered = false;
+		this.withdrawal = Sinks.one();
 		this.tried.add(serverId());
 		return this.target;
 	}
 
+	GatewayRequest request() {
+		return this.request;
+	}
+
+	/**
+	 * Records that the current attempt starts.
+	 */
+	void started() {
+		this.dispatcher.attemptStarted(this.target);
+		if (this.request.head().prompt() != null) {
+			this.guard.attemptStarted(this);
+		}
+	}
+
+	/**
+	 * Records that an attempt has ended.
+	 * @param endedTarget its server
+	 */
+	void ended(Dispatcher.Target endedTarget) {
+		this.dispatcher.attemptEnded(endedTarget);
+		if (endedTarget == this.target) {
+			this.guard.attemptEnded(this);
+		}
+	}
+
+	/**
+	 * Cancels the current attempt, because its prompt is known to crash servers.
+	 * @param attribution the attribution
+	 */
+	void withdraw(Attribution attribution) {
+		this.withdrawnBy = attribution;
+		this.withdrawal.tryEmitValue(attribution);
+	}
+
+	/**
+	 * Returns the signal that cancels the current attempt.
+	 * @return emits once when the attempt must be cancelled
+	 */
+	Mono<Attribution> withdrawn() {
+		return this.withdrawal.asMono();
+	}
+
+	/**
+	 * Returns the error of an attempt that was cancelled by {@link #withdrawn()}.
+	 * @return the error for the caller
+	 */
+	FescueholdException withdrawalError() {
+		return quarantineError(this.withdrawnBy);
+	}
+
+	private FescueholdException quarantineError(Attribution attribution) {
+		if (!this.awaitingResponse && !this.mayHaveRun) {
+			return this.guard.refusal(attribution);
+		}
+		return FescueholdException.of(ErrorCode.PROMPT_CRASHES_SERVERS, RunStatus.UNKNOWN, 0, attribution.parts(),
+				serverId(), attribution.service());
+	}
+
 	/**
 	 * Records that the current server has sent an event of the response.
 	 */
 	void eventReceived() {
+		long nowMs = this.dispatcher.nowMs();
 		if (this.eventCount++ == 0) {
-			this.firstEventAtMs = this.dispatcher.nowMs();
+			this.firstEventAtMs = nowMs;
+		}
+		else if (!this.answered && nowMs - this.firstEventAtMs >= SURVIVED_MS) {
+			recordAnswered();
+		}
+	}
+
+	private void recordAnswered() {
+		if (this.request.head().prompt() != null && !this.answered) {
+			this.answered = true;
+			this.guard.answered(this, this.request);
 		}
 	}
 
@@ -188,6 +282,7 @@
 		if (!stalled) {
 			this.log.connectionLost(this.request, serverId(), this.eventCount,
 					(this.eventCount > 0) ? this.dispatcher.nowMs() - this.firstEventAtMs : 0);
+			suspectUnlessAnswered();
 		}
 		boolean retries = this.retryReserved || (this.request.route().isRepeatable()
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount));
@@ -224,8 +319,25 @@
 				this.request.service());
 	}
 
-	void served() {
+	/**
+	 * Records a complete response.
+	 * @param framed whether the response had a length or chunks. Without them its end may
+	 * also be the end of the server's process.
+	 */
+	void served(boolean framed) {
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.SERVED);
+		if (framed) {
+			recordAnswered();
+		}
+		else {
+			suspectUnlessAnswered();
+		}
+	}
+
+	private void suspectUnlessAnswered() {
+		if (this.request.head().prompt() != null && !this.answered) {
+			this.guard.connectionLost(this.request, this.target.server());
+		}
 	}
 
 	private String serverId() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -58,10 +58,12 @@
 
 	private Mono<BackendResponse> attempt() {
 		Dispatcher.Target target = this.attempts.next();
-		this.dispatcher.attemptStarted(target);
+		this.attempts.started();
 		Mono<BackendResponse> exchange = BackendExchange
 			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES)
-			.doFinally((signal) -> this.dispatcher.attemptEnded(target));
+			.doFinally((signal) -> this.attempts.ended(target));
+		exchange = exchange.takeUntilOther(this.attempts.withdrawn())
+			.switchIfEmpty(Mono.error(this.attempts::withdrawalError));
 		long slowMs = Math.max(MIN_SLOW_MS, (long) SLOW_FACTOR * this.request.route().objectiveMs());
 		if (this.attempts.hasRetryLeft() && this.request.leftMs(this.dispatcher.nowMs()) > 2 * slowMs) {
 			// A slow attempt is only cancelled if another server can take the request
@@ -98,7 +100,7 @@
 		if (response.status() >= 500) {
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
-		this.attempts.served();
+		this.attempts.served(BackendExchange.isFramed(response.headers()));
 		return Mono.just(response);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -46,12 +46,15 @@
 
 	private final EnginePlacement enginePlacement;
 
+	private final QuarantineGuard quarantineGuard;
+
 	private final GatewayMetrics metrics;
 
 	private final GatewayLog log;
 
 	Dispatcher(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, BackendPools pools,
-			LongSupplier clockMs, GatewayMetrics metrics, GatewayLog log, RandomGenerator random) {
+			LongSupplier clockMs, QuarantineGuard quarantineGuard, GatewayMetrics metrics, GatewayLog log,
+			RandomGenerator random) {
 		this.belief = belief;
 		this.protocol = protocol;
 		this.pools = pools;
@@ -59,10 +62,15 @@
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
+		this.quarantineGuard = quarantineGuard;
 		this.metrics = metrics;
 		this.log = log;
 	}
 
+	QuarantineGuard quarantineGuard() {
+		return this.quarantineGuard;
+	}
+
 	long nowMs() {
 		return this.clockMs.getAsLong();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -11,6 +11,7 @@
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.prompt.PartHolders;
+import io.fescuehold.core.quarantine.PromptQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingDocument;
@@ -46,16 +47,20 @@
 
 	private final PartHolders holders = new PartHolders(MAX_TRACKED_PARTS, PART_RETENTION_MS);
 
+	private final PromptQuarantine quarantine;
+
 	private RouteTable table;
 
 	private List<HostRecord> hosts = List.of();
 
 	/**
 	 * Creates a view without a configuration.
+	 * @param hostId the id of this daemon
 	 * @param codec the decoder of configurations
 	 * @param clockMs the clock in milliseconds
 	 */
-	public GatewayBelief(RoutingCodec codec, LongSupplier clockMs) {
+	public GatewayBelief(String hostId, RoutingCodec codec, LongSupplier clockMs) {
+		this.quarantine = new PromptQuarantine(hostId);
 		this.codec = codec;
 		this.clockMs = clockMs;
 	}
@@ -116,6 +121,14 @@
 		return this.holders;
 	}
 
+	/**
+	 * Returns the quarantine of prompt parts that crash servers.
+	 * @return the quarantine
+	 */
+	public PromptQuarantine quarantine() {
+		return this.quarantine;
+	}
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the routes, or null before the first configuration
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -5,6 +5,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.prompt.PromptPart;
+import io.fescuehold.core.quarantine.Attribution;
+import io.fescuehold.core.servers.BackendServer;
 
 /**
  * Logs each decision on a request with the request id, the inputs of the decision, their
@@ -86,6 +88,32 @@
 		}
 	}
 
+	void serverChecked(BackendServer server, int promptCount, boolean crashed) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("Server %s of %s lost %d prompts before it answered and %s", server.id(), server.service(),
+						promptCount, crashed ? "refuses connections: it has crashed" : "is not known to have crashed");
+		}
+	}
+
+	void quarantined(Attribution attribution, long nowMs) {
+		logger.atWarning()
+			.log("Prompt parts %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them",
+					attribution.parts(), attribution.service(), attribution.heldUntilMs() - nowMs,
+					attribution.serverIds());
+	}
+
+	void quarantineLifted(Attribution attribution) {
+		logger.atWarning()
+			.log("The quarantine of prompt parts %s of %s has ended", attribution.parts(), attribution.service());
+	}
+
+	void quarantineTrial(GatewayRequest request, Attribution attribution) {
+		logger.atWarning()
+			.log("request %s is a trial of quarantined prompt parts %s of %s", request.head().requestId(),
+					attribution.parts(), attribution.service());
+	}
+
 	void answered(GatewayRequest request, int status, long tookMs) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -47,6 +47,10 @@
 		this.registry.counter(PREFIX + "placements." + reason).inc();
 	}
 
+	void quarantined(String service) {
+		this.registry.counter(PREFIX + "quarantined." + service).inc();
+	}
+
 	void brokenOff() {
 		this.registry.counter(PREFIX + "brokenOff").inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -116,8 +116,8 @@
 		this.pools = new BackendPools(options.backend(), loops);
 		this.metrics = new GatewayMetrics(registry);
 		this.log = new GatewayLog(belief, this.clockMs);
-		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs, this.metrics, this.log,
-				random);
+		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
+				new QuarantineGuard(belief, scheduler, loops, this.log, this.metrics), this.metrics, this.log, random);
 	}
 
 	/**
@@ -363,6 +363,7 @@
 							state.health().isUsable(this.clockMs.getAsLong()))));
 		dump.put("servers", servers);
 		dump.put("dispatch", this.dispatcher.dump());
+		dump.put("quarantine", this.belief.quarantine().attributions());
 		if (this.belief.table() != null) {
 			RoutingConfig config = this.belief.table().config();
 			dump.put("routes", config.routes());
--- /dev/null
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -0,0 +1,215 @@
+package io.fescuehold.runtime.gateway;
+
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.quarantine.Attribution;
+import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerState;
+import io.fescuehold.runtime.transport.NameResolution;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.Connection;
+import reactor.netty.resources.LoopResources;
+import reactor.netty.tcp.TcpClient;
+
+/**
+ * Keeps prompts that crash servers away from the servers. A lost connection counts as a
+ * crash if the server refuses connections afterwards. Not thread-safe: confined to one
+ * thread.
+ */
+final class QuarantineGuard {
+
+	/** The connections of a server that crashes are lost within a few milliseconds. */
+	private static final long CHECK_DELAY_MS = 20;
+
+	private static final int CONNECT_TIMEOUT_MS = 400;
+
+	private final GatewayBelief belief;
+
+	private final PromptQuarantine quarantine;
+
+	private final Scheduler scheduler;
+
+	private final LoopResources loops;
+
+	private final GatewayLog log;
+
+	private final GatewayMetrics metrics;
+
+	/** The attempts whose server has not begun to answer. */
+	private final Set<Attempts> unanswered = new HashSet<>();
+
+	/**
+	 * The prompts whose connections were lost, by server, until the server is checked.
+	 */
+	private final Map<String, Set<Set<String>>> lostPrompts = new HashMap<>();
+
+	private List<Attribution> attributions = List.of();
+
+	QuarantineGuard(GatewayBelief belief, Scheduler scheduler, LoopResources loops, GatewayLog log,
+			GatewayMetrics metrics) {
+		this.belief = belief;
+		this.quarantine = belief.quarantine();
+		this.scheduler = scheduler;
+		this.loops = loops;
+		this.log = log;
+		this.metrics = metrics;
+		this.quarantine.setChangeListener(this::onAttributionsChanged);
+	}
+
+	/**
+	 * Returns whether a request must not be sent.
+	 * @param request the request
+	 * @return the attribution that forbids it, or null
+	 */
+	Attribution check(GatewayRequest request) {
+		if (request.head().prompt() == null) {
+			return null;
+		}
+		Attribution attribution = this.quarantine.find(request.service(), request.head().prompt());
+		if (attribution == null) {
+			return null;
+		}
+		List<String> hostIds = this.belief.hosts()
+			.stream()
+			.filter((host) -> host.state() == HostState.READY)
+			.map(HostRecord::hostId)
+			.toList();
+		if (this.quarantine.tryTrial(attribution, hostIds, nowMs())) {
+			this.log.quarantineTrial(request, attribution);
+			return null;
+		}
+		this.metrics.quarantined(request.service());
+		return attribution;
+	}
+
+	/**
+	 * Creates the error of a request that was not sent to any server.
+	 * @param attribution the attribution that forbids it
+	 * @return the error
+	 */
+	FescueholdException refusal(Attribution attribution) {
+		return FescueholdException.of(ErrorCode.PROMPT_QUARANTINED, RunStatus.NO,
+				Math.max(1, attribution.heldUntilMs() - nowMs()), attribution.parts(), attribution.service());
+	}
+
+	void attemptStarted(Attempts attempts) {
+		this.unanswered.add(attempts);
+	}
+
+	void attemptEnded(Attempts attempts) {
+		this.unanswered.remove(attempts);
+	}
+
+	/**
+	 * Records that a server answers a request without crashing.
+	 * @param attempts the attempts at the request
+	 * @param request the request
+	 */
+	void answered(Attempts attempts, GatewayRequest request) {
+		this.unanswered.remove(attempts);
+		this.quarantine.recordAnswer(request.service(), request.head().prompt(), nowMs());
+	}
+
+	/**
+	 * Records that the connection to a server was lost before it answered a request.
+	 * @param request the request
+	 * @param server the server
+	 */
+	void connectionLost(GatewayRequest request, ServerState server) {
+		BackendServer backend = server.server();
+		if (backend.leaving()) {
+			return;
+		}
+		Set<Set<String>> prompts = this.lostPrompts.get(backend.id());
+		if (prompts == null) {
+			prompts = new HashSet<>();
+			this.lostPrompts.put(backend.id(), prompts);
+			long lostAtMs = nowMs();
+			this.scheduler.schedule(() -> check(backend, lostAtMs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
+		}
+		prompts.add(PromptQuarantine.partIds(request.head().prompt()));
+	}
+
+	private void check(BackendServer server, long lostAtMs) {
+		NameResolution.unlessNumeric(TcpClient.newConnection(), server.ip())
+			.runOn(this.loops)
+			.host(server.ip())
+			.port(server.port())
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.connect()
+			.doOnNext(Connection::dispose)
+			.map((connection) -> false)
+			.onErrorResume((error) -> Mono.just(isRefusal(error)))
+			.publishOn(this.scheduler)
+			.subscribe((refused) -> onChecked(server, lostAtMs, refused));
+	}
+
+	// Without a response it is unknown whether the process has ended.
+	private static boolean isRefusal(Throwable error) {
+		return error instanceof ConnectException && !(error instanceof ConnectTimeoutException);
+	}
+
+	private void onChecked(BackendServer server, long lostAtMs, boolean crashed) {
+		Set<Set<String>> prompts = this.lostPrompts.remove(server.id());
+		this.log.serverChecked(server, prompts.size(), crashed);
+		if (crashed) {
+			this.quarantine.recordCrash(server.service(), server.id(), prompts, lostAtMs, nowMs());
+		}
+	}
+
+	private void onAttributionsChanged() {
+		List<Attribution> previous = this.attributions;
+		this.attributions = this.quarantine.attributions();
+		long nowMs = nowMs();
+		for (Attribution attribution : this.attributions) {
+			if (!previous.contains(attribution)) {
+				this.log.quarantined(attribution, nowMs);
+				excuseServers(attribution, previous, nowMs);
+			}
+		}
+		previous.stream()
+			.filter((attribution) -> this.attributions.stream()
+				.noneMatch((current) -> current.parts().equals(attribution.parts())))
+			.forEach(this.log::quarantineLifted);
+		for (Attempts attempts : new ArrayList<>(this.unanswered)) {
+			GatewayRequest request = attempts.request();
+			Attribution attribution = this.quarantine.find(request.service(), request.head().prompt());
+			if (attribution != null && nowMs < attribution.heldUntilMs()) {
+				this.unanswered.remove(attempts);
+				attempts.withdraw(attribution);
+			}
+		}
+	}
+
+	private void excuseServers(Attribution attribution, List<Attribution> previous, long nowMs) {
+		for (int index = 0; index < attribution.serverIds().size(); index++) {
+			String serverId = attribution.serverIds().get(index);
+			long crashedAtMs = attribution.crashedAtMs().get(index);
+			ServerState server = this.belief.servers().find(serverId);
+			if (server != null && previous.stream().noneMatch((other) -> other.crashedAtMs().contains(crashedAtMs))) {
+				server.health().excuse(nowMs);
+			}
+		}
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
+}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -95,12 +95,13 @@
 
 	private Flux<StreamItem> attempt() {
 		Dispatcher.Target target = this.attempts.next();
-		this.dispatcher.attemptStarted(target);
+		this.attempts.started();
 		Flux<StreamItem> items = BackendExchange
 			.send(this.dispatcher.client(target), this.attempts.prepare(this.headSent ? this.position : -1),
 					(head, content) -> receive(target, head, content))
-			.doFinally((signal) -> this.dispatcher.attemptEnded(target));
-		return failIfStalled(items).onErrorResume((failure) -> this.failOrRetry(this.attempts.afterFailure(failure)))
+			.doFinally((signal) -> this.attempts.ended(target));
+		items = StreamDeadline.cut(failIfStalled(items), this.attempts.withdrawn(), this.attempts::withdrawalError);
+		return items.onErrorResume((failure) -> this.failOrRetry(this.attempts.afterFailure(failure)))
 			.concatMap(this::evaluate, 1);
 	}
 
@@ -146,7 +147,9 @@
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
 			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(status, headers), event));
-		return events.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(status, headers), splitter)));
+		boolean framed = BackendExchange.isFramed(headers);
+		return events
+			.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(status, headers), splitter, framed)));
 	}
 
 	private static Iterable<StreamEvent> split(EventSplitter splitter, byte[] bytes) {
@@ -187,11 +190,12 @@
 	}
 
 	// Emits the head even without events: a caller may resume after the last event.
-	private Flux<StreamItem> endStream(Dispatcher.Target target, StreamItem.Head head, EventSplitter splitter) {
+	private Flux<StreamItem> endStream(Dispatcher.Target target, StreamItem.Head head, EventSplitter splitter,
+			boolean framed) {
 		if (splitter.isInsideEvent()) {
 			return protocolFailure("the stream ends in the middle of an event");
 		}
-		this.attempts.served();
+		this.attempts.served(framed);
 		return emitHead(target, head);
 	}
 
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
@@ -0,0 +1,152 @@
+package io.fescuehold.runtime.discovery;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.prompt.PromptPart;
+import io.fescuehold.core.prompt.PromptShape;
+import io.fescuehold.core.quarantine.PromptQuarantine;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against daemons that keep sending prompts which crashed servers elsewhere
+ * (BUDGET): evidence reaches all daemons in time, without a leader.
+ */
+class EvidenceGossipTests {
+
+	private static final Duration CONTACT = Duration.ofMillis(3_000);
+
+	private static final PromptShape PROMPT = new PromptShape(
+			List.of(new PromptPart("bad", 10), new PromptPart("own", 5)), 10);
+
+	private final VirtualTimeScheduler scheduler = VirtualTimeScheduler.create();
+
+	private final VirtualNetwork network = new VirtualNetwork(this.scheduler);
+
+	private final List<Daemon> daemons = new ArrayList<>();
+
+	private List<HostRecord> hosts = List.of();
+
+	@AfterEach
+	void stop() {
+		this.daemons.forEach((daemon) -> daemon.gossip.stop());
+		this.scheduler.dispose();
+	}
+
+	private void start(int count) {
+		for (int index = 0; index < count; index++) {
+			this.daemons.add(new Daemon("10.0." + index / 100 + "." + index % 100));
+		}
+		updateHosts();
+	}
+
+	private void updateHosts() {
+		this.hosts = this.daemons.stream()
+			.map((daemon) -> new HostRecord(daemon.hostId, "a", daemon.incarnation, null, HostState.READY))
+			.toList();
+	}
+
+	private void crash(int daemon, String serverId) {
+		long nowMs = this.scheduler.now(TimeUnit.MILLISECONDS);
+		this.daemons.get(daemon).quarantine.recordCrash("model", serverId, List.of(Set.of("bad")), nowMs, nowMs);
+		this.scheduler.advanceTimeBy(Duration.ofMillis(200));
+	}
+
+	private void crashThreeServers() {
+		crash(1, "i-1");
+		crash(this.daemons.size() / 2, "i-2");
+		crash(this.daemons.size() - 1, "i-3");
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 7, 44, 351 })
+	void crashesSeenByDifferentDaemonsAreKnownEverywhereInTime(int count) {
+		start(count);
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT.minusMillis(600));
+		assertThat(this.daemons)
+			.allSatisfy((daemon) -> assertThat(daemon.quarantine.find("model", PROMPT)).isNotNull());
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 44, 351 })
+	void evidencePassesAroundSilentDaemons(int count) {
+		start(count);
+		this.network.isolate(this.daemons.get(2).hostId);
+		this.network.isolate(this.daemons.get(3).hostId);
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT.minusMillis(600));
+		assertThat(this.daemons.stream().filter((daemon) -> daemon.quarantine.find("model", PROMPT) == null))
+			.extracting((daemon) -> daemon.hostId)
+			.containsOnly(this.daemons.get(2).hostId, this.daemons.get(3).hostId);
+	}
+
+	@Test
+	void restartedDaemonLearnsTheEvidence() {
+		start(12);
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT);
+		this.daemons.get(5).gossip.stop();
+		Daemon restarted = new Daemon(this.daemons.get(5).hostId);
+		restarted.incarnation = 2;
+		this.daemons.set(5, restarted);
+		updateHosts();
+		this.scheduler.advanceTimeBy(Duration.ofMillis(300));
+		assertThat(restarted.quarantine.find("model", PROMPT)).isNotNull();
+	}
+
+	@Test
+	void nothingIsSentWithoutNewEvidence() {
+		start(44);
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.network.takeMessageCount("10.")).isZero();
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.network.takeMessageCount("10.")).isPositive();
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.network.takeMessageCount("10.")).isZero();
+	}
+
+	@Test
+	void soundAnswerElsewhereEndsTheQuarantineEverywhere() {
+		start(44);
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT);
+		Daemon answered = this.daemons.get(7);
+		answered.quarantine.recordAnswer("model", PROMPT, this.scheduler.now(TimeUnit.MILLISECONDS));
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.daemons).allSatisfy((daemon) -> assertThat(daemon.quarantine.attributions()).isEmpty());
+	}
+
+	private final class Daemon {
+
+		private final String hostId;
+
+		private final PromptQuarantine quarantine;
+
+		private final EvidenceGossip gossip;
+
+		private long incarnation = 1;
+
+		Daemon(String hostId) {
+			this.hostId = hostId;
+			this.quarantine = new PromptQuarantine(hostId);
+			this.gossip = new EvidenceGossip(hostId, EvidenceGossipTests.this.network.transport(hostId),
+					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts, this.quarantine);
+			this.gossip.start();
+		}
+
+	}
+
+}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -18,7 +18,7 @@
 	@Override
 	public CallerHead read(String method, String uri, HttpHeaders headers) {
 		Map<String, String> passedOn = new HashMap<>();
-		for (String name : List.of("X-Request", "X-Custom", "Host")) {
+		for (String name : List.of("X-Request", "X-Custom", "X-Parts", "Host")) {
 			if (headers.contains(name)) {
 				passedOn.put(name, headers.get(name));
 			}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
@@ -21,7 +21,7 @@
  */
 public final class ScriptedServer implements AutoCloseable {
 
-	private final ServerSocket listener;
+	private volatile ServerSocket listener;
 
 	private final Script script;
 
@@ -39,13 +39,13 @@
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		Thread.ofVirtual().start(this::accept);
+		Thread.ofVirtual().start(() -> accept(this.listener));
 	}
 
-	private void accept() {
-		while (!this.listener.isClosed()) {
+	private void accept(ServerSocket accepting) {
+		while (!accepting.isClosed()) {
 			try {
-				Socket socket = this.listener.accept();
+				Socket socket = accepting.accept();
 				this.sockets.add(socket);
 				int connectionNumber = this.connections.incrementAndGet();
 				Thread.ofVirtual().start(() -> serve(socket, connectionNumber));
@@ -115,6 +115,28 @@
 		return this.received.stream().filter((request) -> request.method().equals(method)).count();
 	}
 
+	/**
+	 * Ends all connections like a process that crashes, and refuses connections until it
+	 * listens at the same port again.
+	 * @param downMs the time in milliseconds for which connections are refused
+	 */
+	public void crash(long downMs) throws IOException {
+		int port = port();
+		close();
+		this.sockets.clear();
+		Thread.ofVirtual().start(() -> {
+			try {
+				Thread.sleep(downMs);
+				ServerSocket restarted = new ServerSocket(port, 100, InetAddress.getLoopbackAddress());
+				this.listener = restarted;
+				accept(restarted);
+			}
+			catch (IOException | InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+	}
+
 	@Override
 	public void close() {
 		try {
