Log the limits that servers name

Callers saw nothing yet, but servers in need got about twice the requests that they had allowed. The logs showed neither the limit that a host was told nor when it changed or ended; together with the server in each placement line this tells hosts that ignore the limit from hosts that keep to it one by one.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
@@ -9,8 +9,11 @@
  * @param signed whether the response carries the server's signature
  * @param notRun whether the server states that it did not run the request
  * @param otherInstance whether an instance other than the addressed one responded
+ * @param requestLimitPerS the requests a second that the server takes from all daemons
+ * together, or null if it names no limit
  */
-public record AnswerHead(String requestId, boolean signed, boolean notRun, boolean otherInstance) {
+public record AnswerHead(String requestId, boolean signed, boolean notRun, boolean otherInstance,
+		Double requestLimitPerS) {
 
 	private static final int FIRST_STATUS_AFTER_SUCCESS = 300;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -57,6 +57,8 @@
 
 	private boolean awaitingResponse;
 
+	private long sentAtMs;
+
 	private boolean mayHaveRun;
 
 	private boolean retryReserved;
@@ -186,7 +188,22 @@
 	 * @return the request
 	 */
 	BackendRequest prepare(long resumeAfter) {
-		return this.dispatcher.prepare(this.request, this.target, resumeAfter, () -> this.awaitingResponse = true);
+		return this.dispatcher.prepare(this.request, this.target, resumeAfter, this::sent);
+	}
+
+	private void sent() {
+		this.awaitingResponse = true;
+		this.sentAtMs = this.dispatcher.nowMs();
+	}
+
+	/**
+	 * Records the head of the current server's response.
+	 * @param head the head, which belongs to the request
+	 */
+	void headReceived(AnswerHead head) {
+		if (!head.otherInstance()) {
+			this.dispatcher.recordLimit(this.target, head.requestLimitPerS(), this.sentAtMs);
+		}
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -90,6 +90,7 @@
 			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
 					"the response belongs to request " + head.requestId(), null)));
 		}
+		this.attempts.headReceived(head);
 		if (head.notRun()) {
 			return failOrRetry(this.attempts.afterRejection(response, head.otherInstance()));
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -1,8 +1,10 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
@@ -48,6 +50,9 @@
 
 	private final QuarantineGuard quarantineGuard;
 
+	/** The limits that servers named last, by server id. */
+	private final Map<String, Double> limitsPerS = new HashMap<>();
+
 	private final GatewayMetrics metrics;
 
 	private final GatewayLog log;
@@ -201,6 +206,22 @@
 		}
 	}
 
+	/**
+	 * Records the limit that a server names in a response.
+	 * @param target the server
+	 * @param limitPerS the requests a second that it takes from all daemons together, or
+	 * null if it names no limit
+	 * @param sentAtMs when the request was sent that the response answers
+	 */
+	void recordLimit(Target target, Double limitPerS, long sentAtMs) {
+		String serverId = target.server().server().id();
+		Double previous = (limitPerS != null) ? this.limitsPerS.put(serverId, limitPerS)
+				: this.limitsPerS.remove(serverId);
+		if (!Objects.equals(limitPerS, previous)) {
+			this.log.limitChanged(serverId, limitPerS, previous);
+		}
+	}
+
 	/**
 	 * Records that a server stopped responding. Its idle connections may be dead as well
 	 * and are not reused.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -96,6 +96,13 @@
 		}
 	}
 
+	void limitChanged(String serverId, Double limitPerS, Double previousPerS) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("Server %s names a limit of %s requests/s, previously %s", serverId, limitPerS, previousPerS);
+		}
+	}
+
 	void quarantined(Attribution attribution, long nowMs) {
 		logger.atWarning()
 			.log("Prompt parts %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them",
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -135,6 +135,7 @@
 		if (head.mayBelongToOtherRequest(this.request.head().requestId(), status)) {
 			return protocolFailure("the response belongs to request " + head.requestId());
 		}
+		this.attempts.headReceived(head);
 		if (head.notRun() || status != OK) {
 			return BackendExchange.collect(response, content, CallExchange.MAX_RESPONSE_BYTES)
 				.map((backendResponse) -> new StreamItem.Complete(backendResponse, false));
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -54,7 +54,8 @@
 	@Override
 	public AnswerHead read(int status, Map<String, String> headers) {
 		return new AnswerHead(headers.get("x-request".toLowerCase(Locale.ROOT)), headers.containsKey("x-signature"),
-				headers.containsKey("x-not-run") || status == 421, status == 421);
+				headers.containsKey("x-not-run") || status == 421, status == 421,
+				headers.containsKey("x-limit") ? Double.valueOf(headers.get("x-limit")) : null);
 	}
 
 }
