Keep to the limits that servers in need name

Cause: nobody read the limit. The log now shows that all seven hosts were told it within a second and went on sending each server its usual share; hardly any request was a repeat or had spilled over, so neither hosts that keep to the limit one by one nor repeats are to blame.

Change: the newest word of each server is kept and passed on without the leader. Every request counts, repeats too. What may not be sent goes to other servers of the service; if none takes more, it is refused at once, with return times one after the other at the rate that the limits allow.

--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestLimitNews.java
@@ -0,0 +1,22 @@
+package io.fescuehold.core.limits;
+
+import java.util.Objects;
+
+/**
+ * The limit that a server named in its newest known response, for other daemons.
+ *
+ * @param serverId the instance id of the server
+ * @param limitPerS the requests a second that it takes from all daemons together, or null
+ * if it names no limit any more
+ * @param ageMs the time in milliseconds since the response
+ */
+public record RequestLimitNews(String serverId, Double limitPerS, long ageMs) {
+
+	/**
+	 * Checks the arguments.
+	 */
+	public RequestLimitNews {
+		Objects.requireNonNull(serverId, "serverId");
+	}
+
+}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -124,7 +124,7 @@
 				new PeerAddress(settings.hostId(), settings.peerPort()), Map.of(), TRANSPORT), this.metrics,
 				this.scheduler, loops);
 		this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, settings.peerPort()));
-		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs);
+		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs, random);
 		this.server = new GatewayServer(options(settings), this.belief, protocol, this.scheduler, loops, this.metrics,
 				random);
 		this.fleet = new Fleet(
@@ -134,7 +134,7 @@
 				this.transport, new AgreementTransport(this.transport), this.scheduler, listSource, this.belief,
 				this::hostState, this.metrics, random, System.currentTimeMillis());
 		this.gossip = new EvidenceGossip(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
-				this.belief.quarantine());
+				this.belief.quarantine(), this.belief.requestLimits());
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
 				this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -10,11 +10,11 @@
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
+import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.quarantine.PromptQuarantine;
-import io.fescuehold.core.quarantine.QuarantineNews;
 import io.fescuehold.core.relay.RingNeighbours;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -47,6 +47,8 @@
 
 	private final PromptQuarantine quarantine;
 
+	private final ServerRequestLimits limits;
+
 	private final Map<String, Confirmed> confirmed = new HashMap<>();
 
 	private final Set<String> pending = new HashSet<>();
@@ -60,14 +62,16 @@
 	 * @param scheduler the thread that owns all state
 	 * @param hosts supplies the daemons as far as this one knows
 	 * @param quarantine the evidence on crashing prompt parts
+	 * @param limits the limits that servers named
 	 */
 	public EvidenceGossip(String hostId, PeerTransport transport, Scheduler scheduler, Supplier<List<HostRecord>> hosts,
-			PromptQuarantine quarantine) {
+			PromptQuarantine quarantine, ServerRequestLimits limits) {
 		this.hostId = hostId;
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.hosts = hosts;
 		this.quarantine = quarantine;
+		this.limits = limits;
 	}
 
 	/**
@@ -90,12 +94,13 @@
 
 	private GossipMessage.Received receive(GossipMessage.Evidence evidence) {
 		this.quarantine.merge(evidence.quarantine(), nowMs());
+		this.limits.merge(evidence.limits(), nowMs());
 		return new GossipMessage.Received();
 	}
 
 	private void tick() {
-		long version = this.quarantine.version();
-		if (version == 0) {
+		Versions current = new Versions(this.quarantine.version(), this.limits.version());
+		if (current.equals(Versions.NONE)) {
 			return;
 		}
 		Map<String, Long> incarnations = new HashMap<>();
@@ -104,27 +109,25 @@
 		for (String neighbour : RingNeighbours.of(incarnations.keySet(), this.hostId)) {
 			Confirmed last = this.confirmed.get(neighbour);
 			boolean sameStart = last != null && last.incarnation == incarnations.get(neighbour);
-			long since = sameStart ? last.version : 0;
-			if (since < version && !this.pending.contains(neighbour)) {
-				send(neighbour, incarnations.get(neighbour), since);
+			Versions since = sameStart ? last.versions : Versions.NONE;
+			if (!since.equals(current) && !this.pending.contains(neighbour)) {
+				send(neighbour, incarnations.get(neighbour), since, current);
 			}
 		}
 	}
 
-	private void send(String neighbour, long incarnation, long since) {
-		long version = this.quarantine.version();
-		QuarantineNews news = this.quarantine.newsSince(since, nowMs());
-		if (news.isEmpty()) {
-			this.confirmed.put(neighbour, new Confirmed(incarnation, version));
+	private void send(String neighbour, long incarnation, Versions since, Versions current) {
+		GossipMessage.Evidence evidence = new GossipMessage.Evidence(
+				this.quarantine.newsSince(since.quarantine, nowMs()), this.limits.newsSince(since.limits, nowMs()));
+		if (evidence.quarantine().isEmpty() && evidence.limits().isEmpty()) {
+			this.confirmed.put(neighbour, new Confirmed(incarnation, current));
 			return;
 		}
 		this.pending.add(neighbour);
-		this.transport.request(neighbour, new GossipMessage.Evidence(news), TIMEOUT)
-			.publishOn(this.scheduler)
-			.subscribe((received) -> {
-				this.pending.remove(neighbour);
-				this.confirmed.put(neighbour, new Confirmed(incarnation, version));
-			}, (error) -> retryLater(neighbour, error));
+		this.transport.request(neighbour, evidence, TIMEOUT).publishOn(this.scheduler).subscribe((received) -> {
+			this.pending.remove(neighbour);
+			this.confirmed.put(neighbour, new Confirmed(incarnation, current));
+		}, (error) -> retryLater(neighbour, error));
 	}
 
 	private void retryLater(String neighbour, Throwable error) {
@@ -138,7 +141,13 @@
 		return this.scheduler.now(TimeUnit.MILLISECONDS);
 	}
 
-	private record Confirmed(long incarnation, long version) {
+	private record Versions(long quarantine, long limits) {
+
+		private static final Versions NONE = new Versions(0, 0);
+
+	}
+
+	private record Confirmed(long incarnation, Versions versions) {
 
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
@@ -1,7 +1,9 @@
 package io.fescuehold.runtime.discovery;
 
+import java.util.List;
 import java.util.Objects;
 
+import io.fescuehold.core.limits.RequestLimitNews;
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.quarantine.QuarantineNews;
 
@@ -14,12 +16,14 @@
 	 * Evidence that the receiver may not have. The reply is {@link Received}.
 	 *
 	 * @param quarantine the evidence on crashing prompt parts
+	 * @param limits the limits that servers named
 	 */
-	record Evidence(QuarantineNews quarantine) implements GossipMessage {
+	record Evidence(QuarantineNews quarantine, List<RequestLimitNews> limits) implements GossipMessage {
 
 		// A daemon of another version may send no evidence.
 		public Evidence {
 			quarantine = Objects.requireNonNullElse(quarantine, QuarantineNews.EMPTY);
+			limits = List.copyOf(Objects.requireNonNullElse(limits, List.of()));
 		}
 
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
@@ -17,6 +16,7 @@
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
 import io.fescuehold.core.retry.WindowedRetryBudget;
+import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.LeastLoadedSelector;
 import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.core.servers.ServerState;
@@ -34,6 +34,10 @@
 	/** A paused server is usually available again within this time. */
 	private static final long NO_SERVER_RETRY_AFTER_MS = 300;
 
+	private static final long MIN_LIMIT_RETRY_AFTER_MS = 50;
+
+	private static final long MAX_LIMIT_RETRY_AFTER_MS = 5_000;
+
 	private final GatewayBelief belief;
 
 	private final CallerProtocol protocol;
@@ -50,8 +54,8 @@
 
 	private final QuarantineGuard quarantineGuard;
 
-	/** The limits that servers named last, by server id. */
-	private final Map<String, Double> limitsPerS = new HashMap<>();
+	/** When the next refused caller of each service is asked to return. */
+	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
 
 	private final GatewayMetrics metrics;
 
@@ -90,7 +94,11 @@
 	Target choose(GatewayRequest request, int attempt, Set<String> tried) {
 		long nowMs = nowMs();
 		List<ServerState> all = this.belief.servers().of(request.service());
-		List<ServerState> candidates = candidates(all, tried, nowMs);
+		List<ServerState> untried = candidates(all, tried, nowMs);
+		List<ServerState> candidates = withinLimits(request.service(), untried, nowMs);
+		if (candidates.isEmpty() && !untried.isEmpty()) {
+			throw limitExceeded(request.service(), untried, nowMs);
+		}
 		Target target = null;
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
@@ -106,6 +114,7 @@
 			throw FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_AFTER_MS,
 					request.service());
 		}
+		this.belief.requestLimits().consume(target.server().server().id());
 		if (attempt == 1) {
 			this.budget.recordRequest(request.service(), nowMs);
 		}
@@ -114,6 +123,29 @@
 		return target;
 	}
 
+	private List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
+		if (this.belief.requestLimits().isEmpty()) {
+			return servers;
+		}
+		double loadFraction = this.belief.loadFraction(service);
+		return servers.stream()
+			.filter((server) -> this.belief.requestLimits().isAllowed(server.server().id(), loadFraction, nowMs))
+			.toList();
+	}
+
+	// Callers return one after the other in the order of their refusals, at the rate that
+	// the limits allow.
+	private FescueholdException limitExceeded(String service, List<ServerState> servers, long nowMs) {
+		this.metrics.limited(service);
+		long waitMs = this.belief.requestLimits()
+			.meanWaitMs(servers.stream().map((server) -> server.server().id()).toList(),
+					this.belief.loadFraction(service), nowMs);
+		long returnAtMs = Math.max(nowMs, this.nextReturnAtMs.getOrDefault(service, nowMs)) + waitMs;
+		returnAtMs = Math.clamp(returnAtMs, nowMs + MIN_LIMIT_RETRY_AFTER_MS, nowMs + MAX_LIMIT_RETRY_AFTER_MS);
+		this.nextReturnAtMs.put(service, returnAtMs);
+		return FescueholdException.of(ErrorCode.OVERLOADED, RunStatus.NO, returnAtMs - nowMs, service);
+	}
+
 	private static List<ServerState> candidates(List<ServerState> all, Set<String> tried, long nowMs) {
 		List<ServerState> usable = new ArrayList<>();
 		List<ServerState> paused = new ArrayList<>();
@@ -133,7 +165,8 @@
 	 */
 	boolean hasAlternative(GatewayRequest request, Set<String> tried) {
 		long nowMs = nowMs();
-		return candidates(this.belief.servers().of(request.service()), tried, nowMs).stream()
+		List<ServerState> untried = candidates(this.belief.servers().of(request.service()), tried, nowMs);
+		return withinLimits(request.service(), untried, nowMs).stream()
 			.anyMatch((server) -> server.health().isUsable(nowMs));
 	}
 
@@ -214,11 +247,9 @@
 	 * @param sentAtMs when the request was sent that the response answers
 	 */
 	void recordLimit(Target target, Double limitPerS, long sentAtMs) {
-		String serverId = target.server().server().id();
-		Double previous = (limitPerS != null) ? this.limitsPerS.put(serverId, limitPerS)
-				: this.limitsPerS.remove(serverId);
-		if (!Objects.equals(limitPerS, previous)) {
-			this.log.limitChanged(serverId, limitPerS, previous);
+		BackendServer server = target.server().server();
+		if (this.belief.requestLimits().record(server.id(), limitPerS, sentAtMs, nowMs())) {
+			this.log.limitChanged(server, limitPerS, this.belief.loadFraction(server.service()));
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.freshness.ConfigFreshness;
+import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.prompt.PartHolders;
@@ -15,6 +17,7 @@
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.servers.LoadFractions;
 import io.fescuehold.core.servers.ServerList;
 import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.core.servers.ServerTable;
@@ -49,6 +52,10 @@
 
 	private final PromptQuarantine quarantine;
 
+	private final ServerRequestLimits requestLimits;
+
+	private final LoadFractions loadFractions = new LoadFractions();
+
 	private RouteTable table;
 
 	private List<HostRecord> hosts = List.of();
@@ -58,8 +65,10 @@
 	 * @param hostId the id of this daemon
 	 * @param codec the decoder of configurations
 	 * @param clockMs the clock in milliseconds
+	 * @param random the source of random choices
 	 */
-	public GatewayBelief(String hostId, RoutingCodec codec, LongSupplier clockMs) {
+	public GatewayBelief(String hostId, RoutingCodec codec, LongSupplier clockMs, RandomGenerator random) {
+		this.requestLimits = new ServerRequestLimits(random);
 		this.quarantine = new PromptQuarantine(hostId);
 		this.codec = codec;
 		this.clockMs = clockMs;
@@ -90,6 +99,20 @@
 	@Override
 	public void onOtherRequests(Map<String, Integer> requests) {
 		this.servers.all().forEach((server) -> server.setOtherRequests(requests.getOrDefault(server.server().id(), 0)));
+		if (!this.requestLimits.isEmpty()) {
+			recordLoadFractions();
+		}
+	}
+
+	private void recordLoadFractions() {
+		Map<String, Integer> own = new HashMap<>();
+		Map<String, Integer> all = new HashMap<>();
+		for (ServerState server : this.servers.all()) {
+			own.merge(server.server().service(), server.ownRequests(), Integer::sum);
+			all.merge(server.server().service(), server.load(), Integer::sum);
+		}
+		all.forEach((service, requests) -> this.loadFractions.record(service, own.get(service),
+				requests - own.get(service), this.clockMs.getAsLong()));
 	}
 
 	@Override
@@ -129,6 +152,23 @@
 		return this.quarantine;
 	}
 
+	/**
+	 * Returns the limits that servers in need have named.
+	 * @return the limits
+	 */
+	public ServerRequestLimits requestLimits() {
+		return this.requestLimits;
+	}
+
+	/**
+	 * Returns the fraction of the fleet's load on a service that this daemon carries.
+	 * @param service the service
+	 * @return a number from 0 to 1
+	 */
+	public double loadFraction(String service) {
+		return this.loadFractions.fraction(service, serving());
+	}
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the routes, or null before the first configuration
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -96,10 +96,13 @@
 		}
 	}
 
-	void limitChanged(String serverId, Double limitPerS, Double previousPerS) {
+	void limitChanged(BackendServer server, Double limitPerS, double loadFraction) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
-				.log("Server %s names a limit of %s requests/s, previously %s", serverId, limitPerS, previousPerS);
+				.log("Server %s of %s %s; this daemon carries %.3f of the load", server.id(), server.service(),
+						(limitPerS != null) ? "names a limit of " + limitPerS + " requests/s"
+								: "names no limit any more",
+						loadFraction);
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -47,6 +47,10 @@
 		this.registry.counter(PREFIX + "placements." + reason).inc();
 	}
 
+	void limited(String service) {
+		this.registry.counter(PREFIX + "limited." + service).inc();
+	}
+
 	void quarantined(String service) {
 		this.registry.counter(PREFIX + "quarantined." + service).inc();
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
@@ -4,8 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
+import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.prompt.PromptPart;
@@ -58,7 +60,7 @@
 	}
 
 	private void crash(int daemon, String serverId) {
-		long nowMs = this.scheduler.now(TimeUnit.MILLISECONDS);
+		long nowMs = nowMs();
 		this.daemons.get(daemon).quarantine.recordCrash("model", serverId, List.of(Set.of("bad")), nowMs, nowMs);
 		this.scheduler.advanceTimeBy(Duration.ofMillis(200));
 	}
@@ -129,12 +131,33 @@
 		assertThat(this.daemons).allSatisfy((daemon) -> assertThat(daemon.quarantine.attributions()).isEmpty());
 	}
 
+	// A daemon that a server has not told its limit must keep to it as well (LIMIT).
+	@ParameterizedTest
+	@ValueSource(ints = { 7, 44, 351 })
+	void limitsOfServersAndTheirEndsAreKnownEverywhereInTime(int count) {
+		start(count);
+		this.daemons.get(1).limits.record("i-1", 3.5, 0, nowMs());
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.daemons)
+			.allSatisfy((daemon) -> assertThat(daemon.limits.isAllowed("i-1", 0, nowMs())).isFalse());
+		this.daemons.get(2).limits.record("i-1", null, nowMs(), nowMs());
+		this.scheduler.advanceTimeBy(CONTACT);
+		assertThat(this.daemons)
+			.allSatisfy((daemon) -> assertThat(daemon.limits.isAllowed("i-1", 0, nowMs())).isTrue());
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
 	private final class Daemon {
 
 		private final String hostId;
 
 		private final PromptQuarantine quarantine;
 
+		private final ServerRequestLimits limits;
+
 		private final EvidenceGossip gossip;
 
 		private long incarnation = 1;
@@ -142,8 +165,10 @@
 		Daemon(String hostId) {
 			this.hostId = hostId;
 			this.quarantine = new PromptQuarantine(hostId);
+			this.limits = new ServerRequestLimits(new SplittableRandom(1));
 			this.gossip = new EvidenceGossip(hostId, EvidenceGossipTests.this.network.transport(hostId),
-					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts, this.quarantine);
+					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts, this.quarantine,
+					this.limits);
 			this.gossip.start();
 		}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -58,7 +58,7 @@
 	TestGateway(int retryExtra, ScriptedServer... servers) {
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
 		this.belief = new GatewayBelief("127.0.0.1", (submitted) -> config(),
-				() -> this.scheduler.now(TimeUnit.MILLISECONDS));
+				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions("127.0.0.1", 0, "a", 60_000, 1_000, (retryExtra > 0) ? 0.2 : 0,
 				retryExtra, 10_000, BackendOptions.DEFAULT);
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.scheduler, this.loops,
