Report a request that may have run as such when no server is left

Callers of an idempotent route got 503 with run "no" and a time to return although the first server may have run the request, and lost the error response of the only server. Found while the limits were built, which make it more common that a repeat finds no server.

Cause: an attempt that failed took a repeat from the budget without asking whether a server was left, and the refusal of the next choice of a server went to the caller as it was. Ruled out: orders, which are never repeated.

Change: a repeat needs a server that may take it; a refusal after an attempt that may have run becomes 502, run unknown. GatewayCallTests#lostResponseWithoutAnotherServerIsReportedAsRunUnknown and #errorOfTheOnlyServerIsDelivered failed before (503 instead of 502 and of the server's 500), and pass now.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -93,7 +93,7 @@
 		if (quarantined != null) {
 			throw quarantineError(quarantined);
 		}
-		this.target = this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried);
+		this.target = choose();
 		this.attemptCount++;
 		this.awaitingResponse = false;
 		this.eventCount = 0;
@@ -103,6 +103,19 @@
 		return this.target;
 	}
 
+	private Dispatcher.Target choose() {
+		try {
+			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried);
+		}
+		catch (FescueholdException refusal) {
+			throw this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
+		}
+	}
+
+	private FescueholdException runUnknown(String reason) {
+		return FescueholdException.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, serverId(), reason);
+	}
+
 	GatewayRequest request() {
 		return this.request;
 	}
@@ -258,8 +271,7 @@
 		this.awaitingResponse = false;
 		this.mayHaveRun = true;
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.FAILED);
-		boolean retries = this.request.route().isRepeatable()
-				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
+		boolean retries = tryAcquireRetry();
 		this.log.serverFailed(this.request, serverId(), "status " + response.status(),
 				retries ? "trying another server" : "returning the response to the caller");
 		return retries;
@@ -301,8 +313,7 @@
 					(this.eventCount > 0) ? this.dispatcher.nowMs() - this.firstEventAtMs : 0);
 			suspectUnlessAnswered();
 		}
-		boolean retries = this.retryReserved || (this.request.route().isRepeatable()
-				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount));
+		boolean retries = this.retryReserved || tryAcquireRetry();
 		this.retryReserved = false;
 		if (retries) {
 			this.log.serverFailed(this.request, serverId(), reason, "trying another server");
@@ -311,11 +322,16 @@
 		return fail(reason, ErrorCode.SERVER_FAILED, 0);
 	}
 
+	private boolean tryAcquireRetry() {
+		return this.request.route().isRepeatable() && this.dispatcher.hasCandidate(this.request, this.tried)
+				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
+	}
+
 	private FescueholdException fail(String reason, ErrorCode code, long retryAfterMs) {
 		this.log.serverFailed(this.request, serverId(), reason,
 				this.mayHaveRun ? "giving up, the request may have run" : "giving up, the request has not run");
 		if (this.mayHaveRun) {
-			return FescueholdException.of(ErrorCode.SERVER_FAILED, RunStatus.UNKNOWN, 0, serverId(), reason);
+			return runUnknown(reason);
 		}
 		return FescueholdException.of(code, RunStatus.NO, retryAfterMs, this.request.service());
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -165,9 +165,23 @@
 	 */
 	boolean hasAlternative(GatewayRequest request, Set<String> tried) {
 		long nowMs = nowMs();
-		List<ServerState> untried = candidates(this.belief.servers().of(request.service()), tried, nowMs);
-		return withinLimits(request.service(), untried, nowMs).stream()
-			.anyMatch((server) -> server.health().isUsable(nowMs));
+		return alternatives(request, tried, nowMs).stream().anyMatch((server) -> server.health().isUsable(nowMs));
+	}
+
+	/**
+	 * Returns whether a request can be sent to another server, if only to one that is
+	 * paused.
+	 * @param request the request
+	 * @param tried the servers that were tried
+	 * @return whether an untried server is left
+	 */
+	boolean hasCandidate(GatewayRequest request, Set<String> tried) {
+		return !alternatives(request, tried, nowMs()).isEmpty();
+	}
+
+	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, long nowMs) {
+		return withinLimits(request.service(), candidates(this.belief.servers().of(request.service()), tried, nowMs),
+				nowMs);
 	}
 
 	/**
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
@@ -68,6 +68,28 @@
 		}
 	}
 
+	// A request that may have run must not be reported as not run when no server is left.
+	@Test
+	void lostResponseWithoutAnotherServerIsReportedAsRunUnknown() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection.reset());
+				TestGateway gateway = new TestGateway(server)) {
+			TestGateway.Answer answer = gateway.send("/lookup/x", "r1", "");
+			assertThat(answer.status()).isEqualTo(502);
+			assertThat(answer.body()).contains("\"run\":\"unknown\"");
+		}
+	}
+
+	@Test
+	void errorOfTheOnlyServerIsDelivered() {
+		try (ScriptedServer server = new ScriptedServer(
+				(request, connection) -> answer(connection, request, 500, "broken"));
+				TestGateway gateway = new TestGateway(server)) {
+			TestGateway.Answer answer = gateway.send("/lookup/x", "r1", "");
+			assertThat(answer.status()).isEqualTo(500);
+			assertThat(answer.body()).isEqualTo("broken");
+		}
+	}
+
 	@Test
 	void truncatedResponseNeverReachesTheCaller() {
 		ScriptedServer.Script truncating = (request, connection) -> {
