Quarantine: bound reports by part ids, and keep trials apart in large fleets

Found by reading, no caller saw it yet. A prompt of more than 16 parts was left out of crash reports, so a part of a long prompt could never be quarantined; reports are now bounded by the number of part ids. With 351 daemons the turns of trials were 85 ms apart, shorter than the news of an outcome take, so several daemons could have crashed a server at once; turns are now 2 s apart for the first 32 daemons in an order that depends on the parts, the others follow. PromptQuarantineTests#partOfALongPromptIsQuarantined and #daemonsTakeTurnsWithTrials (44 and 351 daemons) cover them.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashRecord.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashRecord.java
@@ -9,11 +9,8 @@
  */
 final class CrashRecord {
 
-	/** The number of requests that a large server runs at a time. */
-	static final int MAX_PROMPTS = 96;
-
-	/** Longer prompts are cut, because each part is sent to all daemons. */
-	static final int MAX_PARTS = 16;
+	/** A bound on the memory and the messages; several hundred requests of usual size. */
+	static final int MAX_PART_IDS = 1_024;
 
 	private final String service;
 
@@ -23,6 +20,8 @@
 
 	private final Set<Set<String>> prompts = new LinkedHashSet<>();
 
+	private int partIdCount;
+
 	private long version;
 
 	CrashRecord(String service, String serverId, long atMs) {
@@ -59,8 +58,10 @@
 	boolean addPrompts(Collection<Set<String>> added) {
 		boolean changed = false;
 		for (Set<String> prompt : added) {
-			if (!prompt.isEmpty() && prompt.size() <= MAX_PARTS && this.prompts.size() < MAX_PROMPTS) {
-				changed |= this.prompts.add(Set.copyOf(prompt));
+			if (!prompt.isEmpty() && this.partIdCount + prompt.size() <= MAX_PART_IDS
+					&& this.prompts.add(Set.copyOf(prompt))) {
+				this.partIdCount += prompt.size();
+				changed = true;
 			}
 		}
 		return changed;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
@@ -37,7 +37,8 @@
 	/** Longer than news of a trial's outcome take to reach all daemons. */
 	private static final long TRIAL_STAGGER_MS = 2_000;
 
-	private static final long MAX_TRIAL_STAGGER_MS = 30_000;
+	/** The number of daemons that take turns; the others follow at the same time. */
+	private static final int MAX_TURNS = 32;
 
 	private static final long TRIAL_INTERVAL_MS = 5_000;
 
@@ -205,14 +206,13 @@
 		if (nowMs < attribution.heldUntilMs()) {
 			return false;
 		}
-		long staggerMs = Math.min(TRIAL_STAGGER_MS, MAX_TRIAL_STAGGER_MS / Math.max(1, hostIds.size()));
 		long partsHash = attribution.parts().stream().mapToLong(RendezvousHash::hash).sum();
 		long ownScore = RendezvousHash.combine(partsHash, RendezvousHash.hash(this.hostId));
 		long rank = hostIds.stream()
 			.filter((host) -> RendezvousHash.combine(partsHash, RendezvousHash.hash(host)) < ownScore)
 			.count();
 		Long lastTrialAtMs = this.trialAtMs.get(attribution.parts());
-		if (nowMs < attribution.heldUntilMs() + rank * staggerMs
+		if (nowMs < attribution.heldUntilMs() + Math.min(rank, MAX_TURNS) * TRIAL_STAGGER_MS
 				|| (lastTrialAtMs != null && nowMs - lastTrialAtMs < TRIAL_INTERVAL_MS)) {
 			return false;
 		}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
@@ -3,10 +3,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.prompt.PromptShape;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -122,6 +126,15 @@
 		assertThat(isQuarantined("new", "own")).isFalse();
 	}
 
+	@Test
+	void partOfALongPromptIsQuarantined() {
+		String prompt = IntStream.range(0, 60).mapToObj((index) -> "part-" + index).collect(Collectors.joining(" "));
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, prompt);
+		}
+		assertThat(isQuarantined((prompt + " own").split(" "))).isTrue();
+	}
+
 	@Test
 	void lastPartOfAPromptIsNeverBlamed() {
 		assertThat(PromptQuarantine.partIds(prompt("common", "own"))).containsExactly("common");
@@ -162,9 +175,10 @@
 		assertThat(this.quarantine.tryTrial(second, hosts, this.nowMs + Attribution.FIRST_HOLD_MS)).isFalse();
 	}
 
-	@Test
-	void daemonsTakeTurnsWithTrials() {
-		List<String> hosts = List.of("h1", "h2", "h3", "h4", "h5", "h6", "h7");
+	@ParameterizedTest
+	@ValueSource(ints = { 7, 44, 351 })
+	void daemonsTakeTurnsWithTrials(int count) {
+		List<String> hosts = IntStream.range(0, count).mapToObj((index) -> "h" + index).toList();
 		long trials = hosts.stream().filter((host) -> {
 			PromptQuarantine other = new PromptQuarantine(host);
 			for (int server = 1; server <= 3; server++) {
@@ -209,7 +223,7 @@
 	@Test
 	void evidenceIsBoundedInSize() {
 		for (int server = 0; server < 3 * PromptQuarantine.MAX_CRASHES; server++) {
-			String[] prompts = new String[3 * CrashRecord.MAX_PROMPTS];
+			String[] prompts = new String[CrashRecord.MAX_PART_IDS];
 			for (int index = 0; index < prompts.length; index++) {
 				prompts[index] = "common part-" + server + "-" + index;
 			}
@@ -217,7 +231,8 @@
 		}
 		QuarantineNews news = this.quarantine.newsSince(0, this.nowMs);
 		assertThat(news.crashes()).hasSize(PromptQuarantine.MAX_CRASHES)
-			.allSatisfy((crash) -> assertThat(crash.prompts()).hasSizeLessThanOrEqualTo(CrashRecord.MAX_PROMPTS));
+			.allSatisfy((crash) -> assertThat(crash.prompts().stream().mapToInt(Set::size).sum())
+				.isLessThanOrEqualTo(CrashRecord.MAX_PART_IDS));
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -88,7 +88,7 @@
 		}
 	}
 
-	void serverChecked(BackendServer server, int promptCount, boolean crashed) {
+	void serverProbed(BackendServer server, int promptCount, boolean crashed) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
 				.log("Server %s of %s lost %d prompts before it answered and %s", server.id(), server.service(),
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -141,12 +141,12 @@
 			prompts = new HashSet<>();
 			this.lostPrompts.put(backend.id(), prompts);
 			long lostAtMs = nowMs();
-			this.scheduler.schedule(() -> check(backend, lostAtMs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
+			this.scheduler.schedule(() -> probe(backend, lostAtMs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
 		prompts.add(PromptQuarantine.partIds(request.head().prompt()));
 	}
 
-	private void check(BackendServer server, long lostAtMs) {
+	private void probe(BackendServer server, long lostAtMs) {
 		NameResolution.unlessNumeric(TcpClient.newConnection(), server.ip())
 			.runOn(this.loops)
 			.host(server.ip())
@@ -157,7 +157,7 @@
 			.map((connection) -> false)
 			.onErrorResume((error) -> Mono.just(isRefusal(error)))
 			.publishOn(this.scheduler)
-			.subscribe((refused) -> onChecked(server, lostAtMs, refused));
+			.subscribe((refused) -> onProbed(server, lostAtMs, refused));
 	}
 
 	// Without a response it is unknown whether the process has ended.
@@ -165,9 +165,9 @@
 		return error instanceof ConnectException && !(error instanceof ConnectTimeoutException);
 	}
 
-	private void onChecked(BackendServer server, long lostAtMs, boolean crashed) {
+	private void onProbed(BackendServer server, long lostAtMs, boolean crashed) {
 		Set<Set<String>> prompts = this.lostPrompts.remove(server.id());
-		this.log.serverChecked(server, prompts.size(), crashed);
+		this.log.serverProbed(server, prompts.size(), crashed);
 		if (crashed) {
 			this.quarantine.recordCrash(server.service(), server.id(), prompts, lostAtMs, nowMs());
 		}
