Ask for evidence after a start

Cause: a restarted host is told the evidence by its neighbours, who learn of its start from the leader. Without a leader each host that restarted stayed without it, although others still had it.

Change: a host that starts asks its seeds and the hosts that it learns of, at most eight, until each has answered. EvidenceGossipTests#daemonThatStartsWithoutALeaderAsksItsSeeds covers it; it was written with the change and not run before it.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -98,6 +98,8 @@
 
 	private final OperationsServer operations;
 
+	private volatile List<String> seeds;
+
 	private volatile DrainSchedule drain;
 
 	/**
@@ -113,6 +115,7 @@
 	public GatewayNode(GatewaySettings settings, LoopResources loops, CallerProtocol protocol, RoutingCodec codec,
 			ServerListSource listSource, long startedNs) {
 		this.settings = settings;
+		this.seeds = settings.seeds();
 		this.codec = codec;
 		this.clock = new SuspensionClock(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
 				System::currentTimeMillis);
@@ -134,7 +137,7 @@
 				this.transport, new AgreementTransport(this.transport), this.scheduler, listSource, this.belief,
 				this::hostState, this.metrics, random, System.currentTimeMillis());
 		this.gossip = new EvidenceGossip(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
-				this.belief.quarantine(), this.belief.requestLimits());
+				() -> this.seeds, this.belief.quarantine(), this.belief.requestLimits());
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
 				this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
@@ -244,6 +247,7 @@
 	 * @param seeds the IP addresses of the daemons
 	 */
 	public void setSeeds(List<String> seeds) {
+		this.seeds = List.copyOf(seeds);
 		this.scheduler.schedule(() -> this.fleet.setSeeds(seeds));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,7 +25,8 @@
  * Spreads evidence among the daemons without the leader. Each daemon sends new evidence
  * to a few neighbours, which pass it on, and repeats it until a neighbour has confirmed
  * it. A neighbour that has started anew receives all evidence. Without new evidence
- * nothing is sent.
+ * nothing is sent. A daemon that starts asks the daemons that it knows, its seeds first,
+ * because there may be no leader to tell the others of its start.
  * <p>
  * All state is confined to the thread of the scheduler.
  */
@@ -37,6 +39,12 @@
 
 	private static final Duration TIMEOUT = Duration.ofMillis(500);
 
+	/** The number of daemons that a daemon asks after its start. */
+	private static final int MAX_ASKED = 8;
+
+	/** Evidence that no daemon has sent by then is known to none. */
+	private static final long ASK_MS = 10_000;
+
 	private final String hostId;
 
 	private final PeerTransport transport;
@@ -45,6 +53,8 @@
 
 	private final Supplier<List<HostRecord>> hosts;
 
+	private final Supplier<List<String>> seeds;
+
 	private final PromptQuarantine quarantine;
 
 	private final ServerRequestLimits limits;
@@ -53,6 +63,11 @@
 
 	private final Set<String> pending = new HashSet<>();
 
+	/** The daemons that were asked after the start, and are not asked again. */
+	private final Set<String> asked = new HashSet<>();
+
+	private long startedAtMs;
+
 	private Disposable ticker;
 
 	/**
@@ -61,15 +76,17 @@
 	 * @param transport the connections to the other daemons
 	 * @param scheduler the thread that owns all state
 	 * @param hosts supplies the daemons as far as this one knows
+	 * @param seeds supplies the daemons that are asked first after the start
 	 * @param quarantine the evidence on crashing prompt parts
 	 * @param limits the limits that servers named
 	 */
 	public EvidenceGossip(String hostId, PeerTransport transport, Scheduler scheduler, Supplier<List<HostRecord>> hosts,
-			PromptQuarantine quarantine, ServerRequestLimits limits) {
+			Supplier<List<String>> seeds, PromptQuarantine quarantine, ServerRequestLimits limits) {
 		this.hostId = hostId;
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.hosts = hosts;
+		this.seeds = seeds;
 		this.quarantine = quarantine;
 		this.limits = limits;
 	}
@@ -80,6 +97,10 @@
 	public void start() {
 		this.transport.onMessage(GossipMessage.Evidence.class, (from,
 				evidence) -> Mono.<PeerMessage>fromSupplier(() -> receive(evidence)).subscribeOn(this.scheduler));
+		this.transport.onMessage(GossipMessage.Request.class,
+				(from, request) -> Mono.<PeerMessage>fromSupplier(() -> evidenceSince(Versions.NONE))
+					.subscribeOn(this.scheduler));
+		this.startedAtMs = nowMs();
 		this.ticker = this.scheduler.schedulePeriodically(this::tick, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -99,6 +120,9 @@
 	}
 
 	private void tick() {
+		if (nowMs() - this.startedAtMs < ASK_MS) {
+			ask();
+		}
 		Versions current = new Versions(this.quarantine.version(), this.limits.version());
 		if (current.equals(Versions.NONE)) {
 			return;
@@ -117,8 +141,7 @@
 	}
 
 	private void send(String neighbour, long incarnation, Versions since, Versions current) {
-		GossipMessage.Evidence evidence = new GossipMessage.Evidence(
-				this.quarantine.newsSince(since.quarantine, nowMs()), this.limits.newsSince(since.limits, nowMs()));
+		GossipMessage.Evidence evidence = evidenceSince(since);
 		if (evidence.quarantine().isEmpty() && evidence.limits().isEmpty()) {
 			this.confirmed.put(neighbour, new Confirmed(incarnation, current));
 			return;
@@ -130,6 +153,26 @@
 		}, (error) -> retryLater(neighbour, error));
 	}
 
+	private GossipMessage.Evidence evidenceSince(Versions since) {
+		return new GossipMessage.Evidence(this.quarantine.newsSince(since.quarantine, nowMs()),
+				this.limits.newsSince(since.limits, nowMs()));
+	}
+
+	private void ask() {
+		Set<String> known = new LinkedHashSet<>(this.seeds.get());
+		this.hosts.get().forEach((host) -> known.add(host.hostId()));
+		known.remove(this.hostId);
+		for (String hostToAsk : known) {
+			if (this.asked.size() < MAX_ASKED && this.asked.add(hostToAsk)) {
+				this.transport.request(hostToAsk, new GossipMessage.Request(), TIMEOUT)
+					.cast(GossipMessage.Evidence.class)
+					.publishOn(this.scheduler)
+					.subscribe(this::receive, (error) -> this.scheduler.schedule(() -> this.asked.remove(hostToAsk),
+							TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
+			}
+		}
+	}
+
 	private void retryLater(String neighbour, Throwable error) {
 		logger.atInfo()
 			.atMostEvery(5, TimeUnit.SECONDS)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
@@ -28,6 +28,12 @@
 
 	}
 
+	/**
+	 * Requests all evidence after a start. The reply is {@link Evidence}.
+	 */
+	record Request() implements GossipMessage {
+	}
+
 	/**
 	 * Confirms that the evidence has arrived.
 	 */
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
@@ -40,6 +40,8 @@
 
 	private List<HostRecord> hosts = List.of();
 
+	private List<String> seeds = List.of();
+
 	@AfterEach
 	void stop() {
 		this.daemons.forEach((daemon) -> daemon.gossip.stop());
@@ -108,9 +110,25 @@
 		assertThat(restarted.quarantine.find("model", PROMPT)).isNotNull();
 	}
 
+	// Without a leader nobody is told of a start.
+	@Test
+	void daemonThatStartsWithoutALeaderAsksItsSeeds() {
+		start(3);
+		crashThreeServers();
+		this.scheduler.advanceTimeBy(CONTACT);
+		this.hosts = List.of();
+		this.seeds = List.of("10.9.9.9", this.daemons.get(1).hostId, this.daemons.get(2).hostId);
+		Daemon restarted = new Daemon(this.daemons.get(0).hostId);
+		this.scheduler.advanceTimeBy(Duration.ofMillis(300));
+		assertThat(restarted.quarantine.find("model", PROMPT)).isNotNull();
+		restarted.gossip.stop();
+	}
+
 	@Test
 	void nothingIsSentWithoutNewEvidence() {
 		start(44);
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(11));
+		this.network.takeMessageCount("10.");
 		this.scheduler.advanceTimeBy(CONTACT);
 		assertThat(this.network.takeMessageCount("10.")).isZero();
 		crashThreeServers();
@@ -167,8 +185,8 @@
 			this.quarantine = new PromptQuarantine(hostId);
 			this.limits = new ServerRequestLimits(new SplittableRandom(1));
 			this.gossip = new EvidenceGossip(hostId, EvidenceGossipTests.this.network.transport(hostId),
-					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts, this.quarantine,
-					this.limits);
+					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts,
+					() -> EvidenceGossipTests.this.seeds, this.quarantine, this.limits);
 			this.gossip.start();
 		}
 
