Limits of servers: pass on notable changes only

Found by reading: a server that names a slightly different limit in each response would have caused a message to all neighbours and a log line for each. Changes of a tenth or less now stay local until the limit is passed on anyway.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
@@ -34,6 +34,9 @@
 	/** A limit that is still named is passed on at this interval. */
 	private static final long REFRESH_MS = EXPIRY_MS / 4;
 
+	/** A relative change of a limit that other daemons need to know. */
+	private static final double NOTABLE_CHANGE = 0.1;
+
 	private static final long SLICE_MS = 1_000;
 
 	private static final double MS_PER_S = 1_000;
@@ -63,7 +66,7 @@
 	 * @param sentAtMs when the request was sent that the response answers, in
 	 * milliseconds
 	 * @param nowMs the time in milliseconds
-	 * @return whether the limit has changed
+	 * @return whether the limit has begun, ended or changed notably
 	 */
 	public boolean record(String serverId, Double limitPerS, long sentAtMs, long nowMs) {
 		Limit limit = this.limits.get(serverId);
@@ -77,16 +80,23 @@
 	private boolean update(String serverId, Double limitPerS, long namedAtMs, long nowMs) {
 		this.limits.values().removeIf((limit) -> nowMs - limit.namedAtMs >= EXPIRY_MS);
 		Limit limit = this.limits.computeIfAbsent(serverId, (id) -> new Limit());
-		boolean changed = !Objects.equals(limit.perS, limitPerS);
 		limit.perS = limitPerS;
 		limit.namedAtMs = namedAtMs;
+		boolean changed = isNotable(limit.toldPerS, limitPerS);
 		if (changed || namedAtMs - limit.toldAtMs >= REFRESH_MS) {
+			limit.toldPerS = limitPerS;
 			limit.toldAtMs = namedAtMs;
 			limit.version = ++this.version;
 		}
 		return changed;
 	}
 
+	// A server may name a slightly different limit in each response.
+	private static boolean isNotable(Double toldPerS, Double perS) {
+		return (toldPerS == null || perS == null) ? !Objects.equals(toldPerS, perS)
+				: Math.abs(perS - toldPerS) > NOTABLE_CHANGE * toldPerS;
+	}
+
 	/**
 	 * Returns whether no limit is known.
 	 * @return whether no server has named a limit lately
@@ -201,6 +211,9 @@
 
 		private long namedAtMs;
 
+		/** The limit that other daemons were told. */
+		private Double toldPerS;
+
 		private long toldAtMs = Long.MIN_VALUE / 2;
 
 		private long version;
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
@@ -160,11 +160,14 @@
 	}
 
 	@Test
-	void unchangedLimitIsNoNews() {
+	void onlyANotableChangeIsNews() {
 		this.limits.record(SERVER, 3.0, 0, 0);
 		long version = this.limits.version();
-		this.limits.record(SERVER, 3.0, 10, 100);
+		assertThat(this.limits.record(SERVER, 3.1, 10, 100)).isFalse();
+		assertThat(this.limits.record(SERVER, 3.2, 110, 200)).isFalse();
 		assertThat(this.limits.version()).isEqualTo(version);
+		assertThat(this.limits.record(SERVER, 3.4, 210, 300)).isTrue();
+		assertThat(this.limits.version()).isGreaterThan(version);
 	}
 
 	@Test
