Quarantine: return times during trials, bounded log lines, prompts without shared parts

Found by reading. A caller that was refused while another host tried a part was asked to return after 1 ms; it is now 2 s. The log lines of a quarantine were outside the bound of the log. A prompt without shared parts, which cannot be blamed, caused a probe and took a place among the crash reports.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -107,21 +107,27 @@
 	}
 
 	void quarantined(Attribution attribution, long nowMs) {
-		logger.atWarning()
-			.log("Prompt parts %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them",
-					attribution.parts(), attribution.service(), attribution.heldUntilMs() - nowMs,
-					attribution.serverIds());
+		if (tryAcquire(0)) {
+			logger.atWarning()
+				.log("Prompt parts %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them",
+						attribution.parts(), attribution.service(), attribution.heldUntilMs() - nowMs,
+						attribution.serverIds());
+		}
 	}
 
 	void quarantineLifted(Attribution attribution) {
-		logger.atWarning()
-			.log("The quarantine of prompt parts %s of %s has ended", attribution.parts(), attribution.service());
+		if (tryAcquire(0)) {
+			logger.atWarning()
+				.log("The quarantine of prompt parts %s of %s has ended", attribution.parts(), attribution.service());
+		}
 	}
 
 	void quarantineTrial(GatewayRequest request, Attribution attribution) {
-		logger.atWarning()
-			.log("request %s is a trial of quarantined prompt parts %s of %s", request.head().requestId(),
-					attribution.parts(), attribution.service());
+		if (tryAcquire(0)) {
+			logger.atWarning()
+				.log("request %s is a trial of quarantined prompt parts %s of %s", request.head().requestId(),
+						attribution.parts(), attribution.service());
+		}
 	}
 
 	void answered(GatewayRequest request, int status, long tookMs) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -39,6 +39,9 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 400;
 
+	/** The outcome of a trial is usually known within this time. */
+	private static final long TRIAL_RETRY_AFTER_MS = 2_000;
+
 	private final GatewayBelief belief;
 
 	private final PromptQuarantine quarantine;
@@ -105,7 +108,8 @@
 	 */
 	FescueholdException refusal(Attribution attribution) {
 		return FescueholdException.of(ErrorCode.PROMPT_QUARANTINED, RunStatus.NO,
-				Math.max(1, attribution.heldUntilMs() - nowMs()), attribution.parts(), attribution.service());
+				Math.max(TRIAL_RETRY_AFTER_MS, attribution.heldUntilMs() - nowMs()), attribution.parts(),
+				attribution.service());
 	}
 
 	void attemptStarted(Attempts attempts) {
@@ -133,7 +137,8 @@
 	 */
 	void connectionLost(GatewayRequest request, ServerState server) {
 		BackendServer backend = server.server();
-		if (backend.leaving()) {
+		Set<String> parts = PromptQuarantine.partIds(request.head().prompt());
+		if (backend.leaving() || parts.isEmpty()) {
 			return;
 		}
 		Set<Set<String>> prompts = this.lostPrompts.get(backend.id());
@@ -143,7 +148,7 @@
 			long lostAtMs = nowMs();
 			this.scheduler.schedule(() -> probe(backend, lostAtMs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
-		prompts.add(PromptQuarantine.partIds(request.head().prompt()));
+		prompts.add(parts);
 	}
 
 	private void probe(BackendServer server, long lostAtMs) {
