Gossip: send evidence again after an empty reply

Found by reading. A reply without a message completed the request without confirming it, so the neighbour would have received nothing more. EvidenceGossipTests#evidenceIsSentAgainAfterAnEmptyReply failed before (no further request within 3 s) and passes now. Calls that are cancelled because of a quarantine use the same operator as streams, so that a response that never arrives is not taken for a cancelled one.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -147,7 +147,7 @@
 			return;
 		}
 		this.pending.add(neighbour);
-		this.transport.request(neighbour, evidence, TIMEOUT).publishOn(this.scheduler).subscribe((received) -> {
+		request(neighbour, evidence, GossipMessage.Received.class).subscribe((received) -> {
 			this.pending.remove(neighbour);
 			this.confirmed.put(neighbour, new Confirmed(incarnation, current));
 		}, (error) -> retryLater(neighbour, error));
@@ -164,15 +164,20 @@
 		known.remove(this.hostId);
 		for (String hostToAsk : known) {
 			if (this.asked.size() < MAX_ASKED && this.asked.add(hostToAsk)) {
-				this.transport.request(hostToAsk, new GossipMessage.Request(), TIMEOUT)
-					.cast(GossipMessage.Evidence.class)
-					.publishOn(this.scheduler)
-					.subscribe(this::receive, (error) -> this.scheduler.schedule(() -> this.asked.remove(hostToAsk),
-							TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
+				request(hostToAsk, new GossipMessage.Request(), GossipMessage.Evidence.class).subscribe(this::receive,
+						(error) -> this.scheduler.schedule(() -> this.asked.remove(hostToAsk), TIMEOUT.toMillis(),
+								TimeUnit.MILLISECONDS));
 			}
 		}
 	}
 
+	private <T extends GossipMessage> Mono<T> request(String receiver, GossipMessage message, Class<T> replyType) {
+		return this.transport.request(receiver, message, TIMEOUT)
+			.cast(replyType)
+			.switchIfEmpty(Mono.error(() -> new IllegalStateException("the reply is empty")))
+			.publishOn(this.scheduler);
+	}
+
 	private void retryLater(String neighbour, Throwable error) {
 		logger.atInfo()
 			.atMostEvery(5, TimeUnit.SECONDS)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -5,6 +5,7 @@
 import io.fescuehold.runtime.backend.BackendExchange;
 import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendResponse;
+import io.fescuehold.runtime.backend.StreamDeadline;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -62,8 +63,8 @@
 		Mono<BackendResponse> exchange = BackendExchange
 			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES)
 			.doFinally((signal) -> this.attempts.ended(target));
-		exchange = exchange.takeUntilOther(this.attempts.withdrawn())
-			.switchIfEmpty(Mono.error(this.attempts::withdrawalError));
+		exchange = StreamDeadline.cut(exchange.flux(), this.attempts.withdrawn(), this.attempts::withdrawalError)
+			.next();
 		long slowMs = Math.max(MIN_SLOW_MS, (long) SLOW_FACTOR * this.request.route().objectiveMs());
 		if (this.attempts.hasRetryLeft() && this.request.leftMs(this.dispatcher.nowMs()) > 2 * slowMs) {
 			// A slow attempt is only cancelled if another server can take the request
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
@@ -6,10 +6,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.port.PeerHandler;
+import io.fescuehold.core.port.PeerMessage;
+import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.prompt.PromptShape;
 import io.fescuehold.core.quarantine.PromptQuarantine;
@@ -17,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -149,6 +154,42 @@
 		assertThat(this.daemons).allSatisfy((daemon) -> assertThat(daemon.quarantine.attributions()).isEmpty());
 	}
 
+	@Test
+	void evidenceIsSentAgainAfterAnEmptyReply() {
+		AtomicInteger requests = new AtomicInteger();
+		PeerTransport emptyReplies = new PeerTransport() {
+
+			@Override
+			public void send(String hostId, PeerMessage message) {
+				throw new UnsupportedOperationException("Evidence is sent as a request");
+			}
+
+			@Override
+			public Mono<PeerMessage> request(String hostId, PeerMessage message, Duration timeout) {
+				requests.incrementAndGet();
+				return Mono.empty();
+			}
+
+			@Override
+			public <T extends PeerMessage> void onMessage(Class<T> type, PeerHandler<T> handler) {
+				// Nothing arrives.
+			}
+
+		};
+		start(2);
+		PromptQuarantine quarantine = new PromptQuarantine("10.0.0.9");
+		EvidenceGossip gossip = new EvidenceGossip("10.0.0.9", emptyReplies, this.scheduler,
+				() -> this.hosts.subList(0, 1), List::of, quarantine, new ServerRequestLimits(new SplittableRandom(1)));
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(11));
+		gossip.start();
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(11));
+		requests.set(0);
+		quarantine.recordCrash("model", "i-1", List.of(Set.of("bad")), nowMs(), nowMs());
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(3));
+		assertThat(requests.get()).isBetween(3, 10);
+		gossip.stop();
+	}
+
 	// A daemon that a server has not told its limit must keep to it as well (LIMIT).
 	@ParameterizedTest
 	@ValueSource(ints = { 7, 44, 351 })
