Quarantine and limits: end with the trouble, and survive unrelated crashes

Found by asking again what happens when parts or servers are endless. Crash reports of many other servers, for example of a failed rack, pushed out those that kept a part in quarantine, so that it crashed three more servers. A quarantine whose evidence had become too old, and limits that no response named any more, stayed in memory until new evidence arrived; the limits then slowed each choice of a server, and loads of an earlier time counted at the next limit.

Now reports that keep a part in quarantine are the last to go, and a daemon removes what is too old every 5 s. PromptQuarantineTests#crashesOfManyOtherServersDoNotEndAQuarantine, #quarantineEndsWithoutNewEvidence and ServerRequestLimitsTests#limitsOfServersThatAreGoneAreForgotten cover it.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
@@ -74,11 +74,10 @@
 			// A response to an earlier request may have overtaken the one with the limit.
 			return false;
 		}
-		return update(serverId, limitPerS, nowMs, nowMs);
+		return update(serverId, limitPerS, nowMs);
 	}
 
-	private boolean update(String serverId, Double limitPerS, long namedAtMs, long nowMs) {
-		this.limits.values().removeIf((limit) -> nowMs - limit.namedAtMs >= EXPIRY_MS);
+	private boolean update(String serverId, Double limitPerS, long namedAtMs) {
 		Limit limit = this.limits.computeIfAbsent(serverId, (id) -> new Limit());
 		limit.perS = limitPerS;
 		limit.namedAtMs = namedAtMs;
@@ -97,6 +96,14 @@
 				: Math.abs(perS - toldPerS) > NOTABLE_CHANGE * toldPerS;
 	}
 
+	/**
+	 * Removes limits that no response has named for too long. Called from time to time.
+	 * @param nowMs the time in milliseconds
+	 */
+	public void expire(long nowMs) {
+		this.limits.values().removeIf((limit) -> nowMs - limit.namedAtMs >= EXPIRY_MS);
+	}
+
 	/**
 	 * Returns whether no limit is known.
 	 * @return whether no server has named a limit lately
@@ -191,7 +198,7 @@
 			Limit limit = this.limits.get(told.serverId());
 			long namedAtMs = nowMs - told.ageMs();
 			if (told.ageMs() < EXPIRY_MS && (limit == null || namedAtMs > limit.namedAtMs)) {
-				update(told.serverId(), told.limitPerS(), namedAtMs, nowMs);
+				update(told.serverId(), told.limitPerS(), namedAtMs);
 			}
 		}
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
@@ -30,7 +30,8 @@
 
 	static final int MAX_CRASHES = 48;
 
-	private static final long RETENTION_MS = 2 * Attribution.MAX_HOLD_MS;
+	/** Longer than the longest time between two trials. */
+	static final long RETENTION_MS = 2 * Attribution.MAX_HOLD_MS;
 
 	private static final int MAX_ANSWERED_PARTS = 4_096;
 
@@ -97,7 +98,7 @@
 			changed |= addAnswer(new PartKey(service, part.id()), nowMs);
 		}
 		if (changed) {
-			update(nowMs);
+			update();
 		}
 	}
 
@@ -112,7 +113,7 @@
 	 */
 	public void recordCrash(String service, String serverId, Collection<Set<String>> prompts, long atMs, long nowMs) {
 		if (addCrash(service, serverId, prompts, atMs)) {
-			update(nowMs);
+			update();
 		}
 	}
 
@@ -132,7 +133,7 @@
 			changed |= addAnswer(new PartKey(answer.service(), answer.partId()), nowMs - answer.ageMs());
 		}
 		if (changed) {
-			update(nowMs);
+			update();
 		}
 	}
 
@@ -241,8 +242,7 @@
 			record = new CrashRecord(service, serverId, atMs);
 			this.crashes.add(record);
 			if (this.crashes.size() > MAX_CRASHES) {
-				this.crashes.removeFirst();
-				rebuildSuspects();
+				removeLeastUseful();
 			}
 		}
 		if (!record.addPrompts(prompts)) {
@@ -262,6 +262,18 @@
 		return true;
 	}
 
+	// Crashes that keep a part in quarantine are kept, for example when a rack fails.
+	private void removeLeastUseful() {
+		CrashRecord removed = this.crashes.stream()
+			.filter((crash) -> this.attributions.stream()
+				.noneMatch((attribution) -> attribution.service().equals(crash.service())
+						&& attribution.crashedAtMs().contains(crash.atMs())))
+			.findFirst()
+			.orElse(this.crashes.getFirst());
+		this.crashes.remove(removed);
+		rebuildSuspects();
+	}
+
 	private void rebuildSuspects() {
 		this.suspectedAtMs.clear();
 		for (CrashRecord crash : this.crashes) {
@@ -290,11 +302,19 @@
 		return isNews;
 	}
 
-	private void update(long nowMs) {
+	/**
+	 * Removes evidence that is too old. Called from time to time, so that a quarantine
+	 * ends although no new evidence arrives.
+	 * @param nowMs the time in milliseconds
+	 */
+	public void expire(long nowMs) {
 		if (this.crashes.removeIf((crash) -> nowMs - crash.atMs() >= RETENTION_MS)) {
 			rebuildSuspects();
-			this.trialAtMs.values().removeIf((atMs) -> nowMs - atMs >= RETENTION_MS);
+			update();
 		}
+	}
+
+	private void update() {
 		List<Attribution> updated = new ArrayList<>();
 		this.crashes.stream()
 			.map(CrashRecord::service)
@@ -306,6 +326,7 @@
 					})));
 		if (!updated.equals(this.attributions)) {
 			this.attributions = List.copyOf(updated);
+			this.trialAtMs.keySet().retainAll(updated.stream().map(Attribution::parts).toList());
 			this.changeListener.run();
 		}
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/LoadFractions.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/LoadFractions.java
@@ -51,6 +51,13 @@
 		return EQUAL_PART * equalFraction + (1 - EQUAL_PART) * sums.own / (sums.own + sums.others);
 	}
 
+	/**
+	 * Removes all records, which are outdated when they are needed again.
+	 */
+	public void clear() {
+		this.sumsByService.clear();
+	}
+
 	private static final class Sums {
 
 		private double own;
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
@@ -133,6 +133,16 @@
 		assertThat(this.limits.isAllowed(SERVER, 0, ServerRequestLimits.EXPIRY_MS)).isTrue();
 	}
 
+	@Test
+	void limitsOfServersThatAreGoneAreForgotten() {
+		for (int server = 0; server < 1_000; server++) {
+			this.limits.record("i-" + server, 3.0, 0, server);
+		}
+		this.limits.expire(999 + ServerRequestLimits.EXPIRY_MS);
+		assertThat(this.limits.isEmpty()).isTrue();
+		assertThat(this.limits.newsSince(0, 999 + ServerRequestLimits.EXPIRY_MS)).isEmpty();
+	}
+
 	@Test
 	void lowestLimitLetsSingleRequestsThrough() {
 		this.limits.record(SERVER, 0.0, 0, 0);
--- a/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
@@ -220,6 +220,32 @@
 		assertThat(this.quarantine.version()).isEqualTo(version);
 	}
 
+	// Without it, the loss of a rack would end every quarantine.
+	@Test
+	void crashesOfManyOtherServersDoNotEndAQuarantine() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "bad");
+		}
+		this.nowMs += INTERVAL_MS;
+		for (int server = 0; server < 3 * PromptQuarantine.MAX_CRASHES; server++) {
+			this.quarantine.recordCrash(SERVICE, "r-" + server, List.of(Set.of("part-" + server)), this.nowMs,
+					this.nowMs);
+		}
+		assertThat(isQuarantined("bad", "own")).isTrue();
+	}
+
+	@Test
+	void quarantineEndsWithoutNewEvidence() {
+		for (String server : List.of("i-1", "i-2", "i-3")) {
+			crash(server, "bad");
+		}
+		this.quarantine.expire(this.nowMs + PromptQuarantine.RETENTION_MS - 1);
+		assertThat(isQuarantined("bad", "own")).isFalse();
+		assertThat(this.quarantine.newsSince(0, this.nowMs).crashes()).hasSize(1);
+		this.quarantine.expire(this.nowMs + PromptQuarantine.RETENTION_MS);
+		assertThat(this.quarantine.newsSince(0, this.nowMs).isEmpty()).isTrue();
+	}
+
 	@Test
 	void evidenceIsBoundedInSize() {
 		for (int server = 0; server < 3 * PromptQuarantine.MAX_CRASHES; server++) {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -69,6 +69,8 @@
 
 	private static final long POOL_CHECK_MS = 5_000;
 
+	private static final long EXPIRY_CHECK_MS = 5_000;
+
 	private static final BackendOptions BACKEND = new BackendOptions(400, 1_000, 1_000, 400, 4_000, 32_768);
 
 	private static final TransportOptions.Limits TRANSPORT = new TransportOptions.Limits(500, 1_500, 500, 300, 60_000,
@@ -163,6 +165,8 @@
 		this.gossip.start();
 		this.scheduler.schedulePeriodically(this.server::closeUnusedPools, POOL_CHECK_MS, POOL_CHECK_MS,
 				TimeUnit.MILLISECONDS);
+		this.scheduler.schedulePeriodically(this.belief::expire, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS,
+				TimeUnit.MILLISECONDS);
 		logger.atInfo()
 			.log("Daemon %s in failure domain %s started, disk %s, seeds %s, first start %s", this.settings.hostId(),
 					this.settings.failureDomain(), this.settings.dataFolder(), this.settings.seeds(),
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -104,6 +104,18 @@
 		}
 	}
 
+	/**
+	 * Removes what is no longer valid. Called from time to time.
+	 */
+	public void expire() {
+		long nowMs = this.clockMs.getAsLong();
+		this.quarantine.expire(nowMs);
+		this.requestLimits.expire(nowMs);
+		if (this.requestLimits.isEmpty()) {
+			this.loadFractions.clear();
+		}
+	}
+
 	private void recordLoadFractions() {
 		Map<String, Integer> own = new HashMap<>();
 		Map<String, Integer> all = new HashMap<>();
