Quarantine and limits: plainer names, and a method split in two

CrashEvidence, RequestLimitUpdate, allowances of a limit, published instead of told, overloaded servers; no name that leaves the process, and no behaviour, changes.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestLimitNews.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestLimitUpdate.java
@@ -10,12 +10,12 @@
  * if it names no limit any more
  * @param ageMs the time in milliseconds since the response
  */
-public record RequestLimitNews(String serverId, Double limitPerS, long ageMs) {
+public record RequestLimitUpdate(String serverId, Double limitPerS, long ageMs) {
 
 	/**
 	 * Checks the arguments.
 	 */
-	public RequestLimitNews {
+	public RequestLimitUpdate {
 		Objects.requireNonNull(serverId, "serverId");
 	}
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
@@ -8,9 +8,9 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Limits on the requests a second that servers in need take from all daemons together.
- * Each daemon uses a part of a limit in proportion to its load. In each second it may
- * send the whole number of requests that its part allows, and one more with the
+ * Limits on the requests a second that overloaded servers take from all daemons together.
+ * Each daemon has an allowance, a part of the limit in proportion to its load. In each
+ * second it may send the whole number of requests of its allowance, and one more with the
  * probability of the remaining fraction; what is not used is lost. The sum over all
  * daemons then stays near the limit however many they are, also after a pause. Not
  * thread-safe: confined to one thread.
@@ -19,7 +19,7 @@
 
 	/**
 	 * The part of a limit that is used. The rest covers unequal views of the daemons'
-	 * loads and the rounding of their parts.
+	 * loads and the rounding of their allowances.
 	 */
 	static final double SAFETY_FACTOR = 0.8;
 
@@ -34,8 +34,8 @@
 	/** A limit that is still named is passed on at this interval. */
 	private static final long REFRESH_MS = EXPIRY_MS / 4;
 
-	/** A relative change of a limit that other daemons need to know. */
-	private static final double NOTABLE_CHANGE = 0.1;
+	/** The relative change from which on a limit is passed on. */
+	private static final double MIN_PUBLISHED_CHANGE = 0.1;
 
 	private static final long SLICE_MS = 1_000;
 
@@ -66,7 +66,7 @@
 	 * @param sentAtMs when the request was sent that the response answers, in
 	 * milliseconds
 	 * @param nowMs the time in milliseconds
-	 * @return whether the limit has begun, ended or changed notably
+	 * @return whether the limit has begun, ended or changed significantly
 	 */
 	public boolean record(String serverId, Double limitPerS, long sentAtMs, long nowMs) {
 		Limit limit = this.limits.get(serverId);
@@ -81,19 +81,19 @@
 		Limit limit = this.limits.computeIfAbsent(serverId, (id) -> new Limit());
 		limit.perS = limitPerS;
 		limit.namedAtMs = namedAtMs;
-		boolean changed = isNotable(limit.toldPerS, limitPerS);
-		if (changed || namedAtMs - limit.toldAtMs >= REFRESH_MS) {
-			limit.toldPerS = limitPerS;
-			limit.toldAtMs = namedAtMs;
+		boolean changed = isSignificant(limit.publishedPerS, limitPerS);
+		if (changed || namedAtMs - limit.publishedAtMs >= REFRESH_MS) {
+			limit.publishedPerS = limitPerS;
+			limit.publishedAtMs = namedAtMs;
 			limit.version = ++this.version;
 		}
 		return changed;
 	}
 
 	// A server may name a slightly different limit in each response.
-	private static boolean isNotable(Double toldPerS, Double perS) {
-		return (toldPerS == null || perS == null) ? !Objects.equals(toldPerS, perS)
-				: Math.abs(perS - toldPerS) > NOTABLE_CHANGE * toldPerS;
+	private static boolean isSignificant(Double publishedPerS, Double perS) {
+		return (publishedPerS == null || perS == null) ? !Objects.equals(publishedPerS, perS)
+				: Math.abs(perS - publishedPerS) > MIN_PUBLISHED_CHANGE * publishedPerS;
 	}
 
 	/**
@@ -118,7 +118,7 @@
 	 * @param loadFraction the fraction of the fleet's load on the service that this
 	 * daemon carries
 	 * @param nowMs the time in milliseconds
-	 * @return whether the server has no limit or this daemon's part is not used up
+	 * @return whether the server has no limit or this daemon's allowance is not used up
 	 */
 	public boolean isAllowed(String serverId, double loadFraction, long nowMs) {
 		Limit limit = inForce(serverId, nowMs);
@@ -127,7 +127,7 @@
 		}
 		long slice = Math.floorDiv(nowMs + this.phaseMs, SLICE_MS);
 		if (slice != limit.slice) {
-			double allowed = partPerS(limit, loadFraction) * SLICE_MS / MS_PER_S;
+			double allowed = allowancePerS(limit, loadFraction) * SLICE_MS / MS_PER_S;
 			double whole = Math.floor(allowed);
 			limit.slice = slice;
 			limit.remaining = (int) whole + ((this.random.nextDouble() < allowed - whole) ? 1 : 0);
@@ -159,12 +159,12 @@
 		double sumPerS = 0;
 		for (String serverId : serverIds) {
 			Limit limit = inForce(serverId, nowMs);
-			sumPerS += (limit != null) ? partPerS(limit, loadFraction) : 0;
+			sumPerS += (limit != null) ? allowancePerS(limit, loadFraction) : 0;
 		}
 		return (sumPerS > 0) ? Math.round(Math.min(EXPIRY_MS, MS_PER_S / sumPerS)) : EXPIRY_MS;
 	}
 
-	private static double partPerS(Limit limit, double loadFraction) {
+	private static double allowancePerS(Limit limit, double loadFraction) {
 		return SAFETY_FACTOR * Math.max(MIN_LIMIT_PER_S, limit.perS) * loadFraction;
 	}
 
@@ -179,26 +179,26 @@
 	 * @param nowMs the time in milliseconds
 	 * @return the limits, ended ones included
 	 */
-	public List<RequestLimitNews> newsSince(long sinceVersion, long nowMs) {
+	public List<RequestLimitUpdate> updatesSince(long sinceVersion, long nowMs) {
 		return this.limits.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().version > sinceVersion)
-			.map((entry) -> new RequestLimitNews(entry.getKey(), entry.getValue().perS,
+			.map((entry) -> new RequestLimitUpdate(entry.getKey(), entry.getValue().perS,
 					Math.max(0, nowMs - entry.getValue().namedAtMs)))
 			.toList();
 	}
 
 	/**
 	 * Adds the limits that another daemon knows. The newest response of a server counts.
-	 * @param news the limits
+	 * @param updates the limits
 	 * @param nowMs the time in milliseconds
 	 */
-	public void merge(Collection<RequestLimitNews> news, long nowMs) {
-		for (RequestLimitNews told : news) {
-			Limit limit = this.limits.get(told.serverId());
-			long namedAtMs = nowMs - told.ageMs();
-			if (told.ageMs() < EXPIRY_MS && (limit == null || namedAtMs > limit.namedAtMs)) {
-				update(told.serverId(), told.limitPerS(), namedAtMs);
+	public void merge(Collection<RequestLimitUpdate> updates, long nowMs) {
+		for (RequestLimitUpdate update : updates) {
+			Limit limit = this.limits.get(update.serverId());
+			long namedAtMs = nowMs - update.ageMs();
+			if (update.ageMs() < EXPIRY_MS && (limit == null || namedAtMs > limit.namedAtMs)) {
+				update(update.serverId(), update.limitPerS(), namedAtMs);
 			}
 		}
 	}
@@ -218,10 +218,10 @@
 
 		private long namedAtMs;
 
-		/** The limit that other daemons were told. */
-		private Double toldPerS;
+		/** The limit that was last passed on to other daemons. */
+		private Double publishedPerS;
 
-		private long toldAtMs = Long.MIN_VALUE / 2;
+		private long publishedAtMs = Long.MIN_VALUE / 2;
 
 		private long version;
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
@@ -85,19 +85,24 @@
 			.filter((part) -> byProbability.compare(part, mostProbable) == 0
 					&& this.unexplained.get(part).equals(crashes))
 			.toList();
-		Set<Set<String>> groups = new HashSet<>();
-		equallyProbable.forEach((part) -> groups.add(inseparableParts(part, equallyProbable, crashes)));
-		for (Set<String> group : groups) {
-			if (groups.stream().noneMatch((other) -> !other.equals(group) && group.containsAll(other))) {
-				this.attributions
-					.add(new Attribution(this.service, group, crashes.stream().map(CrashRecord::serverId).toList(),
-							crashes.stream().map(CrashRecord::atMs).toList()));
-			}
+		for (Set<String> group : smallestGroups(equallyProbable, crashes)) {
+			this.attributions
+				.add(new Attribution(this.service, group, crashes.stream().map(CrashRecord::serverId).toList(),
+						crashes.stream().map(CrashRecord::atMs).toList()));
 		}
 		this.unexplained.values().forEach((suspected) -> suspected.removeAll(crashes));
 		return true;
 	}
 
+	// Returns the groups of inseparable parts that contain no other group.
+	private static List<Set<String>> smallestGroups(List<String> parts, List<CrashRecord> crashes) {
+		Set<Set<String>> groups = new HashSet<>();
+		parts.forEach((part) -> groups.add(inseparableParts(part, parts, crashes)));
+		return groups.stream()
+			.filter((group) -> groups.stream().noneMatch((other) -> !other.equals(group) && group.containsAll(other)))
+			.toList();
+	}
+
 	// Returns the parts that every suspected prompt with the given part contains.
 	private static Set<String> inseparableParts(String part, List<String> candidates, List<CrashRecord> crashes) {
 		Set<String> inseparable = new HashSet<>(candidates);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/QuarantineNews.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashEvidence.java
@@ -11,15 +11,15 @@
  * @param crashes the crashes
  * @param answers the newest sound responses to prompts with parts that are suspected
  */
-public record QuarantineNews(List<Crash> crashes, List<Answer> answers) {
+public record CrashEvidence(List<Crash> crashes, List<Answer> answers) {
 
 	/** No evidence. */
-	public static final QuarantineNews EMPTY = new QuarantineNews(List.of(), List.of());
+	public static final CrashEvidence NONE = new CrashEvidence(List.of(), List.of());
 
 	/**
 	 * Copies the lists.
 	 */
-	public QuarantineNews {
+	public CrashEvidence {
 		crashes = List.copyOf(Objects.requireNonNullElse(crashes, List.of()));
 		answers = List.copyOf(Objects.requireNonNullElse(answers, List.of()));
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
@@ -35,7 +35,7 @@
 
 	private static final int MAX_ANSWERED_PARTS = 4_096;
 
-	/** Longer than news of a trial's outcome take to reach all daemons. */
+	/** Longer than reports of a trial's outcome take to reach all daemons. */
 	private static final long TRIAL_STAGGER_MS = 2_000;
 
 	/** The number of daemons that take turns; the others follow at the same time. */
@@ -119,17 +119,17 @@
 
 	/**
 	 * Adds the evidence of another daemon.
-	 * @param news the evidence
+	 * @param evidence the evidence
 	 * @param nowMs the time in milliseconds
 	 */
-	public void merge(QuarantineNews news, long nowMs) {
+	public void merge(CrashEvidence evidence, long nowMs) {
 		boolean changed = false;
-		for (QuarantineNews.Crash crash : news.crashes()) {
+		for (CrashEvidence.Crash crash : evidence.crashes()) {
 			if (crash.ageMs() < RETENTION_MS) {
 				changed |= addCrash(crash.service(), crash.serverId(), crash.prompts(), nowMs - crash.ageMs());
 			}
 		}
-		for (QuarantineNews.Answer answer : news.answers()) {
+		for (CrashEvidence.Answer answer : evidence.answers()) {
 			changed |= addAnswer(new PartKey(answer.service(), answer.partId()), nowMs - answer.ageMs());
 		}
 		if (changed) {
@@ -144,20 +144,20 @@
 	 * @param nowMs the time in milliseconds
 	 * @return the evidence
 	 */
-	public QuarantineNews newsSince(long sinceVersion, long nowMs) {
+	public CrashEvidence evidenceSince(long sinceVersion, long nowMs) {
 		if (sinceVersion >= this.version) {
-			return QuarantineNews.EMPTY;
+			return CrashEvidence.NONE;
 		}
-		List<QuarantineNews.Answer> answers = new ArrayList<>();
+		List<CrashEvidence.Answer> answers = new ArrayList<>();
 		for (PartKey key : this.suspectedAtMs.keySet()) {
 			AnsweredPart answered = this.answeredParts.get(key);
 			if (answered != null && answered.version > sinceVersion) {
-				answers.add(new QuarantineNews.Answer(key.service, key.partId, Math.max(0, nowMs - answered.atMs)));
+				answers.add(new CrashEvidence.Answer(key.service, key.partId, Math.max(0, nowMs - answered.atMs)));
 			}
 		}
-		return new QuarantineNews(this.crashes.stream()
+		return new CrashEvidence(this.crashes.stream()
 			.filter((crash) -> crash.version() > sinceVersion)
-			.map((crash) -> new QuarantineNews.Crash(crash.service(), crash.serverId(),
+			.map((crash) -> new CrashEvidence.Crash(crash.service(), crash.serverId(),
 					Math.max(0, nowMs - crash.atMs()), List.copyOf(crash.prompts())))
 			.toList(), answers);
 	}
@@ -203,7 +203,7 @@
 	 * @param nowMs the time in milliseconds
 	 * @return whether the request may be sent
 	 */
-	public boolean tryTrial(Attribution attribution, Collection<String> hostIds, long nowMs) {
+	public boolean tryAcquireTrial(Attribution attribution, Collection<String> hostIds, long nowMs) {
 		if (nowMs < attribution.heldUntilMs()) {
 			return false;
 		}
@@ -242,7 +242,7 @@
 			record = new CrashRecord(service, serverId, atMs);
 			this.crashes.add(record);
 			if (this.crashes.size() > MAX_CRASHES) {
-				removeLeastUseful();
+				evictCrash();
 			}
 		}
 		if (!record.addPrompts(prompts)) {
@@ -263,7 +263,7 @@
 	}
 
 	// Crashes that keep a part in quarantine are kept, for example when a rack fails.
-	private void removeLeastUseful() {
+	private void evictCrash() {
 		CrashRecord removed = this.crashes.stream()
 			.filter((crash) -> this.attributions.stream()
 				.noneMatch((attribution) -> attribution.service().equals(crash.service())
@@ -283,11 +283,12 @@
 		}
 	}
 
-	// An answer is only news if it is the first one since the newest crash with the part.
+	// An answer is only new to others if it is the first one since the newest crash with
+	// the part.
 	private boolean addAnswer(PartKey key, long atMs) {
 		AnsweredPart answered = this.answeredParts.get(key);
 		Long suspected = this.suspectedAtMs.get(key);
-		boolean isNews = suspected != null && (answered == null || answered.atMs <= suspected);
+		boolean isNew = suspected != null && (answered == null || answered.atMs <= suspected);
 		if (answered == null) {
 			answered = new AnsweredPart();
 			this.answeredParts.put(key, answered);
@@ -296,10 +297,10 @@
 			return false;
 		}
 		answered.atMs = atMs;
-		if (isNews) {
+		if (isNew) {
 			answered.version = ++this.version;
 		}
-		return isNews;
+		return isNew;
 	}
 
 	/**
--- a/fescuehold-core/src/main/java/io/fescuehold/core/relay/RingNeighbours.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/relay/RingNeighbours.java
@@ -6,9 +6,9 @@
 import java.util.TreeSet;
 
 /**
- * Chooses the hosts to which a host passes news on. The hosts form a ring in the order of
- * their ids, and each one sends to those whose distance is a power of two, so that news
- * reach all of n hosts in at most log2(n) hops and by several paths.
+ * Chooses the hosts to which a host passes messages on. The hosts form a ring in the
+ * order of their ids, and each one sends to those whose distance is a power of two, so
+ * that messages reach all of n hosts in at most log2(n) hops and by several paths.
  */
 public final class RingNeighbours {
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
@@ -13,7 +13,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a server in need that gets far more requests than the limit that it
+ * Guards against a overloaded server that gets far more requests than the limit that it
  * named (LIMIT), summed over all daemons.
  */
 class ServerRequestLimitsTests {
@@ -140,7 +140,7 @@
 		}
 		this.limits.expire(999 + ServerRequestLimits.EXPIRY_MS);
 		assertThat(this.limits.isEmpty()).isTrue();
-		assertThat(this.limits.newsSince(0, 999 + ServerRequestLimits.EXPIRY_MS)).isEmpty();
+		assertThat(this.limits.updatesSince(0, 999 + ServerRequestLimits.EXPIRY_MS)).isEmpty();
 	}
 
 	@Test
@@ -160,17 +160,17 @@
 	void newestResponseCountsAmongDaemons() {
 		ServerRequestLimits other = new ServerRequestLimits(new SplittableRandom(2));
 		this.limits.record(SERVER, 3.0, 0, 1_000);
-		other.merge(this.limits.newsSince(0, 1_100), 1_100);
+		other.merge(this.limits.updatesSince(0, 1_100), 1_100);
 		assertThat(other.isAllowed(SERVER, 0, 1_100)).isFalse();
 		other.record(SERVER, null, 1_200, 1_300);
-		other.merge(this.limits.newsSince(0, 1_400), 1_400);
+		other.merge(this.limits.updatesSince(0, 1_400), 1_400);
 		assertThat(other.isAllowed(SERVER, 0, 1_400)).as("the older response does not count").isTrue();
-		this.limits.merge(other.newsSince(0, 1_400), 1_400);
+		this.limits.merge(other.updatesSince(0, 1_400), 1_400);
 		assertThat(this.limits.isAllowed(SERVER, 0, 1_400)).isTrue();
 	}
 
 	@Test
-	void onlyANotableChangeIsNews() {
+	void onlyASignificantChangeIsPassedOn() {
 		this.limits.record(SERVER, 3.0, 0, 0);
 		long version = this.limits.version();
 		assertThat(this.limits.record(SERVER, 3.1, 10, 100)).isFalse();
--- a/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/PromptQuarantineTests.java
@@ -119,8 +119,8 @@
 	@Test
 	void reportsOfSeveralDaemonsAboutOneCrashCountOnce() {
 		for (int report = 0; report < 5; report++) {
-			this.quarantine.merge(new QuarantineNews(List
-				.of(new QuarantineNews.Crash(SERVICE, "i-1", report * 50L, List.of(Set.of("new", "p" + report)))),
+			this.quarantine.merge(new CrashEvidence(List
+				.of(new CrashEvidence.Crash(SERVICE, "i-1", report * 50L, List.of(Set.of("new", "p" + report)))),
 					List.of()), this.nowMs);
 		}
 		assertThat(isQuarantined("new", "own")).isFalse();
@@ -165,14 +165,14 @@
 		}
 		List<String> hosts = List.of("h1", "h2", "h3");
 		Attribution first = this.quarantine.attributions().getFirst();
-		assertThat(this.quarantine.tryTrial(first, hosts, first.heldUntilMs() - 1)).isFalse();
+		assertThat(this.quarantine.tryAcquireTrial(first, hosts, first.heldUntilMs() - 1)).isFalse();
 		this.nowMs = first.heldUntilMs() + 10_000;
-		assertThat(this.quarantine.tryTrial(first, hosts, this.nowMs)).isTrue();
-		assertThat(this.quarantine.tryTrial(first, hosts, this.nowMs + 1)).isFalse();
+		assertThat(this.quarantine.tryAcquireTrial(first, hosts, this.nowMs)).isTrue();
+		assertThat(this.quarantine.tryAcquireTrial(first, hosts, this.nowMs + 1)).isFalse();
 		crash("i-4", "bad");
 		Attribution second = this.quarantine.attributions().getFirst();
 		assertThat(second.heldUntilMs() - this.nowMs).isEqualTo(2 * Attribution.FIRST_HOLD_MS);
-		assertThat(this.quarantine.tryTrial(second, hosts, this.nowMs + Attribution.FIRST_HOLD_MS)).isFalse();
+		assertThat(this.quarantine.tryAcquireTrial(second, hosts, this.nowMs + Attribution.FIRST_HOLD_MS)).isFalse();
 	}
 
 	@ParameterizedTest
@@ -186,7 +186,7 @@
 				other.recordCrash(SERVICE, "i-" + server, List.of(Set.of("bad")), atMs, atMs);
 			}
 			Attribution attribution = other.attributions().getFirst();
-			return other.tryTrial(attribution, hosts, attribution.heldUntilMs() + 1_000);
+			return other.tryAcquireTrial(attribution, hosts, attribution.heldUntilMs() + 1_000);
 		}).count();
 		assertThat(trials).isEqualTo(1);
 	}
@@ -204,7 +204,7 @@
 		}
 		for (int round = 0; round < 2; round++) {
 			for (PromptQuarantine from : daemons) {
-				daemons.forEach((to) -> to.merge(from.newsSince(0, 3_000), 3_000));
+				daemons.forEach((to) -> to.merge(from.evidenceSince(0, 3_000), 3_000));
 			}
 		}
 		assertThat(daemons).allSatisfy((daemon) -> assertThat(daemon.attributions()).singleElement()
@@ -213,10 +213,10 @@
 	}
 
 	@Test
-	void newsWithoutNewEvidenceChangeNothing() {
+	void repeatedEvidenceChangesNothing() {
 		crash("i-1", "bad");
 		long version = this.quarantine.version();
-		this.quarantine.merge(this.quarantine.newsSince(0, this.nowMs), this.nowMs);
+		this.quarantine.merge(this.quarantine.evidenceSince(0, this.nowMs), this.nowMs);
 		assertThat(this.quarantine.version()).isEqualTo(version);
 	}
 
@@ -241,9 +241,9 @@
 		}
 		this.quarantine.expire(this.nowMs + PromptQuarantine.RETENTION_MS - 1);
 		assertThat(isQuarantined("bad", "own")).isFalse();
-		assertThat(this.quarantine.newsSince(0, this.nowMs).crashes()).hasSize(1);
+		assertThat(this.quarantine.evidenceSince(0, this.nowMs).crashes()).hasSize(1);
 		this.quarantine.expire(this.nowMs + PromptQuarantine.RETENTION_MS);
-		assertThat(this.quarantine.newsSince(0, this.nowMs).isEmpty()).isTrue();
+		assertThat(this.quarantine.evidenceSince(0, this.nowMs).isEmpty()).isTrue();
 	}
 
 	@Test
@@ -255,8 +255,8 @@
 			}
 			crash("i-" + server, prompts);
 		}
-		QuarantineNews news = this.quarantine.newsSince(0, this.nowMs);
-		assertThat(news.crashes()).hasSize(PromptQuarantine.MAX_CRASHES)
+		CrashEvidence evidence = this.quarantine.evidenceSince(0, this.nowMs);
+		assertThat(evidence.crashes()).hasSize(PromptQuarantine.MAX_CRASHES)
 			.allSatisfy((crash) -> assertThat(crash.prompts().stream().mapToInt(Set::size).sum())
 				.isLessThanOrEqualTo(CrashRecord.MAX_PART_IDS));
 	}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/relay/RingNeighboursTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/relay/RingNeighboursTests.java
@@ -11,13 +11,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests that news reach all hosts of a ring in few hops.
+ * Tests that messages reach all hosts of a ring in few hops.
  */
 class RingNeighboursTests {
 
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 2, 7, 8, 9, 44, 351 })
-	void newsReachAllHostsInLogarithmicallyManyHops(int hosts) {
+	void messagesReachAllHostsInLogarithmicallyManyHops(int hosts) {
 		List<String> ids = IntStream.range(0, hosts).mapToObj((index) -> "10.0.0." + index).toList();
 		int maxHops = 32 - Integer.numberOfLeadingZeros(hosts);
 		Set<String> reached = new HashSet<>(Set.of(ids.getFirst()));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -40,10 +40,10 @@
 	private static final Duration TIMEOUT = Duration.ofMillis(500);
 
 	/** The number of daemons that a daemon asks after its start. */
-	private static final int MAX_ASKED = 8;
+	private static final int MAX_INITIAL_REQUESTS = 8;
 
 	/** Evidence that no daemon has sent by then is known to none. */
-	private static final long ASK_MS = 10_000;
+	private static final long INITIAL_REQUESTS_MS = 10_000;
 
 	private final String hostId;
 
@@ -64,7 +64,7 @@
 	private final Set<String> pending = new HashSet<>();
 
 	/** The daemons that were asked after the start, and are not asked again. */
-	private final Set<String> asked = new HashSet<>();
+	private final Set<String> requestedFrom = new HashSet<>();
 
 	private long startedAtMs;
 
@@ -120,8 +120,8 @@
 	}
 
 	private void tick() {
-		if (nowMs() - this.startedAtMs < ASK_MS) {
-			ask();
+		if (nowMs() - this.startedAtMs < INITIAL_REQUESTS_MS) {
+			requestEvidence();
 		}
 		Versions current = new Versions(this.quarantine.version(), this.limits.version());
 		if (current.equals(Versions.NONE)) {
@@ -154,19 +154,19 @@
 	}
 
 	private GossipMessage.Evidence evidenceSince(Versions since) {
-		return new GossipMessage.Evidence(this.quarantine.newsSince(since.quarantine, nowMs()),
-				this.limits.newsSince(since.limits, nowMs()));
+		return new GossipMessage.Evidence(this.quarantine.evidenceSince(since.quarantine, nowMs()),
+				this.limits.updatesSince(since.limits, nowMs()));
 	}
 
-	private void ask() {
+	private void requestEvidence() {
 		Set<String> known = new LinkedHashSet<>(this.seeds.get());
 		this.hosts.get().forEach((host) -> known.add(host.hostId()));
 		known.remove(this.hostId);
-		for (String hostToAsk : known) {
-			if (this.asked.size() < MAX_ASKED && this.asked.add(hostToAsk)) {
-				request(hostToAsk, new GossipMessage.Request(), GossipMessage.Evidence.class).subscribe(this::receive,
-						(error) -> this.scheduler.schedule(() -> this.asked.remove(hostToAsk), TIMEOUT.toMillis(),
-								TimeUnit.MILLISECONDS));
+		for (String receiver : known) {
+			if (this.requestedFrom.size() < MAX_INITIAL_REQUESTS && this.requestedFrom.add(receiver)) {
+				request(receiver, new GossipMessage.Request(), GossipMessage.Evidence.class).subscribe(this::receive,
+						(error) -> this.scheduler.schedule(() -> this.requestedFrom.remove(receiver),
+								TIMEOUT.toMillis(), TimeUnit.MILLISECONDS));
 			}
 		}
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/GossipMessage.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Objects;
 
-import io.fescuehold.core.limits.RequestLimitNews;
+import io.fescuehold.core.limits.RequestLimitUpdate;
 import io.fescuehold.core.port.PeerMessage;
-import io.fescuehold.core.quarantine.QuarantineNews;
+import io.fescuehold.core.quarantine.CrashEvidence;
 
 /**
  * Messages that daemons pass on to each other without the leader.
@@ -18,11 +18,11 @@
 	 * @param quarantine the evidence on crashing prompt parts
 	 * @param limits the limits that servers named
 	 */
-	record Evidence(QuarantineNews quarantine, List<RequestLimitNews> limits) implements GossipMessage {
+	record Evidence(CrashEvidence quarantine, List<RequestLimitUpdate> limits) implements GossipMessage {
 
 		// A daemon of another version may send no evidence.
 		public Evidence {
-			quarantine = Objects.requireNonNullElse(quarantine, QuarantineNews.EMPTY);
+			quarantine = Objects.requireNonNullElse(quarantine, CrashEvidence.NONE);
 			limits = List.copyOf(Objects.requireNonNullElse(limits, List.of()));
 		}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -165,7 +165,7 @@
 	}
 
 	/**
-	 * Returns the limits that servers in need have named.
+	 * Returns the limits that overloaded servers have named.
 	 * @return the limits
 	 */
 	public ServerRequestLimits requestLimits() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -93,7 +93,7 @@
 			.filter((host) -> host.state() == HostState.READY)
 			.map(HostRecord::hostId)
 			.toList();
-		if (this.quarantine.tryTrial(attribution, hostIds, nowMs())) {
+		if (this.quarantine.tryAcquireTrial(attribution, hostIds, nowMs())) {
 			this.log.quarantineTrial(request, attribution);
 			return null;
 		}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
@@ -15,7 +15,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a server in need that gets far more requests than the limit that it
+ * Guards against a overloaded server that gets far more requests than the limit that it
  * named (LIMIT), and against requests that are held or lost because of it.
  */
 @Timeout(60)
