Limits: test daemons that are cut off; choose and select apart

The choice of a server is a method of its own; trials of the same parts at two services no longer share their interval; the lines above the regression tests say which failure they guard against.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/PromptQuarantine.java
@@ -61,7 +61,7 @@
 
 	};
 
-	private final Map<Set<String>, Long> trialAtMs = new HashMap<>();
+	private final Map<TrialKey, Long> trialAtMs = new HashMap<>();
 
 	private List<Attribution> attributions = List.of();
 
@@ -212,12 +212,13 @@
 		long rank = hostIds.stream()
 			.filter((host) -> RendezvousHash.combine(partsHash, RendezvousHash.hash(host)) < ownScore)
 			.count();
-		Long lastTrialAtMs = this.trialAtMs.get(attribution.parts());
+		TrialKey key = TrialKey.of(attribution);
+		Long lastTrialAtMs = this.trialAtMs.get(key);
 		if (nowMs < attribution.heldUntilMs() + Math.min(rank, MAX_TURNS) * TRIAL_STAGGER_MS
 				|| (lastTrialAtMs != null && nowMs - lastTrialAtMs < TRIAL_INTERVAL_MS)) {
 			return false;
 		}
-		this.trialAtMs.put(attribution.parts(), nowMs);
+		this.trialAtMs.put(key, nowMs);
 		return true;
 	}
 
@@ -327,11 +328,19 @@
 					})));
 		if (!updated.equals(this.attributions)) {
 			this.attributions = List.copyOf(updated);
-			this.trialAtMs.keySet().retainAll(updated.stream().map(Attribution::parts).toList());
+			this.trialAtMs.keySet().retainAll(updated.stream().map(TrialKey::of).toList());
 			this.changeListener.run();
 		}
 	}
 
+	private record TrialKey(String service, Set<String> parts) {
+
+		private static TrialKey of(Attribution attribution) {
+			return new TrialKey(attribution.service(), attribution.parts());
+		}
+
+	}
+
 	private record PartKey(String service, String partId) {
 
 	}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/ServerRequestLimitsTests.java
@@ -1,6 +1,7 @@
 package io.fescuehold.core.limits;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.IntToDoubleFunction;
@@ -22,11 +23,20 @@
 
 	private static final long WINDOW_MS = 4_000;
 
+	private static final long CUT_OFF_AT_MS = 6_000;
+
 	private final ServerRequestLimits limits = new ServerRequestLimits(new SplittableRandom(1));
 
-	// Returns the largest number of requests in any window, each host sending at the
-	// given rate, of a fleet whose hosts see each other's load 400 ms late.
 	private static int mostInWindow(int hosts, double limitPerS, int seed, IntToDoubleFunction requestsPerS) {
+		return mostInWindow(hosts, 0, limitPerS, seed, requestsPerS);
+	}
+
+	// Returns the largest number of requests in any window, each host sending at the
+	// given rate, of a fleet whose hosts see each other's load 400 ms late. The last
+	// hosts are cut off after some seconds: they learn no loads any more, and the others
+	// do not learn theirs.
+	private static int mostInWindow(int hosts, int cutOffHosts, double limitPerS, int seed,
+			IntToDoubleFunction requestsPerS) {
 		SplittableRandom random = new SplittableRandom(seed);
 		List<ServerRequestLimits> daemons = new ArrayList<>();
 		List<LoadFractions> fractions = new ArrayList<>();
@@ -43,12 +53,10 @@
 					inFlight[host] = poisson(random, requestsPerS.applyAsDouble(host));
 				}
 			}
-			int total = 0;
-			for (int requests : inFlight) {
-				total += requests;
-			}
+			int connectedHosts = (nowMs < CUT_OFF_AT_MS) ? hosts : hosts - cutOffHosts;
+			int total = Arrays.stream(inFlight, 0, connectedHosts).sum();
 			for (int host = 0; host < hosts; host++) {
-				if (nowMs % 400 == 0) {
+				if (nowMs % 400 == 0 && host < connectedHosts) {
 					fractions.get(host).record("model", inFlight[host], total - inFlight[host], nowMs);
 				}
 				double fraction = fractions.get(host).fraction("model", hosts);
@@ -104,6 +112,16 @@
 		}
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "7,1,3.3", "7,3,3.3", "7,3,20", "44,21,10", "351,175,40" })
+	void hostsThatAreCutOffKeepToTheirAllowance(int hosts, int cutOffHosts, double limitPerS) {
+		double perHostPerS = 5 * limitPerS / hosts;
+		for (int seed = 1; seed <= 5; seed++) {
+			assertThat(mostInWindow(hosts, cutOffHosts, limitPerS, seed, (host) -> perHostPerS))
+				.isLessThanOrEqualTo((int) allowed(limitPerS));
+		}
+	}
+
 	@Test
 	void pauseSavesNoRequests() {
 		this.limits.record(SERVER, 4.0, 0, 0);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -89,7 +89,8 @@
 	 * @param request the request
 	 * @param attempt the number of the attempt, from 1
 	 * @param tried the servers that were tried before
-	 * @return the target; errors with code NO_SERVER
+	 * @return the target; errors with code NO_SERVER, or with code OVERLOADED if all
+	 * servers limit their requests
 	 */
 	Target choose(GatewayRequest request, int attempt, Set<String> tried) {
 		long nowMs = nowMs();
@@ -99,17 +100,7 @@
 		if (candidates.isEmpty() && !untried.isEmpty()) {
 			throw limitExceeded(request.service(), untried, nowMs);
 		}
-		Target target = null;
-		if (request.head().prompt() != null) {
-			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
-			if (choice != null) {
-				target = new Target(choice.server(), choice.copyFrom(), choice.reason().name());
-			}
-		}
-		else {
-			ServerState server = this.leastLoadedSelector.select(candidates, nowMs);
-			target = (server != null) ? new Target(server, null, "LEAST_COST") : null;
-		}
+		Target target = select(request, candidates, all, nowMs);
 		if (target == null) {
 			throw FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_AFTER_MS,
 					request.service());
@@ -123,6 +114,15 @@
 		return target;
 	}
 
+	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
+		if (request.head().prompt() != null) {
+			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
+			return (choice != null) ? new Target(choice.server(), choice.copyFrom(), choice.reason().name()) : null;
+		}
+		ServerState server = this.leastLoadedSelector.select(candidates, nowMs);
+		return (server != null) ? new Target(server, null, "LEAST_COST") : null;
+	}
+
 	private List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
 		if (this.belief.requestLimits().isEmpty()) {
 			return servers;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CrashingPromptTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CrashingPromptTests.java
@@ -64,6 +64,7 @@
 		if (request.headers().get("X-Parts").contains(CRASHING_PART)) {
 			Thread.sleep(PREFILL_MS);
 			this.crashCount.incrementAndGet();
+			// A script does not know which server runs it.
 			this.servers.stream()
 				.filter((server) -> server.received().contains(request))
 				.forEach((server) -> crash(server));
@@ -95,6 +96,7 @@
 		return this.gateway.request("/resumable/x", id, "prompt", Map.of("X-Parts", parts)).block();
 	}
 
+	// Requests with one part crashed one server after the other (BUDGET).
 	@Test
 	void promptPartThatCrashesServersIsRefusedAndSoundRequestsAreServed() throws InterruptedException {
 		int soundAnswers = 0;
@@ -126,6 +128,7 @@
 		assertThat(answer.body()).contains("\"run\":\"unknown\"").contains(CRASHING_PART);
 	}
 
+	// A server that fails single requests is no reason to refuse their parts (LOST).
 	@Test
 	void resetConnectionsOfServersThatStayUpAreNotBlamedOnAPart() throws InterruptedException {
 		for (int round = 0; round < 5; round++) {
@@ -134,6 +137,7 @@
 		}
 	}
 
+	// Servers that a guilty request ended must not count as failing once they are back.
 	@Test
 	void serversThatACrashingPartEndedAreUsedAgainAsSoonAsTheyAreBack() throws InterruptedException {
 		crashServers();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
@@ -64,6 +64,7 @@
 			.orElse(0);
 	}
 
+	// A server got far more requests than the limit that it had named (LIMIT).
 	@Test
 	void serverGetsNoMoreThanItsLimitAndOthersTakeTheRest() throws InterruptedException {
 		try (ScriptedServer one = server("limited", true);
@@ -75,6 +76,7 @@
 		}
 	}
 
+	// Requests that no server takes must not wait for their deadline.
 	@Test
 	void requestsBeyondTheLimitsOfAllServersAreRefusedAtOnce() throws InterruptedException {
 		try (ScriptedServer one = server("one", true);
@@ -94,6 +96,7 @@
 		}
 	}
 
+	// A limit must not outlast the server's word.
 	@Test
 	void limitEndsWithTheFirstResponseThatDoesNotNameIt() throws InterruptedException {
 		try (ScriptedServer one = server("limited", true); TestGateway gateway = new TestGateway(one)) {
