Log the software version of each chosen server and what a request takes up

The log lines could not tell whether a host chose a server of another version unknowingly, by a late list, or because it can't know which version began the stream. The version of the server list and the header that names the attempt that brought the first event are now read and logged; no choice depends on them yet.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
@@ -11,9 +11,10 @@
  * @param failureDomain its failure domain
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is about to stop
+ * @param version the version of its software, or null if unknown
  */
-public record BackendServer(String id, String service, String address, String failureDomain, int slots,
-		boolean leaving) {
+public record BackendServer(String id, String service, String address, String failureDomain, int slots, boolean leaving,
+		String version) {
 
 	/**
 	 * Checks the arguments.
--- a/fescuehold-core/src/test/java/io/fescuehold/core/prompt/EnginePlacementTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/prompt/EnginePlacementTests.java
@@ -142,7 +142,7 @@
 		ServerTable table = new ServerTable();
 		List<BackendServer> list = new ArrayList<>();
 		for (int index = 0; index < count; index++) {
-			list.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 96, false));
+			list.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 96, false, "v1"));
 		}
 		table.update(new ServerList(1, list));
 		return table.of("model");
--- a/fescuehold-core/src/test/java/io/fescuehold/core/prompt/ReturningSubjectsLoadTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/prompt/ReturningSubjectsLoadTests.java
@@ -95,7 +95,7 @@
 	private void updateServers(int first, int end) {
 		List<BackendServer> servers = new ArrayList<>();
 		for (int index = first; index < end; index++) {
-			servers.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 24, false));
+			servers.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 24, false, "v1"));
 		}
 		this.tables.forEach((table) -> table.update(new ServerList(end * 100L + first, servers)));
 		this.prefilledMsByServer.keySet()
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/LeastLoadedSelectorTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/LeastLoadedSelectorTests.java
@@ -69,7 +69,7 @@
 		List<String> domains = List.of("a", "b", "c");
 		for (int index = 0; index < domains.size(); index++) {
 			list.add(new BackendServer("s" + index, "service", "10.0.0." + index + ":80", domains.get(index), SLOTS,
-					false));
+					false, "v1"));
 		}
 		table.update(new ServerList(1, list));
 		return table.of("service");
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerTableTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerTableTests.java
@@ -45,7 +45,7 @@
 	}
 
 	private static BackendServer server(String id, String service, boolean leaving) {
-		return new BackendServer(id, service, "10.0.0.1:80", "z", 4, leaving);
+		return new BackendServer(id, service, "10.0.0.1:80", "z", 4, leaving, "v1");
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
@@ -15,11 +15,13 @@
  * @param apiKey the API key, or null
  * @param deadlineMs the time in milliseconds for which the caller waits, or 0 if unknown
  * @param resumeAfter the position after which a stream continues, or 0
+ * @param resumes the id of the caller's attempt that brought the first event of the
+ * stream that this one takes up, or null
  * @param prompt the shape of the prompt, or null
  * @param headers the headers that are forwarded
  */
 public record CallerHead(String requestId, String hostName, String method, String uri, String apiKey, long deadlineMs,
-		long resumeAfter, PromptShape prompt, Map<String, String> headers) {
+		long resumeAfter, String resumes, PromptShape prompt, Map<String, String> headers) {
 
 	/**
 	 * Checks the arguments and copies the map.
@@ -29,6 +31,14 @@
 		headers = Map.copyOf(headers);
 	}
 
+	/**
+	 * Returns whether the request continues a stream of an earlier attempt.
+	 * @return whether some of the stream's events may have reached the caller
+	 */
+	public boolean takesUp() {
+		return this.resumes != null || this.resumeAfter > 0;
+	}
+
 	/**
 	 * Returns the path without the query.
 	 * @return the path
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -64,11 +64,13 @@
 	void placed(GatewayRequest request, Dispatcher.Target target, int attempt) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
-				.log("request %s attempt %d of route %s to server %s, load %d, reason %s, copy from %s, left %d ms,"
-						+ " list %d", request.head().requestId(), attempt, request.route().name(),
-						target.server().server().id(), target.server().load(), target.reason(),
-						(target.copyFrom() != null) ? target.copyFrom().server().id() : "none",
-						request.leftMs(this.clockMs.getAsLong()), this.belief.servers().revision());
+				.log("request %s attempt %d of route %s to server %s of version %s, load %d, reason %s, copy from %s,"
+						+ " left %d ms, list %d%s", request.head().requestId(), attempt, request.route().name(),
+						target.server().server().id(), target.server().server().version(), target.server().load(),
+						target.reason(), (target.copyFrom() != null) ? target.copyFrom().server().id() : "none",
+						request.leftMs(this.clockMs.getAsLong()), this.belief.servers().revision(),
+						request.head().takesUp() ? ", takes up the stream of " + request.head().resumes()
+								+ " after event " + request.head().resumeAfter() : "");
 		}
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -247,7 +247,7 @@
 
 		private List<BackendServer> list() {
 			TestFleet.this.listReads.incrementAndGet();
-			return List.of(new BackendServer("i-1", "service", "10.0.0.1:80", "a", 4, false));
+			return List.of(new BackendServer("i-1", "service", "10.0.0.1:80", "a", 4, false, "v1"));
 		}
 
 		Fleet fleet() {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -68,7 +68,8 @@
 		this.belief.onHosts(List.of(new HostRecord("127.0.0.1", "a", 1, null, HostState.READY)));
 		List<BackendServer> list = new ArrayList<>();
 		for (int index = 0; index < servers.length; index++) {
-			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", 4, false));
+			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", 4, false,
+					"v1"));
 		}
 		this.belief.onServers(new ServerList(1, list));
 		this.server.start();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -18,7 +18,7 @@
 	@Override
 	public CallerHead read(String method, String uri, HttpHeaders headers) {
 		Map<String, String> passedOn = new HashMap<>();
-		for (String name : List.of("X-Request", "X-Custom", "X-Parts", "Host")) {
+		for (String name : List.of("X-Request", "X-Custom", "X-Parts", "X-Resumes", "Host")) {
 			if (headers.contains(name)) {
 				passedOn.put(name, headers.get(name));
 			}
@@ -30,7 +30,7 @@
 			}
 		}
 		return new CallerHead(headers.get("X-Request", ""), headers.get("Host"), method, uri, headers.get("X-Key"),
-				headers.getInt("X-Left-Ms", 0), headers.getInt("Last-Event-ID", 0),
+				headers.getInt("X-Left-Ms", 0), headers.getInt("Last-Event-ID", 0), headers.get("X-Resumes"),
 				parts.isEmpty() ? null : new PromptShape(parts, 10), passedOn);
 	}
 
