Streams continue only at the software version that began them

Cause: the second server of a stream was chosen as if all servers of a service were alike, by the host itself after a break and at a take-up by the caller.

Now a stream is bound to the version of its first event: resumption, stall and take-up use servers of that version only, leaving ones included for half of the time that they still serve. While one version of a service has served for as long as a stream can be continued, the version follows from that. What nobody knows is refused at once with 503, run "no", as is a stream of whose version no server is left. A server that refused a connection counts as one of unknown version for 3 s after its next response, since a restarted process may keep its id. A take-up is routed by the id of its stream, so that a route with several services does not join two of them.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -93,6 +93,21 @@
 	CALL_STORE_FULL(503,
 			"The store holds its limit of %s call records; retry after the time in the Retry-After header"),
 
+	/**
+	 * Nobody knows which software version began a stream, and others may not continue it.
+	 * Arguments: stream, reason.
+	 */
+	STREAM_VERSION_UNKNOWN(503,
+			"Which software version began stream \"%s\" is unknown: %s; send the request anew without Last-Event-Id"),
+
+	/**
+	 * No server of the software version that began a stream is left. Arguments: version,
+	 * service.
+	 */
+	STREAM_VERSION_GONE(503,
+			"The stream began at version \"%s\" of \"%s\", of which no server can be used;"
+					+ " retry after the time in the Retry-After header or send the request anew without Last-Event-Id"),
+
 	/** The share does not own the team. Arguments: share, team. */
 	NOT_OWNER(409, "Share \"%s\" does not own team \"%s\"; retry once the transfer is in force"),
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
@@ -26,6 +26,14 @@
 		Objects.requireNonNull(failureDomain, "failureDomain");
 	}
 
+	/**
+	 * Returns the name of the software version.
+	 * @return the version, or an empty text if it is unknown
+	 */
+	public String versionName() {
+		return (this.version != null) ? this.version : "";
+	}
+
 	/**
 	 * Returns the IP address.
 	 * @return the part of the address before the port
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
@@ -6,6 +6,9 @@
  */
 public final class ServerState {
 
+	/** The time within which the list shows a restarted process. */
+	static final long LIST_DELAY_MS = 3_000;
+
 	private final ServerHealth health = new ServerHealth();
 
 	private BackendServer server;
@@ -14,14 +17,59 @@
 
 	private int otherRequests;
 
+	private long leavingSinceMs = Long.MAX_VALUE;
+
+	private boolean refusedConnections;
+
+	private long versionUncertainUntilMs = Long.MIN_VALUE;
+
 	ServerState(BackendServer server) {
 		this.server = server;
 	}
 
-	void update(BackendServer updated) {
+	void update(BackendServer updated, long nowMs) {
+		this.leavingSinceMs = updated.leaving() ? Math.min(this.leavingSinceMs, nowMs) : Long.MAX_VALUE;
 		this.server = updated;
 	}
 
+	/**
+	 * Returns for how long the server has been about to stop.
+	 * @param nowMs the time in milliseconds
+	 * @return the time in milliseconds since the list first said so, negative if it does
+	 * not
+	 */
+	public long leavingMs(long nowMs) {
+		return (this.leavingSinceMs != Long.MAX_VALUE) ? nowMs - this.leavingSinceMs : -1;
+	}
+
+	/**
+	 * Records that the server refused a connection, so that its process has ended. The
+	 * next one may have the same id and another version.
+	 */
+	public void connectionRefused() {
+		this.refusedConnections = true;
+	}
+
+	/**
+	 * Records that the server responded.
+	 * @param nowMs the time in milliseconds
+	 */
+	public void responded(long nowMs) {
+		if (this.refusedConnections) {
+			this.refusedConnections = false;
+			this.versionUncertainUntilMs = nowMs + LIST_DELAY_MS;
+		}
+	}
+
+	/**
+	 * Returns whether the list names the version of the process that runs now.
+	 * @param nowMs the time in milliseconds
+	 * @return whether the process has not restarted since the list was made
+	 */
+	public boolean isVersionCertain(long nowMs) {
+		return !this.refusedConnections && nowMs >= this.versionUncertainUntilMs;
+	}
+
 	/**
 	 * Returns the entry in the server list.
 	 * @return the entry
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerTable.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerTable.java
@@ -21,13 +21,14 @@
 	/**
 	 * Applies a new list.
 	 * @param list the list
+	 * @param nowMs the time in milliseconds
 	 */
-	public void update(ServerList list) {
+	public void update(ServerList list, long nowMs) {
 		Map<String, List<ServerState>> byService = new HashMap<>();
 		Map<String, ServerState> kept = new HashMap<>();
 		for (BackendServer server : list.servers()) {
 			ServerState state = this.serversById.computeIfAbsent(server.id(), (id) -> new ServerState(server));
-			state.update(server);
+			state.update(server, nowMs);
 			if (kept.put(server.id(), state) == null) {
 				byService.computeIfAbsent(server.service(), (service) -> new ArrayList<>()).add(state);
 			}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/prompt/EnginePlacementTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/prompt/EnginePlacementTests.java
@@ -144,7 +144,7 @@
 		for (int index = 0; index < count; index++) {
 			list.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 96, false, "v1"));
 		}
-		table.update(new ServerList(1, list));
+		table.update(new ServerList(1, list), 0);
 		return table.of("model");
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/prompt/ReturningSubjectsLoadTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/prompt/ReturningSubjectsLoadTests.java
@@ -97,7 +97,7 @@
 		for (int index = first; index < end; index++) {
 			servers.add(new BackendServer("i-" + index, "model", "10.0.0." + index + ":80", "z", 24, false, "v1"));
 		}
-		this.tables.forEach((table) -> table.update(new ServerList(end * 100L + first, servers)));
+		this.tables.forEach((table) -> table.update(new ServerList(end * 100L + first, servers), 0));
 		this.prefilledMsByServer.keySet()
 			.removeIf((id) -> servers.stream().noneMatch((server) -> server.id().equals(id)));
 	}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/LeastLoadedSelectorTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/LeastLoadedSelectorTests.java
@@ -71,7 +71,7 @@
 			list.add(new BackendServer("s" + index, "service", "10.0.0." + index + ":80", domains.get(index), SLOTS,
 					false, "v1"));
 		}
-		table.update(new ServerList(1, list));
+		table.update(new ServerList(1, list), 0);
 		return table.of("service");
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerTableTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerTableTests.java
@@ -16,18 +16,18 @@
 
 	@Test
 	void knownInstanceKeepsItsLoadAndHealth() {
-		this.table.update(new ServerList(1, List.of(server("i-1", "a", false))));
+		this.table.update(new ServerList(1, List.of(server("i-1", "a", false))), 0);
 		this.table.find("i-1").begin();
-		this.table.update(new ServerList(2, List.of(server("i-1", "a", true))));
+		this.table.update(new ServerList(2, List.of(server("i-1", "a", true))), 0);
 		assertThat(this.table.find("i-1").ownRequests()).isEqualTo(1);
 		assertThat(this.table.find("i-1").server().leaving()).isTrue();
 	}
 
 	@Test
 	void addressThatIsUsedAgainIsAnotherServer() {
-		this.table.update(new ServerList(1, List.of(server("i-1", "a", false))));
+		this.table.update(new ServerList(1, List.of(server("i-1", "a", false))), 0);
 		this.table.find("i-1").health().record(ServerOutcome.UNREACHABLE, 0);
-		this.table.update(new ServerList(2, List.of(server("i-2", "b", false))));
+		this.table.update(new ServerList(2, List.of(server("i-2", "b", false))), 0);
 		assertThat(this.table.of("a")).isEmpty();
 		assertThat(this.table.of("b")).singleElement()
 			.satisfies((state) -> assertThat(state.health().isUsable(1)).isTrue());
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -24,6 +24,7 @@
 import io.fescuehold.runtime.discovery.Fleet;
 import io.fescuehold.runtime.discovery.FleetOptions;
 import io.fescuehold.runtime.discovery.ServerListSource;
+import io.fescuehold.runtime.discovery.StreamDirectory;
 import io.fescuehold.runtime.gateway.CallerProtocol;
 import io.fescuehold.runtime.gateway.Documents;
 import io.fescuehold.runtime.gateway.GatewayBelief;
@@ -92,6 +93,8 @@
 
 	private final GatewayBelief belief;
 
+	private final StreamDirectory streams;
+
 	private final GatewayServer server;
 
 	private final Fleet fleet;
@@ -130,8 +133,11 @@
 				this.scheduler, loops);
 		this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, settings.peerPort()));
 		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs, random);
-		this.server = new GatewayServer(options(settings), this.belief, protocol, this.scheduler, loops, this.metrics,
-				random);
+		this.streams = new StreamDirectory(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
+				() -> this.seeds, this.belief::ageMs, this.belief::streamRetentionMs, this.belief.servedVersions(),
+				(settings.dataFolder() != null) ? settings.dataFolder().resolve("streams") : null);
+		this.server = new GatewayServer(options(settings), this.belief, protocol, this.streams, this.scheduler, loops,
+				this.metrics, random);
 		this.fleet = new Fleet(
 				new FleetOptions(settings.hostId(), settings.failureDomain(), settings.peerPort(), settings.seeds(),
 						settings.firstStart(), settings.dataFolder(), settings.losses(),
@@ -151,13 +157,14 @@
 	private static GatewayOptions options(GatewaySettings settings) {
 		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.failureDomain(),
 				(long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS, settings.retryRatio(),
-				settings.retryExtra(), settings.retryWindowMs(), BACKEND);
+				settings.retryExtra(), settings.retryWindowMs(), settings.serverDrainMs() / 2, BACKEND);
 	}
 
 	/**
 	 * Starts the daemon.
 	 */
 	public void start() {
+		this.streams.start(this.settings.firstStart());
 		this.server.start();
 		this.operations.start();
 		this.transport.start().block(Duration.ofSeconds(5));
@@ -294,6 +301,7 @@
 		this.gossip.stop();
 		this.fleet.stop();
 		this.server.stop();
+		this.streams.stop();
 		logger.atInfo().log("Daemon %s has stopped", this.settings.hostId());
 	}
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -24,13 +24,15 @@
  * @param retryRatio the number of retries that the fleet may send per request
  * @param retryExtra the number of additional retries that the fleet may send per window
  * @param retryWindowMs the window of the two retry limits in milliseconds
+ * @param serverDrainMs the time in milliseconds for which a server that is about to stop
+ * still serves, counted from its entry in the list
  * @param stopMs the time in milliseconds that the process has for a graceful stop
  * @param maxEntryValidMs the longest time in milliseconds for which a caller may use an
  * entry response
  */
 public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int operationsPort,
 		List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs, double retryRatio,
-		double retryExtra, long retryWindowMs, long stopMs, long maxEntryValidMs) {
+		double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs, long maxEntryValidMs) {
 
 	private static final int MAX_PORT = 65_535;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
@@ -1,7 +1,10 @@
 package io.fescuehold.runtime.backend;
 
+import java.net.ConnectException;
 import java.util.Map;
 
+import io.netty.channel.ConnectTimeoutException;
+
 /**
  * Failure of an exchange with a backend server.
  */
@@ -51,6 +54,20 @@
 		return (this.response != null) ? this.response : new BackendResponse(0, Map.of(), new byte[0]);
 	}
 
+	/**
+	 * Returns whether the server's host refused the connection, so that no process
+	 * listens there. Without any response it is unknown whether the process has ended.
+	 * @return whether the connection was refused
+	 */
+	public boolean isRefusedConnection() {
+		for (Throwable cause = getCause(); cause != null; cause = cause.getCause()) {
+			if (cause instanceof ConnectException) {
+				return !(cause instanceof ConnectTimeoutException);
+			}
+		}
+		return false;
+	}
+
 	/**
 	 * The kind of a failure.
 	 */
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -77,6 +77,8 @@
 
 	private Dispatcher.Target target;
 
+	private VersionBinding binding = new VersionBinding.Unbound();
+
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
 		this.dispatcher = dispatcher;
 		this.guard = dispatcher.quarantineGuard();
@@ -105,7 +107,7 @@
 
 	private Dispatcher.Target choose() {
 		try {
-			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried);
+			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried, this.binding);
 		}
 		catch (FescueholdException refusal) {
 			throw this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
@@ -120,6 +122,26 @@
 		return this.request;
 	}
 
+	/**
+	 * Restricts the servers that further attempts may use.
+	 * @param version the software version that began the stream
+	 */
+	void bindTo(String version) {
+		this.binding = new VersionBinding.ToVersion(version);
+	}
+
+	/**
+	 * Restricts the servers that further attempts may use to those of the current
+	 * server's version, unless the stream has been bound before.
+	 * @return the version, or null if it is unknown
+	 */
+	String bindToCurrentServer() {
+		if (this.binding instanceof VersionBinding.Unbound) {
+			this.binding = this.dispatcher.bindingTo(this.request, this.target);
+		}
+		return (this.binding instanceof VersionBinding.ToVersion(String version)) ? version : null;
+	}
+
 	/**
 	 * Records that the current attempt starts.
 	 */
@@ -215,6 +237,7 @@
 	 */
 	void headReceived(AnswerHead head) {
 		if (!head.otherInstance()) {
+			this.dispatcher.recordResponse(this.target);
 			this.dispatcher.recordLimit(this.target, head.requestLimitPerS(), this.sentAtMs);
 		}
 	}
@@ -235,7 +258,7 @@
 	 * the reserved retry
 	 */
 	boolean reserveRetry() {
-		this.retryReserved = hasRetryLeft() && this.dispatcher.hasAlternative(this.request, this.tried)
+		this.retryReserved = hasRetryLeft() && this.dispatcher.hasAlternative(this.request, this.tried, this.binding)
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
 		return this.retryReserved;
 	}
@@ -299,6 +322,9 @@
 					notSent ? ServerOutcome.UNREACHABLE : ServerOutcome.FAILED);
 		}
 		if (notSent) {
+			if (failure instanceof BackendFailure known && known.isRefusedConnection()) {
+				this.dispatcher.recordRefusedConnection(this.target);
+			}
 			this.unreachableCount++;
 			this.attemptCount--;
 			if (this.unreachableCount < MAX_UNREACHABLE) {
@@ -323,7 +349,8 @@
 	}
 
 	private boolean tryAcquireRetry() {
-		return this.request.route().isRepeatable() && this.dispatcher.hasCandidate(this.request, this.tried)
+		return this.request.route().isRepeatable()
+				&& this.dispatcher.hasCandidate(this.request, this.tried, this.binding)
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
@@ -39,6 +39,15 @@
 		return this.resumes != null || this.resumeAfter > 0;
 	}
 
+	/**
+	 * Returns the id of the stream, which stays the same when the caller takes it up.
+	 * @return the id of the attempt that brought the first event, or of this one; empty
+	 * if the caller names none
+	 */
+	public String streamId() {
+		return (this.resumes != null) ? this.resumes : this.requestId;
+	}
+
 	/**
 	 * Returns the path without the query.
 	 * @return the path
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -34,6 +34,9 @@
 	/** A paused server is usually available again within this time. */
 	private static final long NO_SERVER_RETRY_AFTER_MS = 300;
 
+	/** Crashed servers have mostly restarted, and the list shows it, within this time. */
+	private static final long VERSION_RETRY_AFTER_MS = 1_000;
+
 	private static final long MIN_LIMIT_RETRY_AFTER_MS = 50;
 
 	private static final long MAX_LIMIT_RETRY_AFTER_MS = 5_000;
@@ -48,6 +51,9 @@
 
 	private final WindowedRetryBudget budget;
 
+	/** The time for which streams may be continued at a server that is about to stop. */
+	private final long leavingUseMs;
+
 	private final LeastLoadedSelector leastLoadedSelector;
 
 	private final EnginePlacement enginePlacement;
@@ -69,6 +75,7 @@
 		this.pools = pools;
 		this.clockMs = clockMs;
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
+		this.leavingUseMs = options.leavingUseMs();
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
@@ -89,21 +96,22 @@
 	 * @param request the request
 	 * @param attempt the number of the attempt, from 1
 	 * @param tried the servers that were tried before
-	 * @return the target; errors with code NO_SERVER, or with code OVERLOADED if all
-	 * servers limit their requests
+	 * @param binding the servers that may send events of the stream
+	 * @return the target; errors with code NO_SERVER, with code STREAM_VERSION_GONE if no
+	 * server of the bound version is left, or with code OVERLOADED if all servers limit
+	 * their requests
 	 */
-	Target choose(GatewayRequest request, int attempt, Set<String> tried) {
+	Target choose(GatewayRequest request, int attempt, Set<String> tried, VersionBinding binding) {
 		long nowMs = nowMs();
 		List<ServerState> all = this.belief.servers().of(request.service());
-		List<ServerState> untried = candidates(all, tried, nowMs);
+		List<ServerState> untried = candidates(all, tried, binding, nowMs);
 		List<ServerState> candidates = withinLimits(request.service(), untried, nowMs);
 		if (candidates.isEmpty() && !untried.isEmpty()) {
 			throw limitExceeded(request.service(), untried, nowMs);
 		}
 		Target target = select(request, candidates, all, nowMs);
 		if (target == null) {
-			throw FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_AFTER_MS,
-					request.service());
+			throw noServer(request, binding);
 		}
 		this.belief.requestLimits().consume(target.server().server().id());
 		if (attempt == 1) {
@@ -114,6 +122,14 @@
 		return target;
 	}
 
+	private static FescueholdException noServer(GatewayRequest request, VersionBinding binding) {
+		return (binding instanceof VersionBinding.ToVersion(String version))
+				? FescueholdException.of(ErrorCode.STREAM_VERSION_GONE, RunStatus.NO, VERSION_RETRY_AFTER_MS, version,
+						request.service())
+				: FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_AFTER_MS,
+						request.service());
+	}
+
 	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
@@ -146,14 +162,24 @@
 		return FescueholdException.of(ErrorCode.OVERLOADED, RunStatus.NO, returnAtMs - nowMs, service);
 	}
 
-	private static List<ServerState> candidates(List<ServerState> all, Set<String> tried, long nowMs) {
+	private List<ServerState> candidates(List<ServerState> all, Set<String> tried, VersionBinding binding, long nowMs) {
 		List<ServerState> usable = new ArrayList<>();
 		List<ServerState> paused = new ArrayList<>();
+		List<ServerState> leaving = new ArrayList<>();
 		for (ServerState server : all) {
-			if (!server.server().leaving() && !tried.contains(server.server().id())) {
+			if (tried.contains(server.server().id()) || !binding.allows(server, nowMs)) {
+				continue;
+			}
+			if (server.server().leaving()) {
+				leaving.add(server);
+			}
+			else {
 				(server.health().isUsable(nowMs) ? usable : paused).add(server);
 			}
 		}
+		if (usable.isEmpty() && paused.isEmpty() && binding instanceof VersionBinding.ToVersion) {
+			return leaving.stream().filter((server) -> server.leavingMs(nowMs) < this.leavingUseMs).toList();
+		}
 		return usable.isEmpty() ? paused : usable;
 	}
 
@@ -161,11 +187,13 @@
 	 * Returns whether another server is available for a request.
 	 * @param request the request
 	 * @param tried the servers that were tried
+	 * @param binding the servers that may send events of the stream
 	 * @return whether an untried server is left that is not paused
 	 */
-	boolean hasAlternative(GatewayRequest request, Set<String> tried) {
+	boolean hasAlternative(GatewayRequest request, Set<String> tried, VersionBinding binding) {
 		long nowMs = nowMs();
-		return alternatives(request, tried, nowMs).stream().anyMatch((server) -> server.health().isUsable(nowMs));
+		return alternatives(request, tried, binding, nowMs).stream()
+			.anyMatch((server) -> server.health().isUsable(nowMs));
 	}
 
 	/**
@@ -173,15 +201,47 @@
 	 * paused.
 	 * @param request the request
 	 * @param tried the servers that were tried
+	 * @param binding the servers that may send events of the stream
 	 * @return whether an untried server is left
 	 */
-	boolean hasCandidate(GatewayRequest request, Set<String> tried) {
-		return !alternatives(request, tried, nowMs()).isEmpty();
+	boolean hasCandidate(GatewayRequest request, Set<String> tried, VersionBinding binding) {
+		return !alternatives(request, tried, binding, nowMs()).isEmpty();
+	}
+
+	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, VersionBinding binding,
+			long nowMs) {
+		return withinLimits(request.service(),
+				candidates(this.belief.servers().of(request.service()), tried, binding, nowMs), nowMs);
+	}
+
+	/**
+	 * Returns which servers may continue a stream that a server has begun.
+	 * @param request the request
+	 * @param target the server
+	 * @return the binding
+	 */
+	VersionBinding bindingTo(GatewayRequest request, Target target) {
+		long nowMs = nowMs();
+		String version = target.server().server().versionName();
+		boolean known = target.server().isVersionCertain(nowMs)
+				&& (!version.isEmpty() || !this.belief.servedVersions().isAmbiguous(request.service(), nowMs));
+		return known ? new VersionBinding.ToVersion(version) : new VersionBinding.ToUnknown();
+	}
+
+	/**
+	 * Records that a server refused a connection.
+	 * @param target the server
+	 */
+	void recordRefusedConnection(Target target) {
+		target.server().connectionRefused();
 	}
 
-	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, long nowMs) {
-		return withinLimits(request.service(), candidates(this.belief.servers().of(request.service()), tried, nowMs),
-				nowMs);
+	/**
+	 * Records that a server responded.
+	 * @param target the server
+	 */
+	void recordResponse(Target target) {
+		target.server().responded(nowMs());
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -15,12 +15,14 @@
 import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.quarantine.PromptQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
+import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.servers.LoadFractions;
 import io.fescuehold.core.servers.ServerList;
 import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.core.servers.ServerTable;
+import io.fescuehold.core.streamversion.ServedVersions;
 import io.fescuehold.runtime.discovery.FleetListener;
 
 /**
@@ -40,6 +42,15 @@
 	 */
 	private static final long PART_RETENTION_MS = 120_000;
 
+	/**
+	 * A stream can be taken up once more shortly before the time limit of its first
+	 * request, and then last for that limit again.
+	 */
+	private static final int TAKE_UP_LIMITS = 2;
+
+	/** The limit of streams while no configuration is known. */
+	private static final long DEFAULT_STREAM_LIMIT_MS = 60_000;
+
 	private final RoutingCodec codec;
 
 	private final LongSupplier clockMs;
@@ -56,6 +67,8 @@
 
 	private final LoadFractions loadFractions = new LoadFractions();
 
+	private final ServedVersions servedVersions;
+
 	private RouteTable table;
 
 	private List<HostRecord> hosts = List.of();
@@ -72,6 +85,7 @@
 		this.quarantine = new PromptQuarantine(hostId);
 		this.codec = codec;
 		this.clockMs = clockMs;
+		this.servedVersions = new ServedVersions(streamRetentionMs(), clockMs.getAsLong());
 	}
 
 	@Override
@@ -88,7 +102,8 @@
 
 	@Override
 	public void onServers(ServerList list) {
-		this.servers.update(list);
+		this.servers.update(list, this.clockMs.getAsLong());
+		this.servedVersions.observe(list.servers(), this.clockMs.getAsLong());
 	}
 
 	@Override
@@ -172,6 +187,29 @@
 		return this.requestLimits;
 	}
 
+	/**
+	 * Returns the software versions that can have begun streams.
+	 * @return the versions
+	 */
+	public ServedVersions servedVersions() {
+		return this.servedVersions;
+	}
+
+	/**
+	 * Returns the time for which a stream can be continued after its first event.
+	 * @return the time in milliseconds
+	 */
+	public long streamRetentionMs() {
+		long limitMs = (this.table != null) ? this.table.config()
+			.routes()
+			.stream()
+			.filter((route) -> route.isStreaming() && route.isRepeatable())
+			.mapToLong(Route::timeoutMs)
+			.max()
+			.orElse(DEFAULT_STREAM_LIMIT_MS) : DEFAULT_STREAM_LIMIT_MS;
+		return TAKE_UP_LIMITS * limitMs;
+	}
+
 	/**
 	 * Returns the fraction of the fleet's load on a service that this daemon carries.
 	 * @param service the service
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -7,6 +7,8 @@
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.streamversion.StreamRecord;
+import io.fescuehold.core.streamversion.VersionVerdict;
 
 /**
  * Logs each decision on a request with the request id, the inputs of the decision, their
@@ -74,6 +76,21 @@
 		}
 	}
 
+	void takenUp(GatewayRequest request, VersionVerdict verdict) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("request %s takes up the stream of %s after event %d: %s", request.head().requestId(),
+						request.head().resumes(), request.head().resumeAfter(), switch (verdict) {
+							case VersionVerdict.Recorded(StreamRecord began) ->
+								"version " + began.version() + ", recorded";
+							case VersionVerdict.OnlyVersion(String version) ->
+								"version " + version + ", no other can have begun it";
+							case VersionVerdict.Unknown(String reason) -> "version unknown, " + reason;
+							case VersionVerdict.Open open -> "version not decided";
+						});
+		}
+	}
+
 	void serverFailed(GatewayRequest request, String serverId, String what, String action) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -15,6 +15,7 @@
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.StateDump;
+import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.routes.GateDecision;
 import io.fescuehold.core.routes.RequestGate;
 import io.fescuehold.core.routes.Route;
@@ -85,6 +86,8 @@
 
 	private final Dispatcher dispatcher;
 
+	private final StreamVersions versions;
+
 	private DisposableServer server;
 
 	private int inFlight;
@@ -98,17 +101,19 @@
 	 * @param options the options
 	 * @param belief the local view of configuration, servers and daemons
 	 * @param protocol the mapping of HTTP headers
+	 * @param versions knows which software version began each stream
 	 * @param scheduler the single thread that owns all state; its clock includes the time
 	 * for which the host was suspended
 	 * @param loops the event loops of the connections, one of which is the scheduler's
 	 * @param registry the registry of the metrics
 	 * @param random the source of random choices
 	 */
-	public GatewayServer(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, Scheduler scheduler,
-			LoopResources loops, MetricRegistry registry, RandomGenerator random) {
+	public GatewayServer(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, StreamVersions versions,
+			Scheduler scheduler, LoopResources loops, MetricRegistry registry, RandomGenerator random) {
 		this.options = options;
 		this.belief = belief;
 		this.protocol = protocol;
+		this.versions = versions;
 		this.scheduler = scheduler;
 		this.loops = loops;
 		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
@@ -234,7 +239,7 @@
 			case GateDecision.Refused(FescueholdException refusal) -> Mono.error(refusal);
 			case GateDecision.Admitted(Route route, var team) -> {
 				this.metrics.request(route.name());
-				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.requestId()));
+				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.streamId()));
 				yield forward(new GatewayRequest(head, body, route, team, route.serviceFor(fraction), receivedAtMs,
 						receivedAtMs + limitMs(head, route)), response);
 			}
@@ -253,7 +258,7 @@
 			return new CallExchange(this.dispatcher, this.scheduler, this.log, request).run()
 				.flatMap((backendResponse) -> deliver(request, backendResponse, response));
 		}
-		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, request);
+		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, request);
 		return Mono.from(exchange.run()
 			.switchOnFirst((first, items) -> deliverStream(request, exchange, first.get(), items, response)));
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -3,8 +3,14 @@
 import java.time.Duration;
 import java.util.Map;
 
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.stream.EventSplitter;
 import io.fescuehold.core.stream.StreamEvent;
+import io.fescuehold.core.streamversion.StreamRecord;
+import io.fescuehold.core.streamversion.VersionVerdict;
 import io.fescuehold.runtime.backend.BackendExchange;
 import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendResponse;
@@ -55,6 +61,8 @@
 
 	private final Attempts attempts;
 
+	private final StreamVersions versions;
+
 	private long position;
 
 	private boolean headSent;
@@ -65,11 +73,13 @@
 
 	private long progressAtMs;
 
-	StreamExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, GatewayRequest request) {
+	StreamExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, StreamVersions versions,
+			GatewayRequest request) {
 		this.dispatcher = dispatcher;
 		this.scheduler = scheduler;
 		this.log = log;
 		this.request = request;
+		this.versions = versions;
 		this.attempts = new Attempts(dispatcher, log, request);
 		this.position = request.head().resumeAfter();
 	}
@@ -81,8 +91,9 @@
 	 */
 	Flux<StreamItem> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
-		return StreamDeadline.limit(Flux.defer(this::attempt), Duration.ofMillis(Math.max(1, leftMs)),
-				this.attempts::deadlineExceeded, this.scheduler);
+		Flux<StreamItem> items = this.request.head().takesUp() ? takeUp() : Flux.defer(this::attempt);
+		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this.attempts::deadlineExceeded,
+				this.scheduler);
 	}
 
 	/**
@@ -93,6 +104,31 @@
 		return this.position;
 	}
 
+	private Flux<StreamItem> takeUp() {
+		return this.versions.find(this.request.head().resumes(), this.request.service()).flatMapMany((verdict) -> {
+			this.log.takenUp(this.request, verdict);
+			return switch (verdict) {
+				case VersionVerdict.Recorded(StreamRecord began) when began.service().equals(this.request.service()) ->
+					continueAt(began.version());
+				case VersionVerdict.Recorded(StreamRecord began) -> unknownVersion("it began at service \""
+						+ began.service() + "\", the route now leads to \"" + this.request.service() + "\"");
+				case VersionVerdict.OnlyVersion(String version) -> continueAt(version);
+				case VersionVerdict.Unknown(String reason) -> unknownVersion(reason);
+				case VersionVerdict.Open open -> unknownVersion("the search has not ended");
+			};
+		});
+	}
+
+	private Flux<StreamItem> continueAt(String version) {
+		this.attempts.bindTo(version);
+		return attempt();
+	}
+
+	private Flux<StreamItem> unknownVersion(String reason) {
+		return Flux.error(FescueholdException.of(ErrorCode.STREAM_VERSION_UNKNOWN, RunStatus.NO, 0,
+				this.request.head().resumes(), reason));
+	}
+
 	private Flux<StreamItem> attempt() {
 		Dispatcher.Target target = this.attempts.next();
 		this.attempts.started();
@@ -187,7 +223,16 @@
 		}
 		this.headSent = true;
 		this.dispatcher.recordPromptRead(this.request, target);
-		return Flux.just(head);
+		return recordVersion().thenMany(Flux.just(head));
+	}
+
+	private Mono<Void> recordVersion() {
+		String version = this.attempts.bindToCurrentServer();
+		String streamId = this.request.head().streamId();
+		if (version == null || streamId.isEmpty() || !this.request.route().isRepeatable()) {
+			return Mono.empty();
+		}
+		return this.versions.record(new StreamRecord(streamId, this.request.service(), version));
 	}
 
 	// Emits the head even without events: a caller may resume after the last event.
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -11,6 +11,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteKind;
@@ -20,6 +21,9 @@
 import io.fescuehold.core.routes.TeamAccess;
 import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.core.streamversion.StreamRecord;
+import io.fescuehold.core.streamversion.VersionSearch;
+import io.fescuehold.core.streamversion.VersionVerdict;
 import io.fescuehold.runtime.backend.BackendOptions;
 import io.fescuehold.runtime.http.ScriptedServer;
 import io.fescuehold.runtime.replica.MonotonicScheduler;
@@ -60,9 +64,9 @@
 		this.belief = new GatewayBelief("127.0.0.1", (submitted) -> config(),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions("127.0.0.1", 0, "a", 60_000, 1_000, (retryExtra > 0) ? 0.2 : 0,
-				retryExtra, 10_000, BackendOptions.DEFAULT);
-		this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.scheduler, this.loops,
-				this.metrics, new SplittableRandom(1));
+				retryExtra, 10_000, 1_000, BackendOptions.DEFAULT);
+		this.server = new GatewayServer(options, this.belief, new TestProtocol(), new SingleHostVersions(this.belief),
+				this.scheduler, this.loops, this.metrics, new SplittableRandom(1));
 		this.belief.onDocument(Documents.of(1, "{}".getBytes(StandardCharsets.UTF_8)));
 		this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
 		this.belief.onHosts(List.of(new HostRecord("127.0.0.1", "a", 1, null, HostState.READY)));
@@ -75,7 +79,7 @@
 		this.server.start();
 	}
 
-	private static RoutingConfig config() {
+	static RoutingConfig config() {
 		return new RoutingConfig(1,
 				List.of(route("lookup", RouteKind.IDEMPOTENT, false, 2),
 						route("order", RouteKind.NON_IDEMPOTENT, false, 1),
@@ -146,6 +150,26 @@
 		this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(2)).block();
 	}
 
+	/**
+	 * Directory of a host without others, which decides by the versions that serve.
+	 *
+	 * @param belief the view of the host
+	 */
+	private record SingleHostVersions(GatewayBelief belief) implements StreamVersions {
+
+		@Override
+		public Mono<Void> record(StreamRecord began) {
+			return Mono.empty();
+		}
+
+		@Override
+		public Mono<VersionVerdict> find(String streamId, String service) {
+			return Mono.fromSupplier(
+					() -> new VersionSearch(0, this.belief.servedVersions().of(service, 0), true, true).verdict(true));
+		}
+
+	}
+
 	/**
 	 * A response.
 	 *
