Streams: begin with the first event if a server fails while the version is recorded

While two versions serve, the first event of a stream waits for the record of its version. A server that broke the connection meanwhile cost the head, and the next attempt went on after an event that had not been sent; callers got an internal error ("began with an event before its head", found by the property test beside load).

Head, position and event are now committed together after the wait. GatewayStreamTests# streamThatBreaksWhileItsVersionIsRecordedIsCompleteAndInOrder failed before. The waits are options, so that tests on a busy machine don't lose records.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -135,7 +135,8 @@
 		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs, random);
 		this.streams = new StreamDirectory(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
 				() -> this.seeds, this.belief::ageMs, this.belief::streamRetentionMs, this.belief.servedVersions(),
-				(settings.dataFolder() != null) ? settings.dataFolder().resolve("streams") : null);
+				(settings.dataFolder() != null) ? settings.dataFolder().resolve("streams") : null,
+				StreamDirectory.Waits.DEFAULT);
 		this.server = new GatewayServer(options(settings), this.belief, protocol, this.streams, this.scheduler, loops,
 				this.metrics, random);
 		this.fleet = new Fleet(
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
@@ -59,12 +59,6 @@
 
 	private static final long TICK_MS = 100;
 
-	/** The longest time for which a first event waits for its record. */
-	private static final Duration RECORD_WAIT = Duration.ofMillis(80);
-
-	/** The longest time that a holder waits for its disk before it answers. */
-	private static final Duration DISK_WAIT = Duration.ofMillis(40);
-
 	private static final Duration KEEP_TIMEOUT = Duration.ofMillis(500);
 
 	/** The longest time that a take-up waits for other hosts. */
@@ -91,6 +85,8 @@
 
 	private final StreamRecordStore store;
 
+	private final Waits waits;
+
 	/** The records that this host keeps for all hosts, itself included. */
 	private final StreamRecords records;
 
@@ -119,10 +115,12 @@
 	 * continued
 	 * @param served the versions that this host has observed
 	 * @param folder the folder for records, or null if the host has no disk
+	 * @param waits the longest waits
 	 */
 	public StreamDirectory(String hostId, PeerTransport transport, Scheduler scheduler,
 			Supplier<List<HostRecord>> hosts, Supplier<List<String>> seeds, LongSupplier confirmedAgeMs,
-			LongSupplier retentionMs, ServedVersions served, Path folder) {
+			LongSupplier retentionMs, ServedVersions served, Path folder, Waits waits) {
+		this.waits = waits;
 		this.hostId = hostId;
 		this.transport = transport;
 		this.scheduler = scheduler;
@@ -203,7 +201,7 @@
 				this.unannounced.put(began.streamId(), began);
 				return Mono.empty();
 			}
-			return announce(began).timeout(RECORD_WAIT, this.scheduler).onErrorResume((error) -> {
+			return announce(began).timeout(this.waits.record(), this.scheduler).onErrorResume((error) -> {
 				logger.atInfo()
 					.atMostEvery(1, TimeUnit.SECONDS)
 					.log("Stream %s of version %s begins before its holders have confirmed its record: %s",
@@ -276,7 +274,7 @@
 		}
 		return this.store.append(keep.records(), Map.of())
 			.thenReturn(true)
-			.timeout(DISK_WAIT, this.scheduler)
+			.timeout(this.waits.disk(), this.scheduler)
 			.onErrorReturn(false)
 			.map((durable) -> new StreamMessage.Kept(durable, known, complete));
 	}
@@ -392,6 +390,19 @@
 		return this.scheduler.now(TimeUnit.MILLISECONDS);
 	}
 
+	/**
+	 * The longest waits for records.
+	 *
+	 * @param record the time for which a first event waits for its record
+	 * @param disk the time for which a holder waits for its disk before it answers
+	 */
+	public record Waits(Duration record, Duration disk) {
+
+		/** Waits that delay a first event by less than the time that callers notice. */
+		public static final Waits DEFAULT = new Waits(Duration.ofMillis(80), Duration.ofMillis(40));
+
+	}
+
 	private record Confirmations(int count, boolean durable) {
 
 		private Confirmations add(boolean anotherDurable) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -199,6 +199,17 @@
 	}
 
 	private Flux<StreamItem> forwardEvent(Dispatcher.Target target, StreamItem.Head head, StreamEvent event) {
+		if (this.headSent) {
+			return emitEvent(event);
+		}
+		// The attempt may fail while the record is made. The next one then begins with
+		// this
+		// event, as nothing has been sent.
+		return recordVersion()
+			.thenMany(Flux.defer(() -> emitHead(target, head).concatWith(Flux.defer(() -> emitEvent(event)))));
+	}
+
+	private Flux<StreamItem> emitEvent(StreamEvent event) {
 		if (event.position() > 0) {
 			if (event.position() <= this.position) {
 				return Flux.empty();
@@ -212,8 +223,7 @@
 			this.progressAtMs = this.dispatcher.nowMs();
 			this.attempts.eventReceived();
 		}
-		StreamItem item = new StreamItem.Event(event.bytes());
-		return this.headSent ? Flux.just(item) : emitHead(target, head).concatWithValues(item);
+		return Flux.just(new StreamItem.Event(event.bytes()));
 	}
 
 	// Emits the head only once, even if several servers contribute to the stream.
@@ -223,16 +233,7 @@
 		}
 		this.headSent = true;
 		this.dispatcher.recordPromptRead(this.request, target);
-		return recordVersion().thenMany(Flux.just(head));
-	}
-
-	private Mono<Void> recordVersion() {
-		String version = this.attempts.bindToCurrentServer();
-		String streamId = this.request.head().streamId();
-		if (version == null || streamId.isEmpty() || !this.request.route().isRepeatable()) {
-			return Mono.empty();
-		}
-		return this.versions.record(new StreamRecord(streamId, this.request.service(), version));
+		return Flux.just(head);
 	}
 
 	// Emits the head even without events: a caller may resume after the last event.
@@ -245,6 +246,15 @@
 		return emitHead(target, head);
 	}
 
+	private Mono<Void> recordVersion() {
+		String version = this.attempts.bindToCurrentServer();
+		String streamId = this.request.head().streamId();
+		if (version == null || streamId.isEmpty() || !this.request.route().isRepeatable()) {
+			return Mono.empty();
+		}
+		return this.versions.record(new StreamRecord(streamId, this.request.service(), version));
+	}
+
 	private static Flux<StreamItem> protocolFailure(String message) {
 		return Flux.error(new BackendFailure(BackendFailure.Kind.PROTOCOL, message, null));
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -81,6 +82,33 @@
 		}
 	}
 
+	// Guards against a stream without head or first event if its server fails while the
+	// version is being recorded (incident "joined versions").
+	@Test
+	void streamThatBreaksWhileItsVersionIsRecordedIsCompleteAndInOrder() {
+		ScriptedServer.Script breaking = (request, connection) -> {
+			int after = resumeAfter(request);
+			this.resumePositions.add("after " + after);
+			begin(connection, request);
+			if (this.resumePositions.size() == 1) {
+				events(connection, 1, 1);
+				resetAfterDelay(connection);
+			}
+			else {
+				events(connection, after + 1, 6);
+				connection.send("0\r\n\r\n");
+			}
+		};
+		try (ScriptedServer one = new ScriptedServer(breaking);
+				ScriptedServer two = new ScriptedServer(breaking);
+				TestGateway gateway = new TestGateway(100, Duration.ofMillis(300), one, two)) {
+			TestGateway.Answer answer = gateway.send("/resumable/x", "r1", "prompt");
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo(text(1, 6));
+			assertThat(this.resumePositions).containsExactly("after 0", "after 0");
+		}
+	}
+
 	@Test
 	void eventsAlreadyForwardedAreNotRepeated() {
 		ScriptedServer.Script repeating = (request, connection) -> {
