--- /dev/null
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/reach/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links to servers that only this host has lost.
+ */
+package io.fescuehold.core.reach;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
@@ -27,6 +27,15 @@
 		this.server = server;
 	}
 
+	/**
+	 * Creates the state of a server that is in no list.
+	 * @param server the server
+	 * @return the state
+	 */
+	public static ServerState unlisted(BackendServer server) {
+		return new ServerState(server);
+	}
+
 	void update(BackendServer updated, long nowMs) {
 		this.leavingSinceMs = updated.leaving() ? Math.min(this.leavingSinceMs, nowMs) : Long.MAX_VALUE;
 		this.server = updated;
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -23,6 +23,7 @@
 import io.fescuehold.runtime.discovery.EvidenceGossip;
 import io.fescuehold.runtime.discovery.Fleet;
 import io.fescuehold.runtime.discovery.FleetOptions;
+import io.fescuehold.runtime.discovery.ReachDirectory;
 import io.fescuehold.runtime.discovery.ServerListSource;
 import io.fescuehold.runtime.discovery.StreamDirectory;
 import io.fescuehold.runtime.gateway.CallerProtocol;
@@ -95,6 +96,8 @@
 
 	private final StreamDirectory streams;
 
+	private final ReachDirectory reach;
+
 	private final GatewayServer server;
 
 	private final Fleet fleet;
@@ -137,8 +140,10 @@
 				() -> this.seeds, this.belief::ageMs, this.belief::streamRetentionMs, this.belief.servedVersions(),
 				(settings.dataFolder() != null) ? settings.dataFolder().resolve("streams") : null,
 				StreamDirectory.Waits.DEFAULT);
-		this.server = new GatewayServer(options(settings), this.belief, protocol, this.streams, this.scheduler, loops,
-				this.metrics, random);
+		this.reach = new ReachDirectory(settings.hostId(), this.transport, this.scheduler, loops, this.belief::hosts,
+				this.belief.servers(), this::requestsInFlight, random);
+		this.server = new GatewayServer(options(settings), this.belief, protocol, this.streams, this.reach,
+				this.scheduler, loops, this.metrics, random);
 		this.fleet = new Fleet(
 				new FleetOptions(settings.hostId(), settings.failureDomain(), settings.peerPort(), settings.seeds(),
 						settings.firstStart(), settings.dataFolder(), settings.losses(),
@@ -156,9 +161,10 @@
 	}
 
 	private static GatewayOptions options(GatewaySettings settings) {
-		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.failureDomain(),
-				(long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS, settings.retryRatio(),
-				settings.retryExtra(), settings.retryWindowMs(), settings.serverDrainMs() / 2, BACKEND);
+		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.relayPort(),
+				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
+				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.serverDrainMs() / 2,
+				BACKEND);
 	}
 
 	/**
@@ -166,6 +172,7 @@
 	 */
 	public void start() {
 		this.streams.start(this.settings.firstStart());
+		this.reach.start();
 		this.server.start();
 		this.operations.start();
 		this.transport.start().block(Duration.ofSeconds(5));
@@ -181,6 +188,10 @@
 					this.settings.firstStart());
 	}
 
+	private int requestsInFlight() {
+		return this.server.inFlight();
+	}
+
 	private HostState hostState() {
 		if (this.drain != null) {
 			return HostState.DRAINING;
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -14,6 +14,8 @@
  * @param failureDomain the failure domain of this daemon
  * @param callerPort the port for callers
  * @param peerPort the port for messages between daemons, the same on every daemon
+ * @param relayPort the port for requests that daemons pass on for each other, the same on
+ * every daemon
  * @param operationsPort the port of metrics and state dumps
  * @param seeds the IP addresses of the daemons that are contacted first
  * @param firstStart whether the whole fleet starts for the first time with empty disks
@@ -30,9 +32,10 @@
  * @param maxEntryValidMs the longest time in milliseconds for which a caller may use an
  * entry response
  */
-public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int operationsPort,
-		List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs, double retryRatio,
-		double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs, long maxEntryValidMs) {
+public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int relayPort,
+		int operationsPort, List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs,
+		double retryRatio, double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs,
+		long maxEntryValidMs) {
 
 	private static final int MAX_PORT = 65_535;
 
@@ -45,6 +48,7 @@
 		seeds = List.copyOf(seeds);
 		checkPort("callerPort", callerPort);
 		checkPort("peerPort", peerPort);
+		checkPort("relayPort", relayPort);
 		checkPort("operationsPort", operationsPort);
 		checkPositive("revocationMs", revocationMs);
 		checkPositive("retryWindowMs", retryWindowMs);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 import io.fescuehold.core.error.ErrorCode;
@@ -77,13 +78,17 @@
 
 	private Dispatcher.Target target;
 
-	private VersionBinding binding = new VersionBinding.Unbound();
+	private final StreamBinding binding = new StreamBinding();
 
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
 		this.dispatcher = dispatcher;
 		this.guard = dispatcher.quarantineGuard();
 		this.log = log;
 		this.request = request;
+		if (request.hop() != null) {
+			this.attemptCount = request.hop().attempts();
+			this.binding.toVersion(request.hop().version());
+		}
 	}
 
 	/**
@@ -106,8 +111,12 @@
 	}
 
 	private Dispatcher.Target choose() {
+		Dispatcher.Target relay = this.dispatcher.chooseRelay(this.request, this.tried, this.binding.current());
+		if (relay != null) {
+			return relay;
+		}
 		try {
-			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried, this.binding);
+			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried, this.binding.current());
 		}
 		catch (FescueholdException refusal) {
 			throw this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
@@ -123,23 +132,21 @@
 	}
 
 	/**
-	 * Restricts the servers that further attempts may use.
-	 * @param version the software version that began the stream
+	 * Returns which servers may send events of the stream.
+	 * @return the binding
 	 */
-	void bindTo(String version) {
-		this.binding = new VersionBinding.ToVersion(version);
+	StreamBinding binding() {
+		return this.binding;
 	}
 
 	/**
-	 * Restricts the servers that further attempts may use to those of the current
-	 * server's version, unless the stream has been bound before.
+	 * Binds the stream to the version of the current server, unless it has been bound
+	 * before.
 	 * @return the version, or null if it is unknown
 	 */
 	String bindToCurrentServer() {
-		if (this.binding instanceof VersionBinding.Unbound) {
-			this.binding = this.dispatcher.bindingTo(this.request, this.target);
-		}
-		return (this.binding instanceof VersionBinding.ToVersion(String version)) ? version : null;
+		this.binding.toServer(this.dispatcher, this.request, this.target);
+		return this.binding.version();
 	}
 
 	/**
@@ -147,7 +154,7 @@
 	 */
 	void started() {
 		this.dispatcher.attemptStarted(this.target);
-		if (this.request.head().prompt() != null) {
+		if (this.request.head().prompt() != null && !this.target.relay()) {
 			this.guard.attemptStarted(this);
 		}
 	}
@@ -210,7 +217,7 @@
 	}
 
 	private void recordAnswered() {
-		if (this.request.head().prompt() != null && !this.answered) {
+		if (this.request.head().prompt() != null && !this.answered && !this.target.relay()) {
 			this.answered = true;
 			this.guard.answered(this, this.request);
 		}
@@ -223,9 +230,58 @@
 	 * @return the request
 	 */
 	BackendRequest prepare(long resumeAfter) {
+		if (this.target.relay()) {
+			RelayHop hop = new RelayHop(this.attemptCount - 1, this.binding.version());
+			return this.dispatcher.prepareRelay(this.request, hop, resumeAfter, this::sent);
+		}
 		return this.dispatcher.prepare(this.request, this.target, resumeAfter, this::sent);
 	}
 
+	/**
+	 * Returns whether the current attempt goes to another host that passes it on.
+	 * @return whether it does
+	 */
+	boolean isRelayed() {
+		return this.target != null && this.target.relay();
+	}
+
+	/**
+	 * Records what the response of a host that passes the request on says of it.
+	 * @param headers the headers by lower-case name
+	 * @return the refusal of that host, or null if the response is a server's
+	 */
+	FescueholdException relayResponse(Map<String, String> headers) {
+		if (!isRelayed()) {
+			return null;
+		}
+		this.binding.setRelayedVersion(headers.get(RelayHop.RESPONSE_VERSION));
+		return RelayHop.refusal(headers, serverId());
+	}
+
+	/**
+	 * Handles the refusal of a host that was to pass the request on.
+	 * @param refusal the refusal
+	 * @return null if another host or server is to be tried, else the error for the
+	 * caller
+	 */
+	FescueholdException afterRelayRefusal(FescueholdException refusal) {
+		this.awaitingResponse = false;
+		if (refusal.run() != RunStatus.NO) {
+			this.mayHaveRun = true;
+			return refusal;
+		}
+		this.attemptCount--;
+		boolean elsewhere = switch (refusal.code()) {
+			case DRAINING, NO_SERVER, NO_ROUTE, UNKNOWN_KEY, ROUTING_STALE -> true;
+			default -> false;
+		};
+		if (elsewhere && ++this.unreachableCount < MAX_UNREACHABLE) {
+			this.dispatcher.recordRelayFailure(this.target);
+			return null;
+		}
+		return this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
+	}
+
 	private void sent() {
 		this.awaitingResponse = true;
 		this.sentAtMs = this.dispatcher.nowMs();
@@ -258,7 +314,8 @@
 	 * the reserved retry
 	 */
 	boolean reserveRetry() {
-		this.retryReserved = hasRetryLeft() && this.dispatcher.hasAlternative(this.request, this.tried, this.binding)
+		this.retryReserved = hasRetryLeft() && this.dispatcher.mayGiveUp(this.request, this.target)
+				&& this.dispatcher.hasAlternative(this.request, this.tried, this.binding.current())
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
 		return this.retryReserved;
 	}
@@ -294,7 +351,8 @@
 		this.awaitingResponse = false;
 		this.mayHaveRun = true;
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.FAILED);
-		boolean retries = tryAcquireRetry();
+		// A host that passes the request on has retried already.
+		boolean retries = !this.target.relay() && tryAcquireRetry();
 		this.log.serverFailed(this.request, serverId(), "status " + response.status(),
 				retries ? "trying another server" : "returning the response to the caller");
 		return retries;
@@ -350,10 +408,19 @@
 
 	private boolean tryAcquireRetry() {
 		return this.request.route().isRepeatable()
-				&& this.dispatcher.hasCandidate(this.request, this.tried, this.binding)
+				&& this.dispatcher.hasCandidate(this.request, this.tried, this.binding.current())
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
 	}
 
+	/**
+	 * Waits until the next attempt can choose its server. After a server could not be
+	 * reached it may have to go to another host.
+	 * @return completes when the next attempt can start
+	 */
+	Mono<Void> beforeRetry() {
+		return (this.unreachableCount > 0) ? this.dispatcher.whenReachChecked(this.request) : Mono.empty();
+	}
+
 	private FescueholdException fail(String reason, ErrorCode code, long retryAfterMs) {
 		this.log.serverFailed(this.request, serverId(), reason,
 				this.mayHaveRun ? "giving up, the request may have run" : "giving up, the request has not run");
@@ -395,7 +462,7 @@
 	}
 
 	private void suspectUnlessAnswered() {
-		if (this.request.head().prompt() != null && !this.answered) {
+		if (this.request.head().prompt() != null && !this.answered && !this.target.relay()) {
 			this.guard.connectionLost(this.request, this.target.server());
 		}
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.runtime.backend.BackendExchange;
 import io.fescuehold.runtime.backend.BackendFailure;
 import io.fescuehold.runtime.backend.BackendResponse;
@@ -86,6 +87,10 @@
 			return failOrRetry(this.attempts.afterFailure(outcome.failure));
 		}
 		BackendResponse response = outcome.response;
+		FescueholdException relayRefusal = this.attempts.relayResponse(response.headers());
+		if (relayRefusal != null) {
+			return failOrRetry(this.attempts.afterRelayRefusal(relayRefusal));
+		}
 		AnswerHead head = this.dispatcher.read(response.status(), response.headers());
 		if (head.mayBelongToOtherRequest(this.request.head().requestId(), response.status())) {
 			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
@@ -107,7 +112,7 @@
 	}
 
 	private Mono<BackendResponse> failOrRetry(RuntimeException refusal) {
-		return (refusal != null) ? Mono.error(refusal) : attempt();
+		return (refusal != null) ? Mono.error(refusal) : this.attempts.beforeRetry().then(Mono.defer(this::attempt));
 	}
 
 	private record Outcome(BackendResponse response, Throwable failure) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerProtocol.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerProtocol.java
@@ -27,6 +27,16 @@
 	 */
 	Map<String, String> forward(CallerHead head, Forwarding forwarding);
 
+	/**
+	 * Creates the headers of a request that another host passes on to a server.
+	 * @param head the caller's request
+	 * @param leftMs the time in milliseconds that remains until the deadline
+	 * @param resumeAfter the position after which a stream continues, or a negative
+	 * number to leave it to the caller's headers
+	 * @return the headers, with which the other host admits the request like this one
+	 */
+	Map<String, String> relay(CallerHead head, long leftMs, long resumeAfter);
+
 	/**
 	 * Parses the headers of a response.
 	 * @param status the HTTP status
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -13,6 +13,7 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
 import io.fescuehold.core.retry.WindowedRetryBudget;
@@ -23,6 +24,7 @@
 import io.fescuehold.runtime.backend.BackendPool;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.fescuehold.runtime.backend.BackendRequest;
+import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
 /**
@@ -60,6 +62,13 @@
 
 	private final QuarantineGuard quarantineGuard;
 
+	private final ServerReach reach;
+
+	/** The hosts that have passed requests on, with the requests in flight there. */
+	private final Map<String, ServerState> relays = new HashMap<>();
+
+	private final int relayPort;
+
 	/** When the next refused caller of each service is asked to return. */
 	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
 
@@ -68,8 +77,8 @@
 	private final GatewayLog log;
 
 	Dispatcher(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, BackendPools pools,
-			LongSupplier clockMs, QuarantineGuard quarantineGuard, GatewayMetrics metrics, GatewayLog log,
-			RandomGenerator random) {
+			LongSupplier clockMs, QuarantineGuard quarantineGuard, ServerReach reach, GatewayMetrics metrics,
+			GatewayLog log, RandomGenerator random) {
 		this.belief = belief;
 		this.protocol = protocol;
 		this.pools = pools;
@@ -79,6 +88,8 @@
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
+		this.reach = reach;
+		this.relayPort = options.relayPort();
 		this.metrics = metrics;
 		this.log = log;
 	}
@@ -91,6 +102,71 @@
 		return this.clockMs.getAsLong();
 	}
 
+	/**
+	 * Chooses another host that passes a request on, if this host is cut off from the
+	 * servers.
+	 * @param request the request
+	 * @param tried the servers and hosts that were tried before
+	 * @param binding the servers that may send events of the stream
+	 * @return the target, or null if the request has to go to a server
+	 */
+	Target chooseRelay(GatewayRequest request, Set<String> tried, VersionBinding binding) {
+		if (!maybeRelayed(request, binding)) {
+			return null;
+		}
+		String hostId = this.reach.chooseRelay(request.service(), tried);
+		if (hostId == null) {
+			return null;
+		}
+		ServerState host = this.relays.computeIfAbsent(hostId, (id) -> ServerState
+			.unlisted(new BackendServer(id, request.service(), id + ":" + this.relayPort, "", 1, false, null)));
+		this.metrics.relayed(request.service());
+		this.log.relayed(request, hostId);
+		return new Target(host, null, "RELAY", true);
+	}
+
+	// A request that was passed on once stays where it is.
+	private boolean maybeRelayed(GatewayRequest request, VersionBinding binding) {
+		return request.hop() == null && !(binding instanceof VersionBinding.ToUnknown)
+				&& this.reach.isCutOff(request.service());
+	}
+
+	/**
+	 * Waits until it is known whether this host is cut off from the servers.
+	 * @param request the request
+	 * @return completes when a request can be retried
+	 */
+	Mono<Void> whenReachChecked(GatewayRequest request) {
+		return (request.hop() == null) ? this.reach.whenChecked(request.service()) : Mono.empty();
+	}
+
+	/**
+	 * Returns whether an attempt that takes long should be given up in favour of another
+	 * target. A host that passes a request on moves it from a slow server itself.
+	 * @param request the request
+	 * @param target the target of the attempt
+	 * @return true for servers, and for hosts that no longer answer
+	 */
+	boolean mayGiveUp(GatewayRequest request, Target target) {
+		return !target.relay() || !this.reach.isRelay(request.service(), target.server().server().id());
+	}
+
+	/**
+	 * Returns the addresses of the hosts that pass requests on.
+	 * @return the addresses
+	 */
+	List<String> relayAddresses() {
+		return this.relays.values().stream().map((host) -> host.server().address()).toList();
+	}
+
+	/**
+	 * Records that a host did not pass a request on.
+	 * @param target the host
+	 */
+	void recordRelayFailure(Target target) {
+		this.reach.relayFailed(target.server().server().id());
+	}
+
 	/**
 	 * Chooses the server of an attempt and records the choice.
 	 * @param request the request
@@ -133,10 +209,11 @@
 	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
-			return (choice != null) ? new Target(choice.server(), choice.copyFrom(), choice.reason().name()) : null;
+			return (choice != null) ? new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false)
+					: null;
 		}
 		ServerState server = this.leastLoadedSelector.select(candidates, nowMs);
-		return (server != null) ? new Target(server, null, "LEAST_COST") : null;
+		return (server != null) ? new Target(server, null, "LEAST_COST", false) : null;
 	}
 
 	private List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
@@ -192,7 +269,7 @@
 	 */
 	boolean hasAlternative(GatewayRequest request, Set<String> tried, VersionBinding binding) {
 		long nowMs = nowMs();
-		return alternatives(request, tried, binding, nowMs).stream()
+		return maybeRelayed(request, binding) || alternatives(request, tried, binding, nowMs).stream()
 			.anyMatch((server) -> server.health().isUsable(nowMs));
 	}
 
@@ -205,7 +282,7 @@
 	 * @return whether an untried server is left
 	 */
 	boolean hasCandidate(GatewayRequest request, Set<String> tried, VersionBinding binding) {
-		return !alternatives(request, tried, binding, nowMs()).isEmpty();
+		return maybeRelayed(request, binding) || !alternatives(request, tried, binding, nowMs()).isEmpty();
 	}
 
 	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, VersionBinding binding,
@@ -241,7 +318,10 @@
 	 * @param target the server
 	 */
 	void recordResponse(Target target) {
-		target.server().responded(nowMs());
+		if (!target.relay()) {
+			target.server().responded(nowMs());
+			this.reach.responded(target.server().server());
+		}
 	}
 
 	/**
@@ -269,6 +349,9 @@
 	 * @return the request
 	 */
 	BackendRequest prepare(GatewayRequest request, Target target, long resumeAfter, Runnable onSent) {
+		if (target.relay()) {
+			throw new IllegalArgumentException("Target " + target + " is a host; use prepareRelay");
+		}
 		String team = (request.team() != null) ? request.team().name() : null;
 		boolean engine = request.head().prompt() != null;
 		Forwarding forwarding = new Forwarding(target.server().server().id(), request.leftMs(nowMs()), team,
@@ -278,6 +361,21 @@
 				this.protocol.forward(request.head(), forwarding), request.body(), onSent);
 	}
 
+	/**
+	 * Prepares the request to a host that passes it on.
+	 * @param request the request
+	 * @param hop what that host is told
+	 * @param resumeAfter the position after which a stream continues, or a negative
+	 * number to leave it to the caller's headers
+	 * @param onSent called when the first byte is about to be sent
+	 * @return the request
+	 */
+	BackendRequest prepareRelay(GatewayRequest request, RelayHop hop, long resumeAfter, Runnable onSent) {
+		Map<String, String> headers = this.protocol.relay(request.head(), request.leftMs(nowMs()), resumeAfter);
+		hop.write(headers);
+		return new BackendRequest(request.head().method(), request.head().uri(), headers, request.body(), onSent);
+	}
+
 	Supplier<HttpClient> client(Target target) {
 		return () -> this.pools.pool(target.server().server().ip(), target.server().server().port()).pooled();
 	}
@@ -297,12 +395,21 @@
 	 * @param target the server
 	 */
 	void recordPromptRead(GatewayRequest request, Target target) {
-		if (request.head().prompt() != null) {
+		if (request.head().prompt() != null && !target.relay()) {
 			this.belief.holders().recordPrefill(request.head().prompt(), target.server().server().id(), nowMs());
 		}
 	}
 
 	void recordOutcome(GatewayRequest request, Target target, ServerOutcome outcome) {
+		if (target.relay()) {
+			if (outcome == ServerOutcome.UNREACHABLE || outcome == ServerOutcome.SILENT) {
+				recordRelayFailure(target);
+			}
+			return;
+		}
+		if (outcome == ServerOutcome.UNREACHABLE || outcome == ServerOutcome.SILENT) {
+			this.reach.linkFailed(target.server().server());
+		}
 		target.server().health().record(outcome, nowMs());
 		if (outcome == ServerOutcome.UNREACHABLE) {
 			// The cache of a process that no longer listens is lost.
@@ -321,6 +428,9 @@
 	 * @param sentAtMs when the request was sent that the response answers
 	 */
 	void recordLimit(Target target, Double limitPerS, long sentAtMs) {
+		if (target.relay()) {
+			return;
+		}
 		BackendServer server = target.server().server();
 		if (this.belief.requestLimits().record(server.id(), limitPerS, sentAtMs, nowMs())) {
 			this.log.limitChanged(server, limitPerS, this.belief.loadFraction(server.service()));
@@ -360,8 +470,9 @@
 	 * @param server the server
 	 * @param copyFrom a server to copy prompt parts from, or null
 	 * @param reason why the server was chosen
+	 * @param relay whether it is another host that passes the request on
 	 */
-	record Target(ServerState server, ServerState copyFrom, String reason) {
+	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
 
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -76,6 +76,24 @@
 		}
 	}
 
+	void relayed(GatewayRequest request, String hostId) {
+		if (tryAcquire(RESERVED_LINES)) {
+			logger.atInfo()
+				.log("request %s of route %s to host %s, which passes it on: this host is cut off from the servers of"
+						+ " %s, left %d ms", request.head().requestId(), request.route().name(), hostId,
+						request.service(), request.leftMs(this.clockMs.getAsLong()));
+		}
+	}
+
+	void passedOn(GatewayRequest request) {
+		if (tryAcquire(RESERVED_LINES)) {
+			logger.atInfo()
+				.log("request %s of route %s is passed on for another host after %d attempts, version %s",
+						request.head().requestId(), request.route().name(), request.hop().attempts(),
+						request.hop().version());
+		}
+	}
+
 	void takenUp(GatewayRequest request, VersionVerdict verdict) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -39,6 +39,10 @@
 		this.registry.counter(PREFIX + "repeats." + service).inc();
 	}
 
+	void relayed(String service) {
+		this.registry.counter(PREFIX + "relayed." + service).inc();
+	}
+
 	void failed(String service, String kind) {
 		this.registry.counter(PREFIX + "serverFailures." + service + "." + kind).inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
@@ -9,6 +9,7 @@
  *
  * @param address the IP address on which the gateway listens for callers
  * @param port the port on which the gateway listens for callers
+ * @param relayPort the port on which all daemons take requests that others pass on
  * @param failureDomain the failure domain of this daemon
  * @param keyAgeMs the age in milliseconds of the configuration from which on requests
  * with an API key are refused; less than the time within which a revoked key must be
@@ -22,8 +23,9 @@
  * server after the list has shown that it is about to stop
  * @param backend the options of connections to servers
  */
-public record GatewayOptions(String address, int port, String failureDomain, long keyAgeMs, long absenceAgeMs,
-		double retryRatio, double retryExtra, long retryWindowMs, long leavingUseMs, BackendOptions backend) {
+public record GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
+		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, long leavingUseMs,
+		BackendOptions backend) {
 
 	/**
 	 * Checks the arguments.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -14,9 +14,10 @@
  * @param receivedAtMs when the head was read, in milliseconds of the gateway's clock
  * @param deadlineAtMs the deadline of the complete response, in milliseconds of the
  * gateway's clock
+ * @param hop what the host told that passed the request on, or null if a caller sent it
  */
 record GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
-		long deadlineAtMs) {
+		long deadlineAtMs, RelayHop hop) {
 
 	private static final int LEAST_URGENT = 9;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -1,10 +1,12 @@
 package io.fescuehold.runtime.gateway;
 
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -14,6 +16,7 @@
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.placement.RendezvousHash;
+import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.port.StateDump;
 import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.routes.GateDecision;
@@ -62,7 +65,7 @@
 	private static final double MS_PER_S = 1_000;
 
 	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "transfer-encoding", "te",
-			"trailer", "upgrade", "proxy-connection", "content-length");
+			"trailer", "upgrade", "proxy-connection", "content-length", RelayHop.RESPONSE_VERSION);
 
 	private final GatewayOptions options;
 
@@ -90,6 +93,8 @@
 
 	private DisposableServer server;
 
+	private DisposableServer relayServer;
+
 	private int inFlight;
 
 	private boolean closing;
@@ -102,6 +107,8 @@
 	 * @param belief the local view of configuration, servers and daemons
 	 * @param protocol the mapping of HTTP headers
 	 * @param versions knows which software version began each stream
+	 * @param reach tells servers that are gone from those that only this host cannot
+	 * reach
 	 * @param scheduler the single thread that owns all state; its clock includes the time
 	 * for which the host was suspended
 	 * @param loops the event loops of the connections, one of which is the scheduler's
@@ -109,7 +116,8 @@
 	 * @param random the source of random choices
 	 */
 	public GatewayServer(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, StreamVersions versions,
-			Scheduler scheduler, LoopResources loops, MetricRegistry registry, RandomGenerator random) {
+			ServerReach reach, Scheduler scheduler, LoopResources loops, MetricRegistry registry,
+			RandomGenerator random) {
 		this.options = options;
 		this.belief = belief;
 		this.protocol = protocol;
@@ -122,16 +130,24 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
-				new QuarantineGuard(belief, scheduler, loops, this.log, this.metrics), this.metrics, this.log, random);
+				new QuarantineGuard(belief, scheduler, loops, this.log, this.metrics), reach, this.metrics, this.log,
+				random);
 	}
 
 	/**
 	 * Binds the port and starts to accept connections.
 	 */
 	public void start() {
-		this.server = HttpServer.create()
+		this.server = bind(this.options.port(), (http, response) -> handle(http, response, null));
+		this.relayServer = bind(this.options.relayPort(),
+				(http, response) -> handle(http, response, RelayHop.read(http.requestHeaders())));
+	}
+
+	private DisposableServer bind(int port,
+			BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
+		return HttpServer.create()
 			.host(this.options.address())
-			.port(this.options.port())
+			.port(port)
 			.runOn(this.loops, false)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.httpRequestDecoder(
@@ -140,7 +156,7 @@
 				RequestHeadTimer.install(channel.pipeline(), this.belief.limits().headerTimeoutMs());
 				IdleTimeoutHandler.install(channel.pipeline(), () -> this.belief.limits().idleTimeoutMs());
 			})
-			.handle(this::handle)
+			.handle(handler)
 			.bindNow();
 	}
 
@@ -152,6 +168,14 @@
 		return this.server.port();
 	}
 
+	/**
+	 * Returns the port for requests that other hosts pass on.
+	 * @return the port that the server listens on
+	 */
+	public int relayPort() {
+		return this.relayServer.port();
+	}
+
 	/**
 	 * Closes each connection after its next response, so that callers connect to another
 	 * daemon.
@@ -183,7 +207,7 @@
 			.all()
 			.stream()
 			.map((state) -> state.server().address())
-			.collect(Collectors.toSet()));
+			.collect(Collectors.toCollection(() -> new HashSet<>(this.dispatcher.relayAddresses()))));
 	}
 
 	/**
@@ -192,21 +216,23 @@
 	public void stop() {
 		if (this.server != null) {
 			this.server.dispose();
+			this.relayServer.dispose();
 		}
 		this.pools.close();
 	}
 
-	private Publisher<Void> handle(HttpServerRequest http, HttpServerResponse response) {
+	private Publisher<Void> handle(HttpServerRequest http, HttpServerResponse response, RelayHop hop) {
 		long receivedAtMs = this.clockMs.getAsLong();
 		this.inFlight++;
 		CallerHead head;
 		try {
-			head = this.protocol.read(http.method().name(), http.uri(), http.requestHeaders());
+			CallerHead received = this.protocol.read(http.method().name(), http.uri(), http.requestHeaders());
+			head = (hop != null) ? RelayHop.strip(received) : received;
 		}
 		catch (FescueholdException ex) {
 			this.inFlight--;
 			response.keepAlive(false);
-			return write(response, ex);
+			return write(response, ex, hop);
 		}
 		if (this.closing) {
 			response.keepAlive(false);
@@ -215,8 +241,8 @@
 				this.scheduler);
 		return bodyReader.read(http)
 			.defaultIfEmpty(EMPTY_BODY)
-			.flatMap((body) -> serve(head, body, receivedAtMs, response))
-			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response))
+			.flatMap((body) -> serve(head, body, receivedAtMs, response, hop))
+			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response, hop))
 			.doOnCancel(() -> {
 				this.metrics.callerLeft();
 				this.log.callerLeft(head, this.clockMs.getAsLong() - receivedAtMs);
@@ -228,7 +254,8 @@
 		return (head.deadlineMs() > 0) ? (int) Math.min(head.deadlineMs(), Integer.MAX_VALUE) : 60_000;
 	}
 
-	private Mono<Void> serve(CallerHead head, byte[] body, long receivedAtMs, HttpServerResponse response) {
+	private Mono<Void> serve(CallerHead head, byte[] body, long receivedAtMs, HttpServerResponse response,
+			RelayHop hop) {
 		if (this.refusing) {
 			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
 		}
@@ -241,7 +268,7 @@
 				this.metrics.request(route.name());
 				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.streamId()));
 				yield forward(new GatewayRequest(head, body, route, team, route.serviceFor(fraction), receivedAtMs,
-						receivedAtMs + limitMs(head, route)), response);
+						receivedAtMs + limitMs(head, route), hop), response);
 			}
 		};
 	}
@@ -254,6 +281,9 @@
 	}
 
 	private Mono<Void> forward(GatewayRequest request, HttpServerResponse response) {
+		if (request.hop() != null) {
+			this.log.passedOn(request);
+		}
 		if (!request.route().isStreaming()) {
 			return new CallExchange(this.dispatcher, this.scheduler, this.log, request).run()
 				.flatMap((backendResponse) -> deliver(request, backendResponse, response));
@@ -279,6 +309,9 @@
 				this.metrics.firstEvent(request.route().name(), this.clockMs.getAsLong() - request.receivedAtMs());
 				response.status(head.status());
 				addHeaders(response, head.headers());
+				if (request.hop() != null && exchange.version() != null) {
+					response.header(RelayHop.RESPONSE_VERSION, exchange.version());
+				}
 				Flux<ByteBuf> events = items.ofType(StreamItem.Event.class)
 					.map((event) -> Unpooled.wrappedBuffer(event.bytes()))
 					.cast(ByteBuf.class)
@@ -311,7 +344,8 @@
 		});
 	}
 
-	private Mono<Void> refuse(CallerHead head, Throwable error, long receivedAtMs, HttpServerResponse response) {
+	private Mono<Void> refuse(CallerHead head, Throwable error, long receivedAtMs, HttpServerResponse response,
+			RelayHop hop) {
 		if (error instanceof AbortedException || AbortedException.isConnectionReset(error)) {
 			this.metrics.callerLeft();
 			this.log.callerLeft(head, this.clockMs.getAsLong() - receivedAtMs);
@@ -333,10 +367,13 @@
 		if (closesConnection) {
 			response.keepAlive(false);
 		}
-		return write(response, refusal);
+		return write(response, refusal, hop);
 	}
 
-	private static Mono<Void> write(HttpServerResponse response, FescueholdException refusal) {
+	private static Mono<Void> write(HttpServerResponse response, FescueholdException refusal, RelayHop hop) {
+		if (hop != null) {
+			response.header(RelayHop.RESPONSE_REFUSAL, RelayHop.encode(refusal));
+		}
 		byte[] body = Problems.json(refusal);
 		response.status(refusal.code().httpStatus())
 			.header(HttpHeaderNames.CONTENT_TYPE, Problems.MEDIA_TYPE)
@@ -359,6 +396,7 @@
 		dump.put("configurationAgeMs", this.belief.ageMs());
 		dump.put("inFlight", this.inFlight);
 		dump.put("pools", this.pools.size());
+		dump.put("relays", this.dispatcher.relayAddresses());
 		Map<String, Object> servers = new TreeMap<>();
 		this.belief.servers()
 			.all()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -91,11 +91,20 @@
 	 */
 	Flux<StreamItem> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
-		Flux<StreamItem> items = this.request.head().takesUp() ? takeUp() : Flux.defer(this::attempt);
+		Flux<StreamItem> items = (this.request.head().takesUp() && !this.attempts.binding().isBound()) ? takeUp()
+				: Flux.defer(this::attempt);
 		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this.attempts::deadlineExceeded,
 				this.scheduler);
 	}
 
+	/**
+	 * Returns the software version that began the stream.
+	 * @return the version, or null if it is unknown
+	 */
+	String version() {
+		return this.attempts.binding().version();
+	}
+
 	/**
 	 * Returns the position of the last forwarded event.
 	 * @return the position, initially the one after which the caller resumes
@@ -120,7 +129,7 @@
 	}
 
 	private Flux<StreamItem> continueAt(String version) {
-		this.attempts.bindTo(version);
+		this.attempts.binding().toVersion(version);
 		return attempt();
 	}
 
@@ -137,8 +146,7 @@
 					(head, content) -> receive(target, head, content))
 			.doFinally((signal) -> this.attempts.ended(target));
 		items = StreamDeadline.cut(failIfStalled(items), this.attempts.withdrawn(), this.attempts::withdrawalError);
-		return items.onErrorResume((failure) -> this.failOrRetry(this.attempts.afterFailure(failure)))
-			.concatMap(this::evaluate, 1);
+		return items.onErrorResume(this::afterFailure).concatMap(this::evaluate, 1);
 	}
 
 	// Only events with a position count as progress, so that a server that sends nothing
@@ -167,6 +175,10 @@
 	private Publisher<StreamItem> receive(Dispatcher.Target target, HttpClientResponse response, ByteBufFlux content) {
 		Map<String, String> headers = BackendExchange.headers(response);
 		int status = response.status().code();
+		FescueholdException relayRefusal = this.attempts.relayResponse(headers);
+		if (relayRefusal != null) {
+			return Flux.error(new RelayRefusal(relayRefusal));
+		}
 		AnswerHead head = this.dispatcher.read(status, headers);
 		if (head.mayBelongToOtherRequest(this.request.head().requestId(), status)) {
 			return protocolFailure("the response belongs to request " + head.requestId());
@@ -277,8 +289,14 @@
 		return Mono.just(new StreamItem.Complete(backendResponse, true));
 	}
 
+	private Flux<StreamItem> afterFailure(Throwable failure) {
+		return failOrRetry((failure instanceof RelayRefusal refused)
+				? this.attempts.afterRelayRefusal(refused.refusal()) : this.attempts.afterFailure(failure));
+	}
+
 	private Flux<StreamItem> failOrRetry(RuntimeException refusal) {
-		return (refusal != null) ? Flux.error(refusal) : attempt();
+		return (refusal != null) ? Flux.error(refusal)
+				: this.attempts.beforeRetry().thenMany(Flux.defer(this::attempt));
 	}
 
 }
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -0,0 +1,209 @@
+package io.fescuehold.runtime.gateway;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
+
+import io.fescuehold.runtime.http.ScriptedServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of hosts that lose their links to all servers while callers and the other hosts
+ * reach them.
+ */
+@Timeout(60)
+class CutOffHostTests {
+
+	/** The time within which a cut-off host must serve its callers again. */
+	private static final Duration DETECTION = Duration.ofSeconds(3);
+
+	private static final long CUT_MS = 60_000;
+
+	@TempDir
+	private Path folder;
+
+	private VersionedFleet fleet;
+
+	private VersionedFleet.Host cutOff;
+
+	@BeforeEach
+	void start() {
+		this.fleet = new VersionedFleet(this.folder, 3, UnaryOperator.identity());
+		for (int server = 0; server < 4; server++) {
+			this.fleet.startServer("v1");
+		}
+		for (int number = 0; number < 4; number++) {
+			this.fleet.startHost(number, true);
+		}
+		this.cutOff = this.fleet.host(3);
+	}
+
+	@AfterEach
+	void close() {
+		this.fleet.close();
+	}
+
+	// Guards against callers of a host without links to any server being refused while
+	// other hosts serve theirs (incident "cut-off hosts").
+	@Test
+	void callersOfACutOffHostAreServedThroughAnotherHost() {
+		cut(CUT_MS);
+		awaitService();
+		long directBefore = requestsBy(this.cutOff);
+		for (int count = 0; count < 20; count++) {
+			TakenStream taken = new TakenStream();
+			assertThat(this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), taken)).isEqualTo(200);
+			assertThat(taken.isComplete()).isTrue();
+		}
+		assertThat(requestsBy(this.cutOff)).isEqualTo(directBefore);
+	}
+
+	@Test
+	void requestThatIsPassedOnRunsOnceAndKeepsItsIdentity() {
+		cut(CUT_MS);
+		awaitService();
+		for (int count = 0; count < 20; count++) {
+			assertThat(this.fleet.order(this.cutOff, "order-" + count)).isEqualTo(200);
+		}
+		assertThat(runsById("order-").values()).hasSize(20).containsOnly(1L);
+		List<ScriptedServer.Received> runs = received("order-");
+		assertThat(runs).allSatisfy((run) -> {
+			assertThat(run.headers()).containsEntry("X-Team", "team").doesNotContainKey("fescuehold-relay-attempts");
+			assertThat(Integer.parseInt(run.headers().get("X-Left-Ms"))).isLessThanOrEqualTo(TestGateway.TIMEOUT_MS);
+		});
+	}
+
+	// Guards against both hosts retrying a request that is passed on (incident "cut-off
+	// hosts").
+	@Test
+	void requestThatIsPassedOnIsSentToNoMoreServersThanItsRouteAllows() {
+		cut(CUT_MS);
+		awaitService();
+		for (int count = 0; count < 20; count++) {
+			assertThat(this.fleet.failingLookup(this.cutOff, "lookup-" + count)).isEqualTo(500);
+		}
+		assertThat(runsById("lookup-").values()).hasSize(20).allMatch((runs) -> runs <= 2);
+	}
+
+	@Test
+	void serverOfARequestThatIsPassedOnHearsThatTheCallerHasLeft() throws IOException {
+		cut(CUT_MS);
+		awaitService();
+		this.fleet.backends().forEach(VersionedFleet.Backend::neverEnd);
+		this.fleet.leaveAfterFirstEvent(this.cutOff, "leaves");
+		long untilNs = System.nanoTime() + Duration.ofMillis(500).toNanos();
+		while (this.fleet.backends().stream().noneMatch(VersionedFleet.Backend::sawCallerLeave)) {
+			assertThat(System.nanoTime()).as("the server still sends").isLessThan(untilNs);
+			sleep(5);
+		}
+	}
+
+	// Guards against streams that run at the moment of the cut being lost, joined or run
+	// at another version (incident "cut-off hosts").
+	@Test
+	void streamsThatRunWhenTheCutBeginsAreCompleted() throws InterruptedException {
+		Map<String, TakenStream> streams = new ConcurrentHashMap<>();
+		List<Thread> callers = new ArrayList<>();
+		for (int caller = 0; caller < 8; caller++) {
+			callers.add(Thread.ofVirtual().start(() -> {
+				String requestId = this.fleet.nextRequestId();
+				TakenStream taken = new TakenStream();
+				streams.put(requestId, taken);
+				this.fleet.stream(this.cutOff, requestId, taken);
+			}));
+		}
+		Thread.sleep(90);
+		cut(CUT_MS);
+		for (Thread caller : callers) {
+			caller.join();
+		}
+		assertThat(streams.values()).filteredOn(TakenStream::isComplete).hasSizeGreaterThanOrEqualTo(6);
+	}
+
+	@Test
+	void serversThatAreGoneForAllAreNotTakenForACut() {
+		this.fleet.backends().forEach(VersionedFleet.Backend::end);
+		for (int count = 0; count < 6; count++) {
+			this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream());
+		}
+		sleep(800);
+		assertThat(this.cutOff.isCutOff()).isFalse();
+		long startedNs = System.nanoTime();
+		assertThat(this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream())).isEqualTo(503);
+		assertThat(Duration.ofNanos(System.nanoTime() - startedNs)).isLessThan(Duration.ofMillis(500));
+	}
+
+	@Test
+	void hostServesByItselfAgainAfterTheCut() {
+		cut(2_000);
+		awaitService();
+		assertThat(this.cutOff.isCutOff()).isTrue();
+		sleep(3_500);
+		assertThat(this.cutOff.isCutOff()).isFalse();
+		long before = requestsBy(this.cutOff);
+		assertThat(this.fleet.order(this.cutOff, "after")).isEqualTo(200);
+		assertThat(requestsBy(this.cutOff)).isEqualTo(before + 1);
+	}
+
+	@Test
+	void lossOfTheHostThatPassesOnIsBorne() {
+		cut(CUT_MS);
+		awaitService();
+		this.fleet.kill(this.fleet.host(0));
+		int served = 0;
+		for (int count = 0; count < 20; count++) {
+			served += (this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream()) == 200) ? 1 : 0;
+		}
+		assertThat(served).isGreaterThanOrEqualTo(19);
+	}
+
+	private void cut(long forMs) {
+		this.fleet.backends().forEach((backend) -> backend.cut(this.cutOff, forMs));
+	}
+
+	private void awaitService() {
+		long untilNs = System.nanoTime() + DETECTION.toNanos();
+		while (this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream()) != 200) {
+			assertThat(System.nanoTime()).as("no service since the cut began").isLessThan(untilNs);
+		}
+	}
+
+	private long requestsBy(VersionedFleet.Host host) {
+		return this.fleet.backends().stream().mapToLong((backend) -> backend.receivedFrom(host).size()).sum();
+	}
+
+	private List<ScriptedServer.Received> received(String idPrefix) {
+		return this.fleet.backends()
+			.stream()
+			.flatMap((backend) -> backend.received().stream())
+			.filter((request) -> request.headers().getOrDefault("X-Request", "").startsWith(idPrefix))
+			.toList();
+	}
+
+	private Map<String, Long> runsById(String idPrefix) {
+		return received(idPrefix).stream()
+			.collect(Collectors.groupingBy((request) -> request.headers().get("X-Request"), Collectors.counting()));
+	}
+
+	private static void sleep(long ms) {
+		try {
+			Thread.sleep(ms);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionPropertyTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionPropertyTests.java
@@ -39,7 +39,7 @@
 	@TempDir
 	private Path folder;
 
-	private final List<VersionedFleet.Taken> streams = new CopyOnWriteArrayList<>();
+	private final List<TakenStream> streams = new CopyOnWriteArrayList<>();
 
 	private final AtomicInteger takeUps = new AtomicInteger();
 
@@ -121,14 +121,14 @@
 	}
 
 	private static void restart(VersionedFleet fleet, List<VersionedFleet.Host> killed) throws InterruptedException {
-		killed.forEach(fleet::kill);
+		fleet.killAll(killed);
 		Thread.sleep(50);
 		killed.forEach((host) -> fleet.startHost(host.number(), false));
 	}
 
 	private void call(VersionedFleet fleet, SplittableRandom random, long untilNs) {
 		while (System.nanoTime() < untilNs) {
-			VersionedFleet.Taken taken = new VersionedFleet.Taken();
+			TakenStream taken = new TakenStream();
 			this.streams.add(taken);
 			for (int attempt = 0; attempt <= MAX_TAKE_UPS && !taken.isComplete(); attempt++) {
 				callOnce(fleet, random, taken);
@@ -136,7 +136,7 @@
 		}
 	}
 
-	private void callOnce(VersionedFleet fleet, SplittableRandom random, VersionedFleet.Taken taken) {
+	private void callOnce(VersionedFleet fleet, SplittableRandom random, TakenStream taken) {
 		List<VersionedFleet.Host> hosts = fleet.hosts();
 		if (hosts.isEmpty()) {
 			sleep(20);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
@@ -34,7 +34,7 @@
 				awaitEvents(old);
 				fleet.readLists();
 			});
-			VersionedFleet.Taken taken = begin(fleet, host, old);
+			TakenStream taken = begin(fleet, host, old);
 			assertThat(taken.isComplete()).isFalse();
 			assertThat(newer.received()).isEmpty();
 			VersionedFleet.Backend sameVersion = fleet.startServer("v1");
@@ -57,7 +57,7 @@
 				fleet.startHost(number, true);
 			}
 			old.breakAfter(4);
-			VersionedFleet.Taken taken = begin(fleet, first, old);
+			TakenStream taken = begin(fleet, first, old);
 			startServers(fleet);
 			awaitExchange();
 			fleet.kill(first);
@@ -81,13 +81,13 @@
 			fleet.startServer("v1.1").end();
 			old.breakAfter(4);
 			fleet.readLists();
-			VersionedFleet.Taken taken = new VersionedFleet.Taken();
+			TakenStream taken = new TakenStream();
 			fleet.stream(host, fleet.nextRequestId(), taken);
 			for (int tries = 0; taken.beganAs() == null && tries < 20; tries++) {
 				fleet.stream(host, fleet.nextRequestId(), taken);
 			}
 			assertThat(taken.beganAs()).isNotNull();
-			List.copyOf(fleet.hosts()).forEach(fleet::kill);
+			fleet.killAll(fleet.hosts());
 			startServers(fleet);
 			for (int number = 0; number < 4; number++) {
 				fleet.startHost(number, false);
@@ -105,7 +105,7 @@
 			VersionedFleet.Backend old = fleet.startServer("v1");
 			VersionedFleet.Host first = fleet.startHost(3, true);
 			old.breakAfter(4);
-			VersionedFleet.Taken taken = begin(fleet, first, old);
+			TakenStream taken = begin(fleet, first, old);
 			startServers(fleet);
 			fleet.kill(first);
 			VersionedFleet.Host second = fleet.startHost(4, false);
@@ -124,7 +124,7 @@
 			VersionedFleet.Host first = fleet.startHost(3, true);
 			VersionedFleet.Host second = fleet.startHost(0, true);
 			old.breakAfter(4);
-			VersionedFleet.Taken taken = begin(fleet, first, old);
+			TakenStream taken = begin(fleet, first, old);
 			fleet.kill(first);
 			fleet.startServer("v1");
 			fleet.readLists();
@@ -137,9 +137,8 @@
 		return new VersionedFleet(this.folder, 3, UnaryOperator.identity());
 	}
 
-	private static VersionedFleet.Taken begin(VersionedFleet fleet, VersionedFleet.Host host,
-			VersionedFleet.Backend server) {
-		VersionedFleet.Taken taken = new VersionedFleet.Taken();
+	private static TakenStream begin(VersionedFleet fleet, VersionedFleet.Host host, VersionedFleet.Backend server) {
+		TakenStream taken = new TakenStream();
 		fleet.stream(host, fleet.nextRequestId(), taken);
 		assertThat(taken.versions()).containsExactly(server.version());
 		server.end();
@@ -168,7 +167,7 @@
 		}
 	}
 
-	private static int takeUp(VersionedFleet fleet, VersionedFleet.Host host, VersionedFleet.Taken taken) {
+	private static int takeUp(VersionedFleet fleet, VersionedFleet.Host host, TakenStream taken) {
 		return fleet.stream(host, fleet.nextRequestId(), taken);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.Route;
@@ -67,11 +69,11 @@
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
 		this.belief = new GatewayBelief("127.0.0.1", (submitted) -> config(),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
-		GatewayOptions options = new GatewayOptions("127.0.0.1", 0, "a", 60_000, 1_000, (retryExtra > 0) ? 0.2 : 0,
+		GatewayOptions options = new GatewayOptions("127.0.0.1", 0, 0, "a", 60_000, 1_000, (retryExtra > 0) ? 0.2 : 0,
 				retryExtra, 10_000, 1_000, BackendOptions.DEFAULT);
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(),
-				new SingleHostVersions(this.belief, recordTime, this.scheduler), this.scheduler, this.loops,
-				this.metrics, new SplittableRandom(1));
+				new SingleHostVersions(this.belief, recordTime, this.scheduler), new SingleHostReach(), this.scheduler,
+				this.loops, this.metrics, new SplittableRandom(1));
 		this.belief.onDocument(Documents.of(1, "{}".getBytes(StandardCharsets.UTF_8)));
 		this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
 		this.belief.onHosts(List.of(new HostRecord("127.0.0.1", "a", 1, null, HostState.READY)));
@@ -178,6 +180,50 @@
 
 	}
 
+	/**
+	 * A host that knows no others.
+	 */
+	private static final class SingleHostReach implements ServerReach {
+
+		@Override
+		public void linkFailed(BackendServer server) {
+		}
+
+		@Override
+		public void responded(BackendServer server) {
+		}
+
+		@Override
+		public boolean isCutOff(String service) {
+			return false;
+		}
+
+		@Override
+		public Mono<Void> whenChecked(String service) {
+			return Mono.empty();
+		}
+
+		@Override
+		public String chooseRelay(String service, Set<String> excluded) {
+			return null;
+		}
+
+		@Override
+		public boolean isRelay(String service, String hostId) {
+			return false;
+		}
+
+		@Override
+		public void relayFailed(String hostId) {
+		}
+
+		@Override
+		public Mono<Boolean> isReachedByOthers(BackendServer server) {
+			return Mono.just(false);
+		}
+
+	}
+
 	/**
 	 * A response.
 	 *
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -51,6 +51,17 @@
 		return headers;
 	}
 
+	@Override
+	public Map<String, String> relay(CallerHead head, long leftMs, long resumeAfter) {
+		Map<String, String> headers = new HashMap<>(head.headers());
+		headers.put("X-Left-Ms", String.valueOf(leftMs));
+		headers.put("X-Key", head.apiKey());
+		if (resumeAfter >= 0) {
+			headers.put("Last-Event-ID", String.valueOf(resumeAfter));
+		}
+		return headers;
+	}
+
 	@Override
 	public AnswerHead read(int status, Map<String, String> headers) {
 		return new AnswerHead(headers.get("x-request".toLowerCase(Locale.ROOT)), headers.containsKey("x-signature"),
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -3,18 +3,18 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -27,9 +27,11 @@
 import io.fescuehold.core.port.PeerHandler;
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.ServerList;
 import io.fescuehold.runtime.backend.BackendOptions;
+import io.fescuehold.runtime.discovery.ReachDirectory;
 import io.fescuehold.runtime.discovery.StreamDirectory;
 import io.fescuehold.runtime.http.ScriptedServer;
 import io.fescuehold.runtime.replica.MonotonicScheduler;
@@ -65,6 +67,8 @@
 
 	private final int hostsWithDisk;
 
+	private final int relayPort;
+
 	/** What the list of servers says of a version. */
 	private final UnaryOperator<String> listedVersion;
 
@@ -72,6 +76,16 @@
 		this.folder = folder;
 		this.hostsWithDisk = hostsWithDisk;
 		this.listedVersion = listedVersion;
+		this.relayPort = freePort();
+	}
+
+	private static int freePort() {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.5.250"))) {
+			return socket.getLocalPort();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
 	}
 
 	Backend startServer(String version) {
@@ -97,8 +111,16 @@
 	}
 
 	void kill(Host host) {
-		this.hosts.remove(host.id);
-		host.kill();
+		killAll(List.of(host));
+	}
+
+	/**
+	 * Kills hosts at the same moment.
+	 * @param killed the hosts
+	 */
+	void killAll(List<Host> killed) {
+		Mono.when(killed.stream().map(Host::kill).toList()).block(Duration.ofSeconds(10));
+		killed.forEach((host) -> this.hosts.remove(host.id));
 		announceHosts();
 	}
 
@@ -106,6 +128,10 @@
 		return List.copyOf(this.hosts.values());
 	}
 
+	Host host(int number) {
+		return this.hosts.values().stream().filter((host) -> host.number == number).findFirst().orElseThrow();
+	}
+
 	void readLists() {
 		this.hosts.values().forEach(Host::readList);
 	}
@@ -130,118 +156,74 @@
 	 * @param taken the stream so far, which gets the events
 	 * @return the HTTP status, or 0 without an answer
 	 */
-	int stream(Host host, String requestId, Taken taken) {
-		try (Socket socket = new Socket()) {
-			socket.connect(new InetSocketAddress("127.0.0.1", host.port), 1_000);
-			socket.setSoTimeout(4_000);
-			String resume = (taken.beganAs != null)
-					? "X-Resumes: " + taken.beganAs + "\r\nLast-Event-ID: " + taken.position + "\r\n" : "";
-			socket.getOutputStream()
-				.write(("POST /resumable/x HTTP/1.1\r\nHost: h.example\r\nX-Key: key\r\nX-Request: " + requestId
-						+ "\r\nX-Parts: a,b,c\r\n" + resume + "Content-Length: 0\r\n\r\n")
-					.getBytes(StandardCharsets.UTF_8));
-			return read(socket, requestId, taken);
-		}
-		catch (IOException ex) {
-			return 0;
-		}
+	int stream(Host host, String requestId, TakenStream taken) {
+		return send(host, "/resumable/x", requestId, taken);
 	}
 
-	private static int read(Socket socket, String requestId, Taken taken) throws IOException {
-		BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
-		String statusLine = in.readLine();
-		if (statusLine == null) {
-			return 0;
-		}
-		int status = Integer.parseInt(statusLine.split(" ")[1]);
-		try {
-			int position = 0;
-			int length = 0;
-			for (String line = in.readLine(); line != null; line = in.readLine()) {
-				if (line.startsWith("id: ")) {
-					position = Integer.parseInt(line.substring("id: ".length()));
-				}
-				else if (line.startsWith("data: ")) {
-					taken.add(requestId, position, line.substring("data: ".length()));
-				}
-				else if (status != 200 && line.toLowerCase(Locale.ROOT).startsWith("content-length: ")) {
-					length = Integer.parseInt(line.substring("content-length: ".length()));
-				}
-				else if (status != 200 && line.isEmpty()) {
-					char[] body = new char[length];
-					taken.refusals.add(String.valueOf(body, 0, in.read(body)));
-					return status;
-				}
-				else if (line.equals("0")) {
-					taken.complete = true;
-					return status;
-				}
-			}
-		}
-		catch (IOException ex) {
-			taken.breaks++;
-		}
-		return status;
+	/**
+	 * Sends a request that must run once at most.
+	 * @param host the host
+	 * @param requestId the id of the attempt
+	 * @return the HTTP status, or 0 without an answer
+	 */
+	int order(Host host, String requestId) {
+		return send(host, "/order/x", requestId, new TakenStream());
 	}
 
-	@Override
-	public void close() {
-		hosts().forEach(this::kill);
-		this.backends.forEach(Backend::end);
+	/**
+	 * Sends a request that may be repeated, and that every server fails.
+	 * @param host the host
+	 * @param requestId the id of the attempt
+	 * @return the HTTP status, or 0 without an answer
+	 */
+	int failingLookup(Host host, String requestId) {
+		return send(host, "/lookup/x", requestId, new TakenStream());
 	}
 
 	/**
-	 * What a caller has of a stream.
+	 * Sends a request for a stream and closes the connection after its first event.
+	 * @param host the host
+	 * @param requestId the id of the attempt
+	 * @throws IOException if the host sends no event
 	 */
-	static final class Taken {
-
-		private String beganAs;
-
-		private int position;
-
-		private int breaks;
-
-		private boolean complete;
-
-		private final Set<String> versions = new TreeSet<>();
-
-		private final List<String> origins = new ArrayList<>();
-
-		private final List<String> refusals = new ArrayList<>();
-
-		private void add(String requestId, int eventPosition, String version) {
-			if (this.beganAs == null) {
-				this.beganAs = requestId;
-			}
-			if (eventPosition != this.position + 1) {
-				throw new IllegalStateException("event " + eventPosition + " follows event " + this.position);
+	void leaveAfterFirstEvent(Host host, String requestId) throws IOException {
+		try (Socket socket = new Socket()) {
+			socket.connect(new InetSocketAddress(host.id, host.port), 1_000);
+			write(socket, "/resumable/x", requestId, "");
+			BufferedReader in = new BufferedReader(
+					new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+			String line = in.readLine();
+			while (line != null && !line.startsWith("data: ")) {
+				line = in.readLine();
 			}
-			this.position = eventPosition;
-			this.versions.add(version);
-			this.origins.add(eventPosition + " " + version + " " + requestId);
-		}
-
-		String beganAs() {
-			return this.beganAs;
-		}
-
-		boolean isComplete() {
-			return this.complete;
 		}
+	}
 
-		List<String> refusals() {
-			return this.refusals;
-		}
+	private static void write(Socket socket, String path, String requestId, String headers) throws IOException {
+		socket.getOutputStream()
+			.write(("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Key: key\r\nX-Request: " + requestId
+					+ "\r\nX-Parts: a,b,c\r\n" + headers + "Content-Length: 0\r\n\r\n")
+				.getBytes(StandardCharsets.UTF_8));
+	}
 
-		Set<String> versions() {
-			return this.versions;
+	private int send(Host host, String path, String requestId, TakenStream taken) {
+		try (Socket socket = new Socket()) {
+			socket.connect(new InetSocketAddress(host.id, host.port), 1_000);
+			socket.setSoTimeout(4_000);
+			String resume = (taken.beganAs() != null)
+					? "X-Resumes: " + taken.beganAs() + "\r\nLast-Event-ID: " + taken.position() + "\r\n" : "";
+			write(socket, path, requestId, resume);
+			return taken.read(socket, requestId);
 		}
-
-		@Override
-		public String toString() {
-			return "stream " + this.beganAs + ": " + this.origins;
+		catch (IOException ex) {
+			return 0;
 		}
+	}
 
+	@Override
+	public void close() {
+		killAll(hosts());
+		this.backends.forEach(Backend::end);
 	}
 
 	/**
@@ -253,27 +235,46 @@
 
 		private final String version;
 
-		private final ScriptedServer server;
+		/** One listener for each host, so that the links of a host can be cut. */
+		private final Map<String, ScriptedServer> listeners = new ConcurrentHashMap<>();
 
 		private volatile int breakAfter = Integer.MAX_VALUE;
 
+		private volatile int events = EVENTS;
+
+		private volatile boolean callerLeft;
+
 		private Backend(String id, String version) {
 			this.id = id;
 			this.version = version;
-			this.server = new ScriptedServer(this::serve);
 		}
 
 		private void serve(ScriptedServer.Received request, ScriptedServer.Connection connection) throws Exception {
+			if (request.target().startsWith("/lookup")) {
+				connection.send("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nX-Signature: s\r\nX-Request: "
+						+ request.headers().get("X-Request") + "\r\n\r\n");
+				return;
+			}
 			connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Signature: s\r\nX-Request: "
 					+ request.headers().get("X-Request") + "\r\n\r\n");
+			if (request.target().startsWith("/order")) {
+				connection.send("0\r\n\r\n");
+				return;
+			}
 			int after = Integer.parseInt(request.headers().getOrDefault("Last-Event-ID", "0"));
-			for (int position = after + 1; position <= EVENTS; position++) {
+			for (int position = after + 1; position <= this.events; position++) {
 				Thread.sleep(EVENT_INTERVAL_MS);
 				if (after == 0 && position > this.breakAfter) {
 					connection.reset();
 					return;
 				}
-				connection.chunk("id: " + position + "\ndata: " + this.version + "\n\n");
+				try {
+					connection.chunk("id: " + position + "\ndata: " + this.version + "\n\n");
+				}
+				catch (IOException ex) {
+					this.callerLeft = true;
+					throw ex;
+				}
 			}
 			connection.send("0\r\n\r\n");
 		}
@@ -282,16 +283,41 @@
 			this.breakAfter = events;
 		}
 
+		void neverEnd() {
+			this.events = Integer.MAX_VALUE;
+		}
+
+		boolean sawCallerLeave() {
+			return this.callerLeft;
+		}
+
 		String version() {
 			return this.version;
 		}
 
+		private ScriptedServer listener(String hostId) {
+			return this.listeners.computeIfAbsent(hostId, (id) -> new ScriptedServer(this::serve));
+		}
+
+		void cut(Host host, long forMs) {
+			try {
+				listener(host.id).crash(forMs);
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+		List<ScriptedServer.Received> receivedFrom(Host host) {
+			return listener(host.id).received();
+		}
+
 		List<ScriptedServer.Received> received() {
-			return this.server.received();
+			return this.listeners.values().stream().flatMap((listener) -> listener.received().stream()).toList();
 		}
 
 		void end() {
-			this.server.close();
+			this.listeners.values().forEach(ScriptedServer::close);
 		}
 
 	}
@@ -313,6 +339,8 @@
 
 		private final StreamDirectory directory;
 
+		private final ReachDirectory reach;
+
 		private final GatewayServer server;
 
 		private final int port;
@@ -324,7 +352,7 @@
 		private volatile boolean killed;
 
 		private Host(int number, boolean firstStart) {
-			this.id = "host-" + number;
+			this.id = "127.0.5." + (number + 1);
 			this.number = number;
 			this.loops = LoopResources.create("versioned-" + number, 1, true);
 			this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
@@ -334,13 +362,16 @@
 					this.belief::ageMs, this.belief::streamRetentionMs, this.belief.servedVersions(),
 					(number < VersionedFleet.this.hostsWithDisk) ? VersionedFleet.this.folder.resolve(this.id) : null,
 					new StreamDirectory.Waits(RECORD_WAIT, RECORD_WAIT));
-			GatewayOptions options = new GatewayOptions("127.0.0.1", 0, "a", 60_000, 1_000, 0.2, 1_000, 10_000, 1_000,
-					BackendOptions.DEFAULT);
-			this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.directory, this.scheduler,
-					this.loops, new MetricRegistry(), new SplittableRandom(number));
+			this.reach = new ReachDirectory(this.id, this, this.scheduler, this.loops, this.belief::hosts,
+					this.belief.servers(), () -> 0, new SplittableRandom(number));
+			GatewayOptions options = new GatewayOptions(this.id, 0, VersionedFleet.this.relayPort, "a", 60_000, 1_000,
+					0.2, 1_000, 10_000, 1_000, BackendOptions.DEFAULT);
+			this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.directory, this.reach,
+					this.scheduler, this.loops, new MetricRegistry(), new SplittableRandom(number));
 			run(() -> {
 				this.belief.onDocument(Documents.of(1, "{}".getBytes(StandardCharsets.UTF_8)));
 				this.directory.start(firstStart);
+				this.reach.start();
 			});
 			this.confirmations = this.scheduler.schedulePeriodically(
 					() -> this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS)), 0, 100,
@@ -349,14 +380,26 @@
 			this.port = this.server.port();
 		}
 
+		boolean isCutOff() {
+			return Mono.fromSupplier(() -> this.reach.isCutOff("service")).subscribeOn(this.scheduler).block();
+		}
+
+		List<Set<String>> quarantinedParts() {
+			return Mono
+				.fromSupplier(() -> this.belief.quarantine().attributions().stream().map(Attribution::parts).toList())
+				.subscribeOn(this.scheduler)
+				.block();
+		}
+
 		int number() {
 			return this.number;
 		}
 
 		void readList() {
 			List<BackendServer> list = VersionedFleet.this.backends.stream()
-				.map((backend) -> new BackendServer(backend.id, "service", "127.0.0.1:" + backend.server.port(), "a",
-						64, false, VersionedFleet.this.listedVersion.apply(backend.version)))
+				.map((backend) -> new BackendServer(backend.id, "service",
+						"127.0.0.1:" + backend.listener(this.id).port(), "a", 64, false,
+						VersionedFleet.this.listedVersion.apply(backend.version)))
 				.toList();
 			run(() -> this.belief.onServers(new ServerList(list.hashCode(), list)));
 		}
@@ -365,12 +408,15 @@
 			Mono.fromRunnable(action).subscribeOn(this.scheduler).block(Duration.ofSeconds(5));
 		}
 
-		private void kill() {
-			this.killed = true;
-			this.confirmations.dispose();
-			this.server.stop();
-			run(this.directory::stop);
-			this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(2)).subscribe();
+		// Without its event loop a host neither sends nor receives anything.
+		private Mono<Void> kill() {
+			Mono<Void> ended = Mono.fromRunnable(this.server::stop)
+				.then(this.loops.disposeLater(Duration.ZERO, Duration.ofSeconds(2)));
+			return ended.doOnSuccess((done) -> {
+				this.killed = true;
+				this.confirmations.dispose();
+				this.directory.stop();
+			});
 		}
 
 		@Override
