Quarantine: a lost link is no crash while other hosts reach the server

A part that is rare would have been refused at all hosts.

Cause: a lost connection followed by a refused one was evidence enough, although the link can refuse as well. CutOffHostTests#resetLinksPutNoPromptInQuarantine failed before.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -130,8 +130,8 @@
 		this.metrics = new GatewayMetrics(registry);
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
-				new QuarantineGuard(belief, scheduler, loops, this.log, this.metrics), reach, this.metrics, this.log,
-				random);
+				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
+				this.log, random);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -1,6 +1,5 @@
 package io.fescuehold.runtime.gateway;
 
-import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,18 +13,15 @@
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.quarantine.PromptQuarantine;
 import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.ServerState;
-import io.fescuehold.runtime.transport.NameResolution;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
+import io.fescuehold.runtime.backend.ConnectProbe;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
-import reactor.netty.Connection;
 import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpClient;
 
 /**
  * Keeps prompts that crash servers away from the servers. A lost connection counts as a
@@ -50,6 +46,8 @@
 
 	private final LoopResources loops;
 
+	private final ServerReach reach;
+
 	private final GatewayLog log;
 
 	private final GatewayMetrics metrics;
@@ -64,8 +62,9 @@
 
 	private List<Attribution> attributions = List.of();
 
-	QuarantineGuard(GatewayBelief belief, Scheduler scheduler, LoopResources loops, GatewayLog log,
+	QuarantineGuard(GatewayBelief belief, Scheduler scheduler, LoopResources loops, ServerReach reach, GatewayLog log,
 			GatewayMetrics metrics) {
+		this.reach = reach;
 		this.belief = belief;
 		this.quarantine = belief.quarantine();
 		this.scheduler = scheduler;
@@ -152,22 +151,12 @@
 	}
 
 	private void probe(BackendServer server, long lostAtMs) {
-		NameResolution.unlessNumeric(TcpClient.newConnection(), server.ip())
-			.runOn(this.loops)
-			.host(server.ip())
-			.port(server.port())
-			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-			.connect()
-			.doOnNext(Connection::dispose)
-			.map((connection) -> false)
-			.onErrorResume((error) -> Mono.just(isRefusal(error)))
+		ConnectProbe.probe(server, this.loops, CONNECT_TIMEOUT_MS)
+			.map((result) -> result == ConnectProbe.Result.REFUSED)
+			.flatMap((refused) -> refused ? this.reach.isReachedByOthers(server).map((reached) -> !reached)
+					: Mono.just(false))
 			.publishOn(this.scheduler)
-			.subscribe((refused) -> onProbed(server, lostAtMs, refused));
-	}
-
-	// Without a response it is unknown whether the process has ended.
-	private static boolean isRefusal(Throwable error) {
-		return error instanceof ConnectException && !(error instanceof ConnectTimeoutException);
+			.subscribe((crashed) -> onProbed(server, lostAtMs, crashed));
 	}
 
 	private void onProbed(BackendServer server, long lostAtMs, boolean crashed) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -132,6 +132,23 @@
 		assertThat(streams.values()).filteredOn(TakenStream::isComplete).hasSizeGreaterThanOrEqualTo(6);
 	}
 
+	// Guards against sound prompts in quarantine because a host that was cut off took
+	// lost
+	// links for crashes (incident "cut-off hosts").
+	@Test
+	void resetLinksPutNoPromptInQuarantine() {
+		for (int round = 0; round < 4; round++) {
+			for (int count = 0; count < 6; count++) {
+				Thread.ofVirtual()
+					.start(() -> this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream()));
+			}
+			sleep(20);
+			cut(400);
+			sleep(700);
+		}
+		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantinedParts()).isEmpty());
+	}
+
 	@Test
 	void serversThatAreGoneForAllAreNotTakenForACut() {
 		this.fleet.backends().forEach(VersionedFleet.Backend::end);
