Limits: spare brittle servers

Now the class that keeps the limits which servers name also keeps the room of brittle ones: each host has a part of the slots outstanding at most, and after a rejection all hosts together send no more a second than the server may reject, doubling with each second without another one. What no server has room for is refused at once.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServerRequestLimits.java
@@ -7,13 +7,19 @@
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
+import io.fescuehold.core.servers.ServerState;
+
 /**
  * Limits on the requests a second that overloaded servers take from all daemons together.
  * Each daemon has an allowance, a part of the limit in proportion to its load. In each
  * second it may send the whole number of requests of its allowance, and one more with the
  * probability of the remaining fraction; what is not used is lost. The sum over all
- * daemons then stays near the limit however many they are, also after a pause. Not
- * thread-safe: confined to one thread.
+ * daemons then stays near the limit however many they are, also after a pause.
+ * <p>
+ * A brittle server fails if it has to reject too many requests in a second. It gets no
+ * more requests at a time than it runs, each daemon its part. After a rejection it gets
+ * no more requests a second than it could reject, and twice as many with each second
+ * without another one. Not thread-safe: confined to one thread.
  */
 public final class ServerRequestLimits {
 
@@ -41,6 +47,18 @@
 
 	private static final double MS_PER_S = 1_000;
 
+	/** The time in which the limit of a brittle server doubles after a rejection. */
+	private static final long DOUBLING_MS = 1_000;
+
+	/** The time after a rejection in which the limit has grown a thousandfold. */
+	static final long RECOVERY_MS = 10 * DOUBLING_MS;
+
+	/** A server is brittle for this time after a response that says so. */
+	static final long BRITTLE_MS = 10_000;
+
+	/** Rejections that are passed on are at least this far apart. */
+	private static final long MIN_PUBLISHED_REJECTION_MS = 200;
+
 	private final RandomGenerator random;
 
 	/** Spreads the starts of the slices over the daemons. */
@@ -96,12 +114,98 @@
 				: Math.abs(perS - publishedPerS) > MIN_PUBLISHED_CHANGE * publishedPerS;
 	}
 
+	/**
+	 * Records that a server is brittle.
+	 * @param serverId the instance id of the server
+	 * @param rejectionsPerS the rejections a second that it bears
+	 * @param rejected whether it rejected the request for want of room
+	 * @param nowMs the time in milliseconds
+	 * @return whether it has not been known to be brittle, or has not rejected a request
+	 * lately
+	 */
+	public boolean recordBrittle(String serverId, double rejectionsPerS, boolean rejected, long nowMs) {
+		Limit limit = this.limits.computeIfAbsent(serverId, (id) -> new Limit());
+		boolean changed = nowMs >= limit.brittleUntilMs || (rejected && nowMs - limit.rejectedAtMs >= RECOVERY_MS);
+		limit.brittleUntilMs = nowMs + BRITTLE_MS;
+		if (rejected) {
+			recordRejection(limit, rejectionsPerS, nowMs);
+		}
+		return changed;
+	}
+
+	/**
+	 * Records that a server no longer says that it is brittle.
+	 * @param serverId the instance id of the server
+	 * @param sentAtMs when the request was sent that the response answers, in
+	 * milliseconds
+	 */
+	public void recordNotBrittle(String serverId, long sentAtMs) {
+		Limit limit = this.limits.get(serverId);
+		// A response to an earlier request may have overtaken the one that said so.
+		if (limit != null && sentAtMs > limit.brittleUntilMs - BRITTLE_MS) {
+			limit.brittleUntilMs = Math.min(limit.brittleUntilMs, sentAtMs);
+		}
+	}
+
+	private void recordRejection(Limit limit, double rejectionsPerS, long rejectedAtMs) {
+		limit.rejectionsPerS = rejectionsPerS;
+		limit.rejectedAtMs = rejectedAtMs;
+		limit.slice = Long.MIN_VALUE;
+		if (rejectedAtMs - limit.publishedRejectionAtMs >= MIN_PUBLISHED_REJECTION_MS) {
+			limit.publishedRejectionAtMs = rejectedAtMs;
+			limit.version = ++this.version;
+		}
+	}
+
+	/**
+	 * Returns whether this daemon may have another request outstanding at a server. The
+	 * loads of the other daemons are known too late to rely on them alone, so that each
+	 * daemon keeps to a part of the slots of a brittle server as well.
+	 * @param server the server
+	 * @param loadFraction the fraction of the fleet's load on the service that this
+	 * daemon carries
+	 * @param nowMs the time in milliseconds
+	 * @return whether it is not brittle, or can run another request of this daemon at
+	 * once
+	 */
+	public boolean hasRoom(ServerState server, double loadFraction, long nowMs) {
+		Limit limit = this.limits.get(server.server().id());
+		if (limit == null || nowMs >= limit.brittleUntilMs) {
+			return true;
+		}
+		long slice = Math.floorDiv(nowMs + this.phaseMs, SLICE_MS);
+		if (slice != limit.roomSlice) {
+			limit.roomSlice = slice;
+			limit.room = round(SAFETY_FACTOR * server.server().slots() * loadFraction);
+		}
+		return server.load() < server.server().slots() && server.ownRequests() < limit.room;
+	}
+
+	// Rounds at random, so that the sum over all daemons is right however small the
+	// parts.
+	private int round(double value) {
+		double whole = Math.floor(value);
+		return (int) whole + ((this.random.nextDouble() < value - whole) ? 1 : 0);
+	}
+
+	/**
+	 * Returns whether the requests a second to a server are limited.
+	 * @param serverId the instance id of the server
+	 * @param nowMs the time in milliseconds
+	 * @return whether it named a limit or has rejected a request lately
+	 */
+	public boolean isLimited(String serverId, long nowMs) {
+		return inForce(serverId, nowMs) != null;
+	}
+
 	/**
 	 * Removes limits that no response has named for too long. Called from time to time.
 	 * @param nowMs the time in milliseconds
 	 */
 	public void expire(long nowMs) {
-		this.limits.values().removeIf((limit) -> nowMs - limit.namedAtMs >= EXPIRY_MS);
+		this.limits.values()
+			.removeIf((limit) -> nowMs - limit.namedAtMs >= EXPIRY_MS && nowMs - limit.rejectedAtMs >= EXPIRY_MS
+					&& nowMs >= limit.brittleUntilMs);
 	}
 
 	/**
@@ -127,10 +231,8 @@
 		}
 		long slice = Math.floorDiv(nowMs + this.phaseMs, SLICE_MS);
 		if (slice != limit.slice) {
-			double allowed = allowancePerS(limit, loadFraction) * SLICE_MS / MS_PER_S;
-			double whole = Math.floor(allowed);
 			limit.slice = slice;
-			limit.remaining = (int) whole + ((this.random.nextDouble() < allowed - whole) ? 1 : 0);
+			limit.remaining = round(allowancePerS(limit, loadFraction, nowMs) * SLICE_MS / MS_PER_S);
 		}
 		return limit.remaining > 0;
 	}
@@ -159,18 +261,26 @@
 		double sumPerS = 0;
 		for (String serverId : serverIds) {
 			Limit limit = inForce(serverId, nowMs);
-			sumPerS += (limit != null) ? allowancePerS(limit, loadFraction) : 0;
+			sumPerS += (limit != null) ? allowancePerS(limit, loadFraction, nowMs) : 0;
 		}
 		return (sumPerS > 0) ? Math.round(Math.min(EXPIRY_MS, MS_PER_S / sumPerS)) : EXPIRY_MS;
 	}
 
-	private static double allowancePerS(Limit limit, double loadFraction) {
-		return SAFETY_FACTOR * Math.max(MIN_LIMIT_PER_S, limit.perS) * loadFraction;
+	private static double allowancePerS(Limit limit, double loadFraction, long nowMs) {
+		double perS = Double.POSITIVE_INFINITY;
+		if (limit.isNamed(nowMs)) {
+			perS = limit.perS;
+		}
+		if (limit.isRecovering(nowMs)) {
+			double grown = limit.rejectionsPerS * Math.pow(2, (nowMs - limit.rejectedAtMs) / (double) DOUBLING_MS);
+			perS = Math.min(perS, grown);
+		}
+		return SAFETY_FACTOR * Math.max(MIN_LIMIT_PER_S, perS) * loadFraction;
 	}
 
 	private Limit inForce(String serverId, long nowMs) {
 		Limit limit = this.limits.get(serverId);
-		return (limit != null && limit.perS != null && nowMs - limit.namedAtMs < EXPIRY_MS) ? limit : null;
+		return (limit != null && (limit.isNamed(nowMs) || limit.isRecovering(nowMs))) ? limit : null;
 	}
 
 	/**
@@ -184,7 +294,8 @@
 			.stream()
 			.filter((entry) -> entry.getValue().version > sinceVersion)
 			.map((entry) -> new RequestLimitUpdate(entry.getKey(), entry.getValue().perS,
-					Math.max(0, nowMs - entry.getValue().namedAtMs)))
+					Math.max(0, nowMs - entry.getValue().namedAtMs), entry.getValue().rejectionsPerS,
+					Math.max(0, nowMs - entry.getValue().rejectedAtMs)))
 			.toList();
 	}
 
@@ -200,6 +311,19 @@
 			if (update.ageMs() < EXPIRY_MS && (limit == null || namedAtMs > limit.namedAtMs)) {
 				update(update.serverId(), update.limitPerS(), namedAtMs);
 			}
+			mergeRejection(update, nowMs);
+		}
+	}
+
+	private void mergeRejection(RequestLimitUpdate update, long nowMs) {
+		if (update.rejectionsPerS() == null || update.rejectedAgeMs() >= RECOVERY_MS) {
+			return;
+		}
+		Limit limit = this.limits.computeIfAbsent(update.serverId(), (id) -> new Limit());
+		long rejectedAtMs = nowMs - update.rejectedAgeMs();
+		if (rejectedAtMs > limit.rejectedAtMs) {
+			limit.brittleUntilMs = Math.max(limit.brittleUntilMs, rejectedAtMs + BRITTLE_MS);
+			recordRejection(limit, update.rejectionsPerS(), rejectedAtMs);
 		}
 	}
 
@@ -216,7 +340,7 @@
 		/** The limit in requests a second, or null if it has ended. */
 		private Double perS;
 
-		private long namedAtMs;
+		private long namedAtMs = Long.MIN_VALUE / 2;
 
 		/** The limit that was last passed on to other daemons. */
 		private Double publishedPerS;
@@ -229,6 +353,32 @@
 
 		private int remaining;
 
+		private long roomSlice = Long.MIN_VALUE;
+
+		/**
+		 * The requests that this daemon may have outstanding while the server is brittle.
+		 */
+		private int room;
+
+		private long brittleUntilMs = Long.MIN_VALUE / 2;
+
+		/**
+		 * The rejections a second that the server bears, or null if it rejected nothing.
+		 */
+		private Double rejectionsPerS;
+
+		private long rejectedAtMs = Long.MIN_VALUE / 2;
+
+		private long publishedRejectionAtMs = Long.MIN_VALUE / 2;
+
+		private boolean isNamed(long nowMs) {
+			return this.perS != null && nowMs - this.namedAtMs < EXPIRY_MS;
+		}
+
+		private boolean isRecovering(long nowMs) {
+			return this.rejectionsPerS != null && nowMs - this.rejectedAtMs < RECOVERY_MS;
+		}
+
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
@@ -11,9 +11,11 @@
  * @param otherInstance whether an instance other than the addressed one responded
  * @param requestLimitPerS the requests a second that the server takes from all daemons
  * together, or null if it names no limit
+ * @param rejectionsPerS the requests a second that the server can reject without failing,
+ * or null if it is not brittle
  */
 public record AnswerHead(String requestId, boolean signed, boolean notRun, boolean otherInstance,
-		Double requestLimitPerS) {
+		Double requestLimitPerS, Double rejectionsPerS) {
 
 	private static final int FIRST_STATUS_AFTER_SUCCESS = 300;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -294,7 +294,7 @@
 	void headReceived(AnswerHead head) {
 		if (!head.otherInstance()) {
 			this.dispatcher.recordResponse(this.target);
-			this.dispatcher.recordLimit(this.target, head.requestLimitPerS(), this.sentAtMs);
+			this.dispatcher.recordLimit(this.target, head, this.sentAtMs);
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -222,6 +222,7 @@
 		}
 		double loadFraction = this.belief.loadFraction(service);
 		return servers.stream()
+			.filter((server) -> this.belief.requestLimits().hasRoom(server, loadFraction, nowMs))
 			.filter((server) -> this.belief.requestLimits().isAllowed(server.server().id(), loadFraction, nowMs))
 			.toList();
 	}
@@ -230,9 +231,12 @@
 	// the limits allow.
 	private FescueholdException limitExceeded(String service, List<ServerState> servers, long nowMs) {
 		this.metrics.limited(service);
-		long waitMs = this.belief.requestLimits()
-			.meanWaitMs(servers.stream().map((server) -> server.server().id()).toList(),
-					this.belief.loadFraction(service), nowMs);
+		List<String> limited = servers.stream()
+			.map((server) -> server.server().id())
+			.filter((serverId) -> this.belief.requestLimits().isLimited(serverId, nowMs))
+			.toList();
+		long waitMs = limited.isEmpty() ? MIN_LIMIT_RETRY_AFTER_MS
+				: this.belief.requestLimits().meanWaitMs(limited, this.belief.loadFraction(service), nowMs);
 		long returnAtMs = Math.max(nowMs, this.nextReturnAtMs.getOrDefault(service, nowMs)) + waitMs;
 		returnAtMs = Math.clamp(returnAtMs, nowMs + MIN_LIMIT_RETRY_AFTER_MS, nowMs + MAX_LIMIT_RETRY_AFTER_MS);
 		this.nextReturnAtMs.put(service, returnAtMs);
@@ -421,20 +425,27 @@
 	}
 
 	/**
-	 * Records the limit that a server names in a response.
+	 * Records what a server says in a response of the requests that it still takes.
 	 * @param target the server
-	 * @param limitPerS the requests a second that it takes from all daemons together, or
-	 * null if it names no limit
+	 * @param head the head of the response
 	 * @param sentAtMs when the request was sent that the response answers
 	 */
-	void recordLimit(Target target, Double limitPerS, long sentAtMs) {
+	void recordLimit(Target target, AnswerHead head, long sentAtMs) {
 		if (target.relay()) {
 			return;
 		}
 		BackendServer server = target.server().server();
+		Double limitPerS = head.requestLimitPerS();
 		if (this.belief.requestLimits().record(server.id(), limitPerS, sentAtMs, nowMs())) {
 			this.log.limitChanged(server, limitPerS, this.belief.loadFraction(server.service()));
 		}
+		if (head.rejectionsPerS() == null) {
+			this.belief.requestLimits().recordNotBrittle(server.id(), sentAtMs);
+		}
+		else if (this.belief.requestLimits()
+			.recordBrittle(server.id(), head.rejectionsPerS(), head.notRun(), nowMs())) {
+			this.log.brittle(server, head.rejectionsPerS(), head.notRun(), target.server().load());
+		}
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -143,6 +143,15 @@
 		}
 	}
 
+	void brittle(BackendServer server, double rejectionsPerS, boolean rejected, int load) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("Server %s of %s is brittle and bears %s rejections/s; it %s, with %d requests outstanding",
+						server.id(), server.service(), rejectionsPerS,
+						rejected ? "has rejected a request" : "has rejected none", load);
+		}
+	}
+
 	void quarantined(Attribution attribution, long nowMs) {
 		if (tryAcquire(0)) {
 			logger.atWarning()
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/LimitedServerTests.java
@@ -1,12 +1,14 @@
 package io.fescuehold.runtime.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.fescuehold.runtime.http.ScriptedServer;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,8 @@
 
 	private static final long WINDOW_MS = 4_000;
 
+	private static final int BEARABLE_REJECTIONS_PER_S = 5;
+
 	private static final long BETWEEN_REQUESTS_MS = 25;
 
 	/** When each server received its requests. */
@@ -96,6 +100,50 @@
 		}
 	}
 
+	// Brittle servers fell over because the gateway sent more than they could run (LIMIT
+	// of brittle servers).
+	@Test
+	void brittleServersAreSpared() throws InterruptedException {
+		List<Long> rejectedAtMs = new CopyOnWriteArrayList<>();
+		ScriptedServer.Script brittle = brittleScript(rejectedAtMs);
+		try (ScriptedServer one = new ScriptedServer(brittle); TestGateway gateway = new TestGateway(one)) {
+			gateway.send("/lookup/x", "first", "");
+			Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+			List<Thread> callers = new ArrayList<>();
+			for (int caller = 0; caller < 24; caller++) {
+				String id = "c" + caller + "-";
+				callers.add(Thread.ofVirtual().start(() -> {
+					for (int index = 0; index < 20; index++) {
+						statuses.merge(gateway.send("/lookup/x", id + index, "").status(), 1, Integer::sum);
+					}
+				}));
+			}
+			for (Thread caller : callers) {
+				caller.join();
+			}
+			assertThat(statuses).containsKeys(200, 503).containsOnlyKeys(200, 503);
+			assertThat(rejectedAtMs).hasSizeLessThanOrEqualTo(BEARABLE_REJECTIONS_PER_S);
+		}
+	}
+
+	private static ScriptedServer.Script brittleScript(List<Long> rejectedAtMs) {
+		AtomicInteger running = new AtomicInteger();
+		return (request, connection) -> {
+			boolean rejected = running.incrementAndGet() > TestGateway.SLOTS;
+			if (rejected) {
+				rejectedAtMs.add(System.nanoTime() / 1_000_000);
+			}
+			else {
+				Thread.sleep(50);
+			}
+			running.decrementAndGet();
+			connection
+				.send((rejected ? "HTTP/1.1 503 Full\r\nX-Not-Run: yes\r\n" : "HTTP/1.1 200 OK\r\nX-Signature: s\r\n")
+						+ "X-Request: " + request.headers().get("X-Request") + "\r\nX-Brittle: "
+						+ BEARABLE_REJECTIONS_PER_S + "\r\nContent-Length: 0\r\n\r\n");
+		};
+	}
+
 	// A limit must not outlast the server's word.
 	@Test
 	void limitEndsWithTheFirstResponseThatDoesNotNameIt() throws InterruptedException {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -45,6 +45,8 @@
 
 	static final int TIMEOUT_MS = 1_500;
 
+	static final int SLOTS = 4;
+
 	static final int OBJECTIVE_MS = 300;
 
 	private final LoopResources loops = LoopResources.create("test-gateway", 1, true);
@@ -79,7 +81,7 @@
 		this.belief.onHosts(List.of(new HostRecord("127.0.0.1", "a", 1, null, HostState.READY)));
 		List<BackendServer> list = new ArrayList<>();
 		for (int index = 0; index < servers.length; index++) {
-			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", 4, false,
+			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", SLOTS, false,
 					"v1"));
 		}
 		this.belief.onServers(new ServerList(1, list));
