Streams of a server that pauses for a second stay where they are

A sound server may be silent for a second and go on. Streams of routes with a short pause were moved after 0.9 s, which spent the retry budget and had their prompts read again.

A silent server that still accepts connections now counts as paused for 1.5 s, or for half of the request's time if that is shorter; one that does not accept them is left as before. GatewayStreamTests# streamOfAServerThatPausesForASecondIsNotMoved covers it.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/port/ServerReach.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/ServerReach.java
@@ -23,6 +23,14 @@
 	 */
 	void responded(BackendServer server);
 
+	/**
+	 * Opens a connection to a server that is silent.
+	 * @param server the server
+	 * @return whether the server accepts it, so that its process has only paused; answers
+	 * of the last moments are used again
+	 */
+	Mono<Boolean> acceptsConnections(BackendServer server);
+
 	/**
 	 * Returns whether this host has lost its links to most servers of a service that
 	 * other hosts reach.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
@@ -67,6 +67,9 @@
 	/** A server that responded within this time counts as reached. */
 	private static final long REACHED_MS = 1_000;
 
+	/** The time for which the result of a connection to a silent server is used. */
+	private static final Duration PROBE_VALID = Duration.ofMillis(400);
+
 	private static final long CHECK_INTERVAL_MS = 500;
 
 	/** The random part of the interval, so that hosts do not return all at once. */
@@ -92,6 +95,9 @@
 
 	private final Map<String, Long> respondedAtMs = new HashMap<>();
 
+	/** The connections that were opened lately to silent servers. */
+	private final Map<String, Mono<Boolean>> probes = new HashMap<>();
+
 	/** The services whose servers are being checked. */
 	private final Map<String, Sinks.Empty<Void>> checks = new HashMap<>();
 
@@ -181,6 +187,13 @@
 		}
 	}
 
+	@Override
+	public Mono<Boolean> acceptsConnections(BackendServer server) {
+		this.probes.keySet().removeIf((serverId) -> this.servers.find(serverId) == null);
+		return this.probes.computeIfAbsent(server.id(),
+				(id) -> accepts(server, CONNECT_TIMEOUT_MS).hasElement().cache(PROBE_VALID));
+	}
+
 	private void check(String service) {
 		if (this.checks.containsKey(service)) {
 			return;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -131,6 +131,15 @@
 				&& this.reach.isCutOff(request.service());
 	}
 
+	/**
+	 * Returns whether a silent server has only paused.
+	 * @param target the server, or a host that passes the request on
+	 * @return whether it still accepts connections
+	 */
+	Mono<Boolean> acceptsConnections(Target target) {
+		return target.relay() ? Mono.just(false) : this.reach.acceptsConnections(target.server().server());
+	}
+
 	/**
 	 * Waits until it is known whether this host is cut off from the servers.
 	 * @param request the request
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -48,6 +48,15 @@
 
 	private static final long MIN_STALL_MS = 900;
 
+	/**
+	 * The silence of a server that still accepts connections, in which it counts as
+	 * paused and not as stalled.
+	 */
+	private static final long MAX_PAUSE_MS = 1_500;
+
+	/** The time before the end of the stall limit at which the server is probed. */
+	private static final long PROBE_AHEAD_MS = 300;
+
 	/** Interval at which a stalled stream that could not be moved is checked again. */
 	private static final long STALL_CHECK_INTERVAL_MS = 100;
 
@@ -145,27 +154,42 @@
 			.send(this.dispatcher.client(target), this.attempts.prepare(this.headSent ? this.position : -1),
 					(head, content) -> receive(target, head, content))
 			.doFinally((signal) -> this.attempts.ended(target));
-		items = StreamDeadline.cut(failIfStalled(items), this.attempts.withdrawn(), this.attempts::withdrawalError);
+		items = StreamDeadline.cut(failIfStalled(target, items), this.attempts.withdrawn(),
+				this.attempts::withdrawalError);
 		return items.onErrorResume(this::afterFailure).concatMap(this::evaluate, 1);
 	}
 
 	// Only events with a position count as progress, so that a server that sends nothing
 	// but comments is treated as stalled. A slow stream is only cancelled if another
 	// server can take it over.
-	private Flux<StreamItem> failIfStalled(Flux<StreamItem> items) {
+	private Flux<StreamItem> failIfStalled(Dispatcher.Target target, Flux<StreamItem> items) {
 		if (!this.attempts.hasRetryLeft()) {
 			return items;
 		}
 		this.progressAtMs = this.dispatcher.nowMs();
 		this.progressed = false;
-		Mono<Long> stalled = Mono.defer(
-				() -> Mono.delay(Duration.ofMillis(Math.max(STALL_CHECK_INTERVAL_MS, untilStallMs())), this.scheduler))
+		Mono<Long> stalled = Mono
+			.defer(() -> Mono.delay(
+					Duration.ofMillis(Math.max(STALL_CHECK_INTERVAL_MS, untilStallMs() - PROBE_AHEAD_MS)),
+					this.scheduler))
+			.filterWhen((tick) -> isStalled(target))
+			.publishOn(this.scheduler)
 			.filter((tick) -> untilStallMs() <= 0 && this.attempts.reserveRetry())
 			.repeatWhenEmpty((empty) -> empty);
 		return StreamDeadline.cut(items, stalled, () -> new BackendFailure(BackendFailure.Kind.STALLED,
 				"no event for " + (this.dispatcher.nowMs() - this.progressAtMs) + " ms", null));
 	}
 
+	private Mono<Boolean> isStalled(Dispatcher.Target target) {
+		long silentMs = this.dispatcher.nowMs() - this.progressAtMs;
+		long maxPauseMs = Math.min(MAX_PAUSE_MS, (this.request.deadlineAtMs() - this.request.receivedAtMs()) / 2);
+		if (untilStallMs() > PROBE_AHEAD_MS) {
+			return Mono.just(false);
+		}
+		return (silentMs >= maxPauseMs) ? Mono.just(true)
+				: this.dispatcher.acceptsConnections(target).map((accepts) -> !accepts);
+	}
+
 	private long untilStallMs() {
 		long limitMs = this.progressed ? (long) GAP_FACTOR * this.request.route().gapObjectiveMs()
 				: (long) FIRST_EVENT_FACTOR * this.request.route().objectiveMs();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
@@ -82,6 +82,26 @@
 		}
 	}
 
+	// Guards against streams that are moved and read again because a sound server paused
+	// (incident "cut-off hosts").
+	@Test
+	void streamOfAServerThatPausesForASecondIsNotMoved() {
+		ScriptedServer.Script pausing = (request, connection) -> {
+			begin(connection, request);
+			events(connection, 1, 2);
+			Thread.sleep(1_200);
+			events(connection, 3, 5);
+			connection.send("0\r\n\r\n");
+		};
+		try (ScriptedServer one = new ScriptedServer(pausing);
+				ScriptedServer two = new ScriptedServer(pausing);
+				TestGateway gateway = new TestGateway(one, two)) {
+			assertThat(gateway.send("/patient/x", "r1", "prompt").body()).isEqualTo(text(1, 5));
+			assertThat(one.received().size() + two.received().size()).isEqualTo(1);
+			assertThat(gateway.counter("gateway.repeats.service")).isZero();
+		}
+	}
+
 	// Guards against a stream without head or first event if its server fails while the
 	// version is being recorded (incident "joined versions").
 	@Test
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -89,14 +89,18 @@
 	}
 
 	static RoutingConfig config() {
-		return new RoutingConfig(1,
-				List.of(route("lookup", RouteKind.IDEMPOTENT, false, 2),
-						route("order", RouteKind.NON_IDEMPOTENT, false, 1),
-						route("resumable", RouteKind.STREAMING, true, 2), route("once", RouteKind.STREAMING, false, 1)),
+		return new RoutingConfig(1, List.of(route("lookup", RouteKind.IDEMPOTENT, false, 2),
+				route("order", RouteKind.NON_IDEMPOTENT, false, 1), route("resumable", RouteKind.STREAMING, true, 2),
+				route("once", RouteKind.STREAMING, false, 1), patientRoute()),
 				List.of(new RoutedService("service", "/", 10, null)), CallerLimits.DEFAULT,
 				List.of(new TeamAccess("team", List.of("key"), 0)));
 	}
 
+	private static Route patientRoute() {
+		return new Route("patient", "h.example", "/patient/", RouteKind.STREAMING, true, 4 * TIMEOUT_MS, OBJECTIVE_MS,
+				200, 0, List.of(new ServiceWeight("service", 1)), 2, false);
+	}
+
 	private static Route route(String name, RouteKind kind, boolean resumable, int attempts) {
 		return new Route(name, "h.example", "/" + name + "/", kind, resumable, TIMEOUT_MS, OBJECTIVE_MS, 200, 0,
 				List.of(new ServiceWeight("service", 1)), attempts, false);
@@ -200,6 +204,11 @@
 			return false;
 		}
 
+		@Override
+		public Mono<Boolean> acceptsConnections(BackendServer server) {
+			return Mono.just(true);
+		}
+
 		@Override
 		public Mono<Void> whenChecked(String service) {
 			return Mono.empty();
