Versions of servers survive a cut: a refused connection is checked with other hosts

After a cut that refuses connections the version of every server counted as unknown for 3 s at the host that had been cut off, so callers that took up their streams there would have been refused. Cause: the same as for the quarantine, the host took its lost link for the end of a process. It now asks other hosts first. The hosts that pass requests on are a class of their own. CutOffHostTests#serversKeepTheirVersionsThroughACut covers it.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -111,7 +111,7 @@
 	}
 
 	private Dispatcher.Target choose() {
-		Dispatcher.Target relay = this.dispatcher.chooseRelay(this.request, this.tried, this.binding.current());
+		Dispatcher.Target relay = this.dispatcher.relays().choose(this.request, this.tried, this.binding.current());
 		if (relay != null) {
 			return relay;
 		}
@@ -276,7 +276,7 @@
 			default -> false;
 		};
 		if (elsewhere && ++this.unreachableCount < MAX_UNREACHABLE) {
-			this.dispatcher.recordRelayFailure(this.target);
+			this.dispatcher.relays().recordFailure(this.target);
 			return null;
 		}
 		return this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
@@ -314,7 +314,7 @@
 	 * the reserved retry
 	 */
 	boolean reserveRetry() {
-		this.retryReserved = hasRetryLeft() && this.dispatcher.mayGiveUp(this.request, this.target)
+		this.retryReserved = hasRetryLeft() && this.dispatcher.relays().mayGiveUp(this.request, this.target)
 				&& this.dispatcher.hasAlternative(this.request, this.tried, this.binding.current())
 				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
 		return this.retryReserved;
@@ -380,7 +380,7 @@
 					notSent ? ServerOutcome.UNREACHABLE : ServerOutcome.FAILED);
 		}
 		if (notSent) {
-			if (failure instanceof BackendFailure known && known.isRefusedConnection()) {
+			if (!this.target.relay() && failure instanceof BackendFailure known && known.isRefusedConnection()) {
 				this.dispatcher.recordRefusedConnection(this.target);
 			}
 			this.unreachableCount++;
@@ -418,7 +418,7 @@
 	 * @return completes when the next attempt can start
 	 */
 	Mono<Void> beforeRetry() {
-		return (this.unreachableCount > 0) ? this.dispatcher.whenReachChecked(this.request) : Mono.empty();
+		return (this.unreachableCount > 0) ? this.dispatcher.relays().whenChecked(this.request) : Mono.empty();
 	}
 
 	private FescueholdException fail(String reason, ErrorCode code, long retryAfterMs) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -24,7 +24,6 @@
 import io.fescuehold.runtime.backend.BackendPool;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.fescuehold.runtime.backend.BackendRequest;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
 
 /**
@@ -64,10 +63,7 @@
 
 	private final ServerReach reach;
 
-	/** The hosts that have passed requests on, with the requests in flight there. */
-	private final Map<String, ServerState> relays = new HashMap<>();
-
-	private final int relayPort;
+	private final RelayTargets relays;
 
 	/** When the next refused caller of each service is asked to return. */
 	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
@@ -89,7 +85,7 @@
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
 		this.reach = reach;
-		this.relayPort = options.relayPort();
+		this.relays = new RelayTargets(reach, options.relayPort(), metrics, log);
 		this.metrics = metrics;
 		this.log = log;
 	}
@@ -103,77 +99,11 @@
 	}
 
 	/**
-	 * Chooses another host that passes a request on, if this host is cut off from the
-	 * servers.
-	 * @param request the request
-	 * @param tried the servers and hosts that were tried before
-	 * @param binding the servers that may send events of the stream
-	 * @return the target, or null if the request has to go to a server
-	 */
-	Target chooseRelay(GatewayRequest request, Set<String> tried, VersionBinding binding) {
-		if (!maybeRelayed(request, binding)) {
-			return null;
-		}
-		String hostId = this.reach.chooseRelay(request.service(), tried);
-		if (hostId == null) {
-			return null;
-		}
-		ServerState host = this.relays.computeIfAbsent(hostId, (id) -> ServerState
-			.unlisted(new BackendServer(id, request.service(), id + ":" + this.relayPort, "", 1, false, null)));
-		this.metrics.relayed(request.service());
-		this.log.relayed(request, hostId);
-		return new Target(host, null, "RELAY", true);
-	}
-
-	// A request that was passed on once stays where it is.
-	private boolean maybeRelayed(GatewayRequest request, VersionBinding binding) {
-		return request.hop() == null && !(binding instanceof VersionBinding.ToUnknown)
-				&& this.reach.isCutOff(request.service());
-	}
-
-	/**
-	 * Returns whether a silent server has only paused.
-	 * @param target the server, or a host that passes the request on
-	 * @return whether it still accepts connections
-	 */
-	Mono<Boolean> acceptsConnections(Target target) {
-		return target.relay() ? Mono.just(false) : this.reach.acceptsConnections(target.server().server());
-	}
-
-	/**
-	 * Waits until it is known whether this host is cut off from the servers.
-	 * @param request the request
-	 * @return completes when a request can be retried
-	 */
-	Mono<Void> whenReachChecked(GatewayRequest request) {
-		return (request.hop() == null) ? this.reach.whenChecked(request.service()) : Mono.empty();
-	}
-
-	/**
-	 * Returns whether an attempt that takes long should be given up in favour of another
-	 * target. A host that passes a request on moves it from a slow server itself.
-	 * @param request the request
-	 * @param target the target of the attempt
-	 * @return true for servers, and for hosts that no longer answer
+	 * Returns the hosts that pass requests on.
+	 * @return the hosts
 	 */
-	boolean mayGiveUp(GatewayRequest request, Target target) {
-		return !target.relay() || !this.reach.isRelay(request.service(), target.server().server().id());
-	}
-
-	/**
-	 * Returns the addresses of the hosts that pass requests on.
-	 * @return the addresses
-	 */
-	List<String> relayAddresses() {
-		return this.relays.values().stream().map((host) -> host.server().address()).toList();
-	}
-
-	/**
-	 * Records that a host did not pass a request on.
-	 * @param target the host
-	 */
-	void recordRelayFailure(Target target) {
-		this.reach.relayFailed(target.server().server().id());
+	RelayTargets relays() {
+		return this.relays;
 	}
 
 	/**
@@ -282,7 +212,7 @@
 	 */
 	boolean hasAlternative(GatewayRequest request, Set<String> tried, VersionBinding binding) {
 		long nowMs = nowMs();
-		return maybeRelayed(request, binding) || alternatives(request, tried, binding, nowMs).stream()
+		return this.relays.isNeeded(request, binding) || alternatives(request, tried, binding, nowMs).stream()
 			.anyMatch((server) -> server.health().isUsable(nowMs));
 	}
 
@@ -295,7 +225,7 @@
 	 * @return whether an untried server is left
 	 */
 	boolean hasCandidate(GatewayRequest request, Set<String> tried, VersionBinding binding) {
-		return maybeRelayed(request, binding) || !alternatives(request, tried, binding, nowMs()).isEmpty();
+		return this.relays.isNeeded(request, binding) || !alternatives(request, tried, binding, nowMs()).isEmpty();
 	}
 
 	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, VersionBinding binding,
@@ -319,11 +249,17 @@
 	}
 
 	/**
-	 * Records that a server refused a connection.
+	 * Records that a server refused a connection. Its process has ended, unless only this
+	 * host cannot reach it.
 	 * @param target the server
 	 */
 	void recordRefusedConnection(Target target) {
-		target.server().connectionRefused();
+		ServerState server = target.server();
+		if (server.isVersionCertain(nowMs())) {
+			this.reach.isReachedByOthers(server.server())
+				.filter((reached) -> !reached)
+				.subscribe((gone) -> server.connectionRefused());
+		}
 	}
 
 	/**
@@ -416,7 +352,7 @@
 	void recordOutcome(GatewayRequest request, Target target, ServerOutcome outcome) {
 		if (target.relay()) {
 			if (outcome == ServerOutcome.UNREACHABLE || outcome == ServerOutcome.SILENT) {
-				recordRelayFailure(target);
+				this.relays.recordFailure(target);
 			}
 			return;
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -207,7 +207,7 @@
 			.all()
 			.stream()
 			.map((state) -> state.server().address())
-			.collect(Collectors.toCollection(() -> new HashSet<>(this.dispatcher.relayAddresses()))));
+			.collect(Collectors.toCollection(() -> new HashSet<>(this.dispatcher.relays().addresses()))));
 	}
 
 	/**
@@ -396,7 +396,7 @@
 		dump.put("configurationAgeMs", this.belief.ageMs());
 		dump.put("inFlight", this.inFlight);
 		dump.put("pools", this.pools.size());
-		dump.put("relays", this.dispatcher.relayAddresses());
+		dump.put("relays", this.dispatcher.relays().addresses());
 		Map<String, Object> servers = new TreeMap<>();
 		this.belief.servers()
 			.all()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -187,7 +187,7 @@
 			return Mono.just(false);
 		}
 		return (silentMs >= maxPauseMs) ? Mono.just(true)
-				: this.dispatcher.acceptsConnections(target).map((accepts) -> !accepts);
+				: this.dispatcher.relays().acceptsConnections(target).map((accepts) -> !accepts);
 	}
 
 	private long untilStallMs() {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -149,6 +149,25 @@
 		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantinedParts()).isEmpty());
 	}
 
+	// Guards against take-ups being refused after a cut, because lost links were taken
+	// for
+	// restarts that may have changed the version (incident "cut-off hosts").
+	@Test
+	void serversKeepTheirVersionsThroughACut() throws IOException {
+		cut(1_000);
+		awaitService();
+		sleep(2_500);
+		this.fleet.startServer("v1.1");
+		this.fleet.readLists();
+		for (int count = 0; count < 10; count++) {
+			TakenStream taken = new TakenStream();
+			this.fleet.leaveAfterFirstEvent(this.cutOff, "left-" + count);
+			taken.beganBy("left-" + count);
+			assertThat(this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), taken)).isEqualTo(200);
+			assertThat(taken.isComplete()).isTrue();
+		}
+	}
+
 	@Test
 	void serversThatAreGoneForAllAreNotTakenForACut() {
 		this.fleet.backends().forEach(VersionedFleet.Backend::end);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TakenStream.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TakenStream.java
@@ -93,6 +93,15 @@
 		this.origins.add(eventPosition + " " + version + " " + requestId);
 	}
 
+	/**
+	 * Takes up a stream of which a caller has had the first event.
+	 * @param requestId the id of the attempt that brought it
+	 */
+	void beganBy(String requestId) {
+		this.beganAs = requestId;
+		this.position = 1;
+	}
+
 	String beganAs() {
 		return this.beganAs;
 	}
