Cut-off check: earlier responses do not show that a server is still there

Cause: another host counted a server as reached if it had responded within the last second, although it had ended since. Where the question is whether a server has just ended, or whether the asking host is cut off, the others now open a connection; only the checks during a cut use earlier responses.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
@@ -146,7 +146,7 @@
 		for (String serverId : ask.serverIds()) {
 			ServerState server = this.servers.find(serverId);
 			if (!failed.contains(serverId)
-					&& nowMs - this.respondedAtMs.getOrDefault(serverId, Long.MIN_VALUE / 2) < REACHED_MS) {
+					&& nowMs - this.respondedAtMs.getOrDefault(serverId, Long.MIN_VALUE / 2) < ask.maxAgeMs()) {
 				reached.add(serverId);
 			}
 			else if (server != null && unknown.size() < MAX_CONNECTS_FOR_OTHERS) {
@@ -242,20 +242,22 @@
 			.map(BackendServer::id)
 			.filter((serverId) -> !accepting.contains(serverId))
 			.toList();
-		return ask(service, failed, ASKED_HOSTS)
+		// The servers may have ended just now, so that earlier responses show nothing.
+		long maxAgeMs = isCutOff(service) ? REACHED_MS : 0;
+		return ask(service, failed, ASKED_HOSTS, maxAgeMs)
 			.filter((answer) -> answer.reached.passesOn() && !answer.reached.serverIds().isEmpty())
 			.collect(LinkedHashMap::new,
 					(relays, answer) -> relays.put(answer.hostId, answer.reached.requestsInFlight()));
 	}
 
-	private Flux<Answer> ask(String service, List<String> serverIds, int maxHosts) {
+	private Flux<Answer> ask(String service, List<String> serverIds, int maxHosts, long maxAgeMs) {
 		List<String> others = new ArrayList<>(this.hosts.get()
 			.stream()
 			.filter((host) -> host.state() == HostState.READY && !host.hostId().equals(this.hostId))
 			.map(HostRecord::hostId)
 			.toList());
 		Collections.shuffle(others, Random.from(this.random));
-		ReachMessage.Ask question = new ReachMessage.Ask(service, serverIds);
+		ReachMessage.Ask question = new ReachMessage.Ask(service, serverIds, maxAgeMs);
 		return Flux.fromIterable(others.subList(0, Math.min(maxHosts, others.size())))
 			.flatMap((host) -> this.transport.request(host, question, ASK_TIMEOUT)
 				.cast(ReachMessage.Reached.class)
@@ -335,7 +337,7 @@
 	@Override
 	public Mono<Boolean> isReachedByOthers(BackendServer server) {
 		return Mono.defer(() -> isCutOff(server.service()) ? Mono.just(true)
-				: ask(server.service(), List.of(server.id()), ASKED_HOSTS_FOR_ONE_SERVER)
+				: ask(server.service(), List.of(server.id()), ASKED_HOSTS_FOR_ONE_SERVER, 0)
 					.any((answer) -> !answer.reached.serverIds().isEmpty()));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachMessage.java
@@ -16,8 +16,10 @@
 	 *
 	 * @param service the service of the servers
 	 * @param serverIds the servers, a few at most
+	 * @param maxAgeMs the age in milliseconds up to which a response of a server shows
+	 * that it is reached; the receiver connects to servers without one
 	 */
-	record Ask(String service, List<String> serverIds) implements ReachMessage {
+	record Ask(String service, List<String> serverIds, long maxAgeMs) implements ReachMessage {
 
 		// A daemon of another version may leave out components.
 		public Ask {
