Streams: go on in the thread of the gateway after a record is on disk

Read in the review of the change: on a host with a disk the first event of a stream went on in the thread that writes records, and changed the state of the gateway from there, while two versions served. The reply of the disk now returns to the thread of the gateway first; the result of a probe expires by the runtime's clock. StreamVersionTests# streamGoesOnInTheThreadOfTheGatewayAfterItsRecordIsOnDisk failed before.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ReachDirectory.java
@@ -191,7 +191,7 @@
 	public Mono<Boolean> acceptsConnections(BackendServer server) {
 		this.probes.keySet().removeIf((serverId) -> this.servers.find(serverId) == null);
 		return this.probes.computeIfAbsent(server.id(),
-				(id) -> accepts(server, CONNECT_TIMEOUT_MS).hasElement().cache(PROBE_VALID));
+				(id) -> accepts(server, CONNECT_TIMEOUT_MS).hasElement().cache(PROBE_VALID, this.scheduler));
 	}
 
 	private void check(String service) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
@@ -276,6 +276,7 @@
 			.thenReturn(true)
 			.timeout(this.waits.disk(), this.scheduler)
 			.onErrorReturn(false)
+			.publishOn(this.scheduler)
 			.map((durable) -> new StreamMessage.Kept(durable, known, complete));
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
@@ -133,6 +133,17 @@
 		}
 	}
 
+	// Guards against state of the gateway being changed by the thread that writes
+	// records.
+	@Test
+	void streamGoesOnInTheThreadOfTheGatewayAfterItsRecordIsOnDisk() {
+		try (VersionedFleet fleet = fleet()) {
+			fleet.startServer("v1");
+			fleet.startServer("v1.1");
+			assertThat(fleet.startHost(0, true).threadAfterRecord()).startsWith("versioned-");
+		}
+	}
+
 	private VersionedFleet fleet() {
 		return new VersionedFleet(this.folder, 3, UnaryOperator.identity());
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -30,6 +30,7 @@
 import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.ServerList;
+import io.fescuehold.core.streamversion.StreamRecord;
 import io.fescuehold.runtime.backend.BackendOptions;
 import io.fescuehold.runtime.discovery.ReachDirectory;
 import io.fescuehold.runtime.discovery.StreamDirectory;
@@ -380,6 +381,17 @@
 			this.port = this.server.port();
 		}
 
+		/**
+		 * Records a stream.
+		 * @return the name of the thread on which the stream goes on
+		 */
+		String threadAfterRecord() {
+			return Mono.defer(() -> this.directory.record(new StreamRecord("recorded", "service", "v1")))
+				.then(Mono.fromSupplier(() -> Thread.currentThread().getName()))
+				.subscribeOn(this.scheduler)
+				.block(Duration.ofSeconds(5));
+		}
+
 		boolean isCutOff() {
 			return Mono.fromSupplier(() -> this.reach.isCutOff("service")).subscribeOn(this.scheduler).block();
 		}
