--- a/fescuehold-standin/src/test/java/io/fescuehold/standin/modelserver/ModelServerTests.java
+++ b/fescuehold-standin/src/test/java/io/fescuehold/standin/modelserver/ModelServerTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Matcher;
@@ -247,8 +248,11 @@
 		Thread.sleep(ModelServerOptions.DEFAULT.loadLagMs());
 		Thread request = Thread.ofVirtual()
 			.start(() -> chat(this.server, "c", body(message("user", "a"), ",\"max_tokens\":700")));
-		Thread.sleep(200);
-		assertThat(this.server.load().outstandingTokens()).isPositive();
+		long untilNs = System.nanoTime() + Duration.ofSeconds(5).toNanos();
+		while (this.server.load().outstandingTokens() == 0) {
+			assertThat(System.nanoTime()).as("the request has not arrived").isLessThan(untilNs);
+			Thread.sleep(5);
+		}
 		assertThat(json(TestHttp.send("GET", this.server.port(), "/load", "").body()).at("/outstandingTokens").asInt())
 			.isZero();
 		Thread.sleep(600);
