Hosts that are cut off: take headers of hosts from hosts only

A server that sends the header fescuehold-relay-refusal itself was taken for a refusing host if its request had been passed on, so its callers were not served and requests could have run again; and a caller could name the version to which its stream is bound, with fescuehold-relay-version, if the host passed its request on.

Cause: both hosts forward what they do not know. The host that passes on now removes the header from responses of servers, and the first host removes the headers of callers before it adds its own.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -64,8 +64,10 @@
 
 	private static final double MS_PER_S = 1_000;
 
-	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "keep-alive", "transfer-encoding", "te",
-			"trailer", "upgrade", "proxy-connection", "content-length", RelayHop.RESPONSE_VERSION);
+	/** Headers of one connection, and those that only hosts may set. */
+	private static final Set<String> NOT_RETURNED = Set.of("connection", "keep-alive", "transfer-encoding", "te",
+			"trailer", "upgrade", "proxy-connection", "content-length", RelayHop.RESPONSE_VERSION,
+			RelayHop.RESPONSE_REFUSAL);
 
 	private final GatewayOptions options;
 
@@ -338,7 +340,7 @@
 
 	private static void addHeaders(HttpServerResponse response, Map<String, String> headers) {
 		headers.forEach((name, value) -> {
-			if (!CONNECTION_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+			if (!NOT_RETURNED.contains(name.toLowerCase(Locale.ROOT))) {
 				response.header(name, value);
 			}
 		});
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -37,13 +37,22 @@
 	 */
 	static CallerHead strip(CallerHead head) {
 		Map<String, String> headers = new HashMap<>(head.headers());
-		headers.keySet()
-			.removeIf((name) -> name.equalsIgnoreCase(REQUEST_ATTEMPTS) || name.equalsIgnoreCase(REQUEST_VERSION));
+		remove(headers);
 		return new CallerHead(head.requestId(), head.hostName(), head.method(), head.uri(), head.apiKey(),
 				head.deadlineMs(), head.resumeAfter(), head.resumes(), head.prompt(), headers);
 	}
 
+	private static void remove(Map<String, String> headers) {
+		headers.keySet()
+			.removeIf((name) -> name.equalsIgnoreCase(REQUEST_ATTEMPTS) || name.equalsIgnoreCase(REQUEST_VERSION));
+	}
+
+	/**
+	 * Adds the headers of this class in place of those that the caller may have sent.
+	 * @param headers the headers of the request to the other host
+	 */
 	void write(Map<String, String> headers) {
+		remove(headers);
 		headers.put(REQUEST_ATTEMPTS, String.valueOf(this.attempts));
 		if (this.version != null) {
 			headers.put(REQUEST_VERSION, this.version);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -85,6 +85,19 @@
 		});
 	}
 
+	// Guards against a server that sends a header of hosts being taken for a host that
+	// refuses, so that its request runs a second time (incident "cut-off hosts").
+	@Test
+	void headersOfHostsAreNotAcceptedFromServers() {
+		this.fleet.backends().forEach((backend) -> backend.addHeader("Fescuehold-Relay-Refusal", "NO_SERVER,NO,10"));
+		cut(CUT_MS);
+		awaitService();
+		for (int count = 0; count < 10; count++) {
+			assertThat(this.fleet.order(this.cutOff, "order-" + count)).isEqualTo(200);
+		}
+		assertThat(runsById("order-").values()).hasSize(10).containsOnly(1L);
+	}
+
 	// Guards against both hosts retrying a request that is passed on (incident "cut-off
 	// hosts").
 	@Test
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -245,6 +245,8 @@
 
 		private volatile boolean callerLeft;
 
+		private volatile String extraHeaders = "";
+
 		private Backend(String id, String version) {
 			this.id = id;
 			this.version = version;
@@ -257,7 +259,7 @@
 				return;
 			}
 			connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Signature: s\r\nX-Request: "
-					+ request.headers().get("X-Request") + "\r\n\r\n");
+					+ request.headers().get("X-Request") + "\r\n" + this.extraHeaders + "\r\n");
 			if (request.target().startsWith("/order")) {
 				connection.send("0\r\n\r\n");
 				return;
@@ -284,6 +286,10 @@
 			this.breakAfter = events;
 		}
 
+		void addHeader(String name, String value) {
+			this.extraHeaders += name + ": " + value + "\r\n";
+		}
+
 		void neverEnd() {
 			this.events = Integer.MAX_VALUE;
 		}
