--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
@@ -162,6 +163,36 @@
 		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantinedParts()).isEmpty());
 	}
 
+	// Guards against prompts that crash servers staying out of quarantine because other
+	// hosts count a response from before the crash (incident "cut-off hosts").
+	@Test
+	void promptThatCrashesServersIsPutInQuarantineWhileOtherHostsServe() throws InterruptedException {
+		for (int server = 0; server < 4; server++) {
+			this.fleet.startServer("v1");
+		}
+		this.fleet.readLists();
+		VersionedFleet.Host host = this.cutOff;
+		for (int round = 0; round < 3; round++) {
+			useAllServers();
+			assertThat(this.fleet.stream(host, this.fleet.nextRequestId(), new TakenStream())).isEqualTo(200);
+			this.fleet.crashingStream(host, this.fleet.nextRequestId());
+			sleep(300);
+		}
+		assertThat(host.quarantinedParts()).containsExactly(Set.of(VersionedFleet.CRASHING_PART));
+	}
+
+	private void useAllServers() throws InterruptedException {
+		List<Thread> callers = new ArrayList<>();
+		for (VersionedFleet.Host host : this.fleet.hosts()) {
+			for (int caller = 0; caller < 16; caller++) {
+				callers.add(Thread.ofVirtual().start(() -> this.fleet.streamOfItsOwnPrompt(host)));
+			}
+		}
+		for (Thread caller : callers) {
+			caller.join();
+		}
+	}
+
 	// Guards against take-ups being refused after a cut, because lost links were taken
 	// for
 	// restarts that may have changed the version (incident "cut-off hosts").
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -51,8 +51,17 @@
 
 	static final int EVENTS = 12;
 
+	/** The part of a prompt that crashes the servers which read it. */
+	static final String CRASHING_PART = "bad";
+
+	private static final String SOUND_PARTS = "a,b,c";
+
+	private static final String CRASHING_PARTS = "a," + CRASHING_PART + ",c";
+
 	private static final long EVENT_INTERVAL_MS = 15;
 
+	private static final long CRASH_DOWN_MS = 1_000;
+
 	/** Long enough for a busy machine, so that no stream begins without its record. */
 	private static final Duration RECORD_WAIT = Duration.ofSeconds(2);
 
@@ -161,6 +170,26 @@
 		return send(host, "/resumable/x", requestId, taken);
 	}
 
+	/**
+	 * Sends a request for a stream that shares no part of its prompt with others, so that
+	 * any server may be chosen.
+	 * @param host the host
+	 * @return the HTTP status, or 0 without an answer
+	 */
+	int streamOfItsOwnPrompt(Host host) {
+		String requestId = nextRequestId();
+		return send(host, "/resumable/x", requestId, requestId, new TakenStream());
+	}
+
+	/**
+	 * Sends a request for a stream whose prompt crashes each server that reads it.
+	 * @param host the host
+	 * @param requestId the id of the attempt
+	 */
+	void crashingStream(Host host, String requestId) {
+		send(host, "/resumable/x", requestId, CRASHING_PARTS, new TakenStream());
+	}
+
 	/**
 	 * Sends a request that must run once at most.
 	 * @param host the host
@@ -190,7 +219,7 @@
 	void leaveAfterFirstEvent(Host host, String requestId) throws IOException {
 		try (Socket socket = new Socket()) {
 			socket.connect(new InetSocketAddress(host.id, host.port), 1_000);
-			write(socket, "/resumable/x", requestId, "");
+			write(socket, "/resumable/x", requestId, SOUND_PARTS, "");
 			BufferedReader in = new BufferedReader(
 					new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
 			String line = in.readLine();
@@ -200,20 +229,25 @@
 		}
 	}
 
-	private static void write(Socket socket, String path, String requestId, String headers) throws IOException {
+	private static void write(Socket socket, String path, String requestId, String parts, String headers)
+			throws IOException {
 		socket.getOutputStream()
 			.write(("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Key: key\r\nX-Request: " + requestId
-					+ "\r\nX-Parts: a,b,c\r\n" + headers + "Content-Length: 0\r\n\r\n")
+					+ "\r\nX-Parts: " + parts + "\r\n" + headers + "Content-Length: 0\r\n\r\n")
 				.getBytes(StandardCharsets.UTF_8));
 	}
 
 	private int send(Host host, String path, String requestId, TakenStream taken) {
+		return send(host, path, requestId, SOUND_PARTS, taken);
+	}
+
+	private int send(Host host, String path, String requestId, String parts, TakenStream taken) {
 		try (Socket socket = new Socket()) {
 			socket.connect(new InetSocketAddress(host.id, host.port), 1_000);
 			socket.setSoTimeout(4_000);
 			String resume = (taken.beganAs() != null)
 					? "X-Resumes: " + taken.beganAs() + "\r\nLast-Event-ID: " + taken.position() + "\r\n" : "";
-			write(socket, path, requestId, resume);
+			write(socket, path, requestId, parts, resume);
 			return taken.read(socket, requestId);
 		}
 		catch (IOException ex) {
@@ -253,6 +287,11 @@
 		}
 
 		private void serve(ScriptedServer.Received request, ScriptedServer.Connection connection) throws Exception {
+			if (request.headers().getOrDefault("X-Parts", "").contains(CRASHING_PART)) {
+				Thread.sleep(2 * EVENT_INTERVAL_MS);
+				this.listeners.values().forEach((listener) -> listener.crash(CRASH_DOWN_MS));
+				return;
+			}
 			if (request.target().startsWith("/lookup")) {
 				connection.send("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\nX-Signature: s\r\nX-Request: "
 						+ request.headers().get("X-Request") + "\r\n\r\n");
