Tests: cuts that refuse connections fail without the question to other hosts

CutOffHostTests#serversKeepTheirVersionsThroughACut took up streams that a new server had begun after the cut; now they begin before it and every server has refused a connection of the host. #resetLinksPutNoPromptInQuarantine lost connections within the time in which they count as one crash, partly after the host knew that it was cut off; now each cut begins while requests are at servers.

With the question to other hosts taken out of Dispatcher#recordRefusedConnection the first one fails (503), with it taken out of QuarantineGuard the second one does (parts [a, b] in quarantine); both trials leave the relay in. With the code as it is both pass.

--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
@@ -152,13 +153,16 @@
 	@Test
 	void resetLinksPutNoPromptInQuarantine() {
 		for (int round = 0; round < 4; round++) {
+			await(() -> !this.cutOff.isCutOff());
+			long before = requestsBy(this.cutOff);
 			for (int count = 0; count < 6; count++) {
 				Thread.ofVirtual()
 					.start(() -> this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream()));
 			}
-			sleep(20);
+			await(() -> requestsBy(this.cutOff) >= before + 6);
 			cut(400);
-			sleep(700);
+			// Longer than the time within which losses of one server count as one crash.
+			sleep(2_100);
 		}
 		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantinedParts()).isEmpty());
 	}
@@ -173,7 +177,7 @@
 		this.fleet.readLists();
 		VersionedFleet.Host host = this.cutOff;
 		for (int round = 0; round < 3; round++) {
-			useAllServers();
+			useAllServers(this.fleet.hosts());
 			assertThat(this.fleet.stream(host, this.fleet.nextRequestId(), new TakenStream())).isEqualTo(200);
 			this.fleet.crashingStream(host, this.fleet.nextRequestId());
 			sleep(300);
@@ -181,9 +185,9 @@
 		assertThat(host.quarantinedParts()).containsExactly(Set.of(VersionedFleet.CRASHING_PART));
 	}
 
-	private void useAllServers() throws InterruptedException {
+	private void useAllServers(List<VersionedFleet.Host> hosts) throws InterruptedException {
 		List<Thread> callers = new ArrayList<>();
-		for (VersionedFleet.Host host : this.fleet.hosts()) {
+		for (VersionedFleet.Host host : hosts) {
 			for (int caller = 0; caller < 16; caller++) {
 				callers.add(Thread.ofVirtual().start(() -> this.fleet.streamOfItsOwnPrompt(host)));
 			}
@@ -197,16 +201,21 @@
 	// for
 	// restarts that may have changed the version (incident "cut-off hosts").
 	@Test
-	void serversKeepTheirVersionsThroughACut() throws IOException {
+	void serversKeepTheirVersionsThroughACut() throws IOException, InterruptedException {
+		List<TakenStream> streams = new ArrayList<>();
+		for (int count = 0; count < 10; count++) {
+			TakenStream taken = new TakenStream();
+			this.fleet.leaveAfterFirstEvent(this.cutOff, "left-" + count);
+			taken.beganBy("left-" + count);
+			streams.add(taken);
+		}
 		cut(1_000);
+		useAllServers(List.of(this.cutOff));
 		awaitService();
 		sleep(2_500);
 		this.fleet.startServer("v1.1");
 		this.fleet.readLists();
-		for (int count = 0; count < 10; count++) {
-			TakenStream taken = new TakenStream();
-			this.fleet.leaveAfterFirstEvent(this.cutOff, "left-" + count);
-			taken.beganBy("left-" + count);
+		for (TakenStream taken : streams) {
 			assertThat(this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), taken)).isEqualTo(200);
 			assertThat(taken.isComplete()).isTrue();
 		}
@@ -253,6 +262,14 @@
 		this.fleet.backends().forEach((backend) -> backend.cut(this.cutOff, forMs));
 	}
 
+	private static void await(BooleanSupplier condition) {
+		long untilNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("waited for").isLessThan(untilNs);
+			sleep(5);
+		}
+	}
+
 	private void awaitService() {
 		long untilNs = System.nanoTime() + DETECTION.toNanos();
 		while (this.fleet.stream(this.cutOff, this.fleet.nextRequestId(), new TakenStream()) != 200) {
