--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/BrittleServersTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/BrittleServersTests.java
@@ -38,9 +38,8 @@
 
 	private static final int BEARABLE_REJECTIONS_PER_S = 6;
 
-	// Guards against servers that fall over because the hosts together send more than
-	// they
-	// have room for (LIMIT of brittle servers).
+	// Guards against servers that fall over because they have no room for what the hosts
+	// together send (LIMIT of brittle servers).
 	@ParameterizedTest
 	@CsvSource({ "4, 1.6, 1", "7, 1.6, 2", "40, 1.6, 3", "7, 3.0, 4", "40, 3.0, 5" })
 	void serversBearTheRejectionsOfAnOverload(int hosts, double overload, int seed) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -238,9 +238,8 @@
 		if (this.headSent) {
 			return emitEvent(event);
 		}
-		// The attempt may fail while the record is made. The next one then begins with
-		// this
-		// event, as nothing has been sent.
+		// The attempt may fail while the record is made. Nothing has been sent then, so
+		// that the next one begins with this event.
 		return recordVersion()
 			.thenMany(Flux.defer(() -> emitHead(target, head).concatWith(Flux.defer(() -> emitEvent(event)))));
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -147,9 +147,8 @@
 		assertThat(streams.values()).filteredOn(TakenStream::isComplete).hasSizeGreaterThanOrEqualTo(6);
 	}
 
-	// Guards against sound prompts in quarantine because a host that was cut off took
-	// lost
-	// links for crashes (incident "cut-off hosts").
+	// Guards against sound prompts in quarantine because a cut-off host took lost links
+	// for crashes (incident "cut-off hosts").
 	@Test
 	void resetLinksPutNoPromptInQuarantine() {
 		for (int round = 0; round < 4; round++) {
@@ -197,8 +196,7 @@
 		}
 	}
 
-	// Guards against take-ups being refused after a cut, because lost links were taken
-	// for
+	// Guards against take-ups being refused after a cut because lost links were taken for
 	// restarts that may have changed the version (incident "cut-off hosts").
 	@Test
 	void serversKeepTheirVersionsThroughACut() throws IOException, InterruptedException {
