Streams begin at a new version only when other hosts know of it

A host that reaches none of the hosts which keep the record of a stream sent its first event after 80 ms all the same, or at once if they refused its messages. If it alone had seen a new version in the list and then ended, the caller's take-up was continued at the version before by hosts that knew only that one: status 200, two versions in one stream.

Cause: "only one version serves" is a conclusion from the lists of the hosts that are asked, and nothing made sure that they had seen the version at which a stream begins. Now such a first event waits until a majority of its record's holders has been told of the version, for 3 s at most after the list first named it, within which the lists of all hosts name it. Holders that all fail no longer count as a confirmation, and where no host has a disk a majority in memory is enough.

StreamVersionTests#streamDoesNotBeginAtAVersionThatOtherHostsDoNotKnow failed before: the stream held v1 and v1.1.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/streamversion/ServedVersions.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/streamversion/ServedVersions.java
@@ -26,6 +26,8 @@
 
 	private Map<String, Set<String>> listed = new HashMap<>();
 
+	private final Map<String, Map<String, Long>> listedSinceMsByService = new HashMap<>();
+
 	private long retentionMs;
 
 	private long knownSinceMs;
@@ -75,7 +77,24 @@
 		this.listed = new HashMap<>();
 		for (BackendServer server : servers) {
 			this.listed.computeIfAbsent(server.service(), (service) -> new TreeSet<>()).add(server.versionName());
+			this.listedSinceMsByService.computeIfAbsent(server.service(), (service) -> new HashMap<>())
+				.putIfAbsent(server.versionName(), nowMs);
 		}
+		this.listedSinceMsByService
+			.forEach((service, since) -> since.keySet().retainAll(this.listed.getOrDefault(service, Set.of())));
+		this.listedSinceMsByService.values().removeIf(Map::isEmpty);
+	}
+
+	/**
+	 * Returns for how long the list of servers has named a version.
+	 * @param service the service
+	 * @param version the version
+	 * @param nowMs the time in milliseconds
+	 * @return the time in milliseconds, as much as can be if the list does not name it
+	 */
+	public long listedMs(String service, String version, long nowMs) {
+		Long sinceMs = this.listedSinceMsByService.getOrDefault(service, Map.of()).get(version);
+		return (sinceMs != null) ? nowMs - sinceMs : Long.MAX_VALUE;
 	}
 
 	/**
--- a/fescuehold-core/src/test/java/io/fescuehold/core/streamversion/ServedVersionsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/streamversion/ServedVersionsTests.java
@@ -39,6 +39,18 @@
 		assertThat(told.isAmbiguous("s", 1)).isFalse();
 	}
 
+	@Test
+	void timeForWhichTheListNamesAVersionBeginsAnewWhenItIsBack() {
+		this.versions.observe(servers("v1"), 0);
+		this.versions.observe(servers("v1", "v2"), 1_000);
+		assertThat(this.versions.listedMs("s", "v1", 1_500)).isEqualTo(1_500);
+		assertThat(this.versions.listedMs("s", "v2", 1_500)).isEqualTo(500);
+		this.versions.observe(servers("v1"), 2_000);
+		assertThat(this.versions.listedMs("s", "v2", 2_500)).isEqualTo(Long.MAX_VALUE);
+		this.versions.observe(servers("v2"), 3_000);
+		assertThat(this.versions.listedMs("s", "v2", 3_100)).isEqualTo(100);
+	}
+
 	// Two hosts that report to each other must not keep a version alive.
 	@Test
 	void reportedVersionsAreNotPassedOn() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -32,6 +34,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
+import reactor.util.retry.Retry;
 
 /**
  * Directory of the software versions that began streams. While a single version of a
@@ -64,6 +67,11 @@
 	/** The longest time that a take-up waits for other hosts. */
 	private static final Duration FIND_TIMEOUT = Duration.ofMillis(300);
 
+	/** The time within which the lists of all hosts name a new version. */
+	private static final long LIST_DELAY_MS = 3_000;
+
+	private static final Duration ANNOUNCE_INTERVAL = Duration.ofMillis(100);
+
 	/** Up to this age of the last confirmation the list of servers counts as current. */
 	private static final long FRESH_MS = 1_000;
 
@@ -93,6 +101,9 @@
 	/** The streams of this host that their holders have not been told yet. */
 	private final Map<String, StreamRecord> unannounced = new HashMap<>();
 
+	/** The hosts that have been told of each version. */
+	private final Map<VersionOfService, Set<String>> knowingHosts = new HashMap<>();
+
 	private final Map<String, Outbox> outboxes = new HashMap<>();
 
 	private Map<String, Set<String>> storedVersions = Map.of();
@@ -201,32 +212,58 @@
 				this.unannounced.put(began.streamId(), began);
 				return Mono.empty();
 			}
-			return announce(began).timeout(this.waits.record(), this.scheduler).onErrorResume((error) -> {
-				logger.atInfo()
-					.atMostEvery(1, TimeUnit.SECONDS)
-					.log("Stream %s of version %s begins before its holders have confirmed its record: %s",
-							began.streamId(), began.version(), error.getMessage());
-				return Mono.empty();
-			});
+			return announce(began).timeout(this.waits.record(), this.scheduler)
+				.onErrorResume((error) -> announceUntilListed(began))
+				.onErrorResume((error) -> {
+					logger.atInfo()
+						.atMostEvery(1, TimeUnit.SECONDS)
+						.log("Stream %s of version %s begins before its holders have confirmed its record: %s",
+								began.streamId(), began.version(), error.getMessage());
+					return Mono.empty();
+				});
 		});
 	}
 
+	// Without a record and without knowledge of a version that has just been listed, the
+	// other hosts would take the stream for one of the version before.
+	private Mono<Void> announceUntilListed(StreamRecord began) {
+		Mono<Void> unconfirmed = Mono.error(() -> new TimeoutException(
+				"no majority of " + holders(began.streamId(), HOLDERS) + " has confirmed the record in time"));
+		long listedInMs = LIST_DELAY_MS - this.served.listedMs(began.service(), began.version(), nowMs());
+		if (listedInMs <= 0 || isKnownToMajority(began)) {
+			return unconfirmed;
+		}
+		return Mono.defer(() -> announce(began))
+			.retryWhen(Retry.fixedDelay(Long.MAX_VALUE, ANNOUNCE_INTERVAL).scheduler(this.scheduler))
+			.timeout(Duration.ofMillis(listedInMs), unconfirmed, this.scheduler);
+	}
+
+	private boolean isKnownToMajority(StreamRecord began) {
+		List<String> holders = holders(began.streamId(), HOLDERS);
+		Set<String> knowing = this.knowingHosts.getOrDefault(VersionOfService.of(began), Set.of());
+		return holders.stream().filter(knowing::contains).count() > holders.size() / 2;
+	}
+
 	// A majority must know the record, so that a search which reaches a majority finds
-	// it, and one of them must have it on disk, for the case that all hosts lose power.
+	// it, and one of them must have it on disk, if any host has one, for the case that
+	// all hosts lose power.
 	private Mono<Void> announce(StreamRecord began) {
 		List<String> holders = holders(began.streamId(), HOLDERS);
 		int majority = holders.size() / 2 + 1;
+		boolean disks = this.hosts.get().stream().anyMatch(HostRecord::hasStore);
 		List<Mono<Boolean>> confirmations = new ArrayList<>();
 		holders.forEach((holder) -> confirmations.add(sendTo(holder, began)));
 		return Flux.merge(confirmations)
 			.scan(new Confirmations(0, false), Confirmations::add)
-			.filter((confirmed) -> confirmed.count >= majority && confirmed.durable)
+			.filter((confirmed) -> confirmed.count >= majority && (confirmed.durable || !disks))
 			.next()
+			.switchIfEmpty(Mono.error(() -> new IOException("holders " + holders + " have not confirmed the record")))
 			.then();
 	}
 
 	private Mono<Boolean> sendTo(String holder, StreamRecord began) {
 		if (holder.equals(this.hostId)) {
+			recordKnowing(holder, this.served.observed(nowMs()));
 			return keep(new StreamMessage.Keep(List.of(began), Map.of())).map(StreamMessage.Kept::durable);
 		}
 		Outbox outbox = this.outboxes.computeIfAbsent(holder, (id) -> new Outbox());
@@ -250,7 +287,8 @@
 		Sinks.One<Boolean> replySink = outbox.nextReply;
 		outbox.nextReply = Sinks.one();
 		outbox.pending = true;
-		this.transport.request(holder, new StreamMessage.Keep(batch, this.served.observed(nowMs())), KEEP_TIMEOUT)
+		Map<String, Set<String>> observed = this.served.observed(nowMs());
+		this.transport.request(holder, new StreamMessage.Keep(batch, observed), KEEP_TIMEOUT)
 			.cast(StreamMessage.Kept.class)
 			.publishOn(this.scheduler)
 			.doFinally((signal) -> {
@@ -259,6 +297,7 @@
 			})
 			.subscribe((kept) -> {
 				onKept(kept);
+				recordKnowing(holder, observed);
 				replySink.tryEmitValue(kept.durable());
 			}, replySink::tryEmitError, replySink::tryEmitEmpty);
 	}
@@ -280,6 +319,13 @@
 			.map((durable) -> new StreamMessage.Kept(durable, known, complete));
 	}
 
+	private void recordKnowing(String holder, Map<String, Set<String>> versionsByService) {
+		versionsByService.forEach((service,
+				versions) -> versions.forEach((version) -> this.knowingHosts
+					.computeIfAbsent(new VersionOfService(service, version), (key) -> new HashSet<>())
+					.add(holder)));
+	}
+
 	private void onKept(StreamMessage.Kept kept) {
 		long nowMs = nowMs();
 		if (kept.complete() && !this.served.isComplete(nowMs)) {
@@ -352,6 +398,8 @@
 		this.records.setRetention(retained);
 		this.served.setRetention(retained);
 		this.served.expire(nowMs);
+		Map<String, Set<String>> observed = this.served.observed(nowMs);
+		this.knowingHosts.keySet().removeIf((known) -> !known.isIn(observed));
 		announceEarlierStreams(nowMs);
 		storeVersions(nowMs, retained);
 		this.outboxes.values().removeIf((outbox) -> !outbox.pending && outbox.queued.isEmpty());
@@ -404,6 +452,18 @@
 
 	}
 
+	private record VersionOfService(String service, String version) {
+
+		private static VersionOfService of(StreamRecord record) {
+			return new VersionOfService(record.service(), record.version());
+		}
+
+		private boolean isIn(Map<String, Set<String>> versionsByService) {
+			return versionsByService.getOrDefault(this.service, Set.of()).contains(this.version);
+		}
+
+	}
+
 	private record Confirmations(int count, boolean durable) {
 
 		private Confirmations add(boolean anotherDurable) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
@@ -99,6 +99,29 @@
 		}
 	}
 
+	// Guards against streams of a version that only their lost host has seen in the list
+	// being continued at the version before (incident "joined versions").
+	@Test
+	void streamDoesNotBeginAtAVersionThatOtherHostsDoNotKnow() {
+		try (VersionedFleet fleet = fleet()) {
+			fleet.setRecordWait(Duration.ofMillis(80));
+			VersionedFleet.Backend old = fleet.startServer("v1");
+			for (int number = 0; number < 4; number++) {
+				fleet.startHost(number, true);
+			}
+			VersionedFleet.Host first = fleet.host(3);
+			fleet.startServer("v1.1").breakAfter(4);
+			first.readList();
+			first.isolate();
+			old.cut(first, 60_000);
+			TakenStream taken = new TakenStream();
+			fleet.stream(first, fleet.nextRequestId(), taken);
+			fleet.kill(first);
+			takeUp(fleet, fleet.host(0), taken);
+			assertThat(taken.versions()).hasSizeLessThanOrEqualTo(1);
+		}
+	}
+
 	@Test
 	void streamOfUnknownVersionIsRefusedAtOnceAndReachesNoServer() {
 		try (VersionedFleet fleet = fleet()) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -62,6 +62,8 @@
 	/** Long enough for a busy machine, so that no stream begins without its record. */
 	private static final Duration RECORD_WAIT = Duration.ofSeconds(2);
 
+	private Duration recordWait = RECORD_WAIT;
+
 	private final Path folder;
 
 	private final Map<String, Host> hosts = new ConcurrentHashMap<>();
@@ -86,6 +88,10 @@
 		this.relayPort = FixedPorts.free();
 	}
 
+	void setRecordWait(Duration recordWait) {
+		this.recordWait = recordWait;
+	}
+
 	Backend startServer(String version) {
 		Backend backend = new Backend("i-" + this.lastServer.incrementAndGet(), version);
 		this.backends.add(backend);
@@ -380,6 +386,9 @@
 
 		private volatile boolean killed;
 
+		/** Whether the host reaches no other host. */
+		private volatile boolean isolated;
+
 		private Host(int number, boolean firstStart) {
 			this.id = "127.0.5." + (number + 1);
 			this.number = number;
@@ -390,7 +399,7 @@
 			this.directory = new StreamDirectory(this.id, this, this.scheduler, this.belief::hosts, List::of,
 					this.belief::ageMs, this.belief::streamRetentionMs, this.belief.servedVersions(),
 					(number < VersionedFleet.this.hostsWithDisk) ? VersionedFleet.this.folder.resolve(this.id) : null,
-					new StreamDirectory.Waits(RECORD_WAIT, RECORD_WAIT));
+					new StreamDirectory.Waits(VersionedFleet.this.recordWait, RECORD_WAIT));
 			this.reach = new ReachDirectory(this.id, this, this.scheduler, this.loops, this.belief::hosts,
 					this.belief.servers(), () -> 0, new SplittableRandom(number));
 			GatewayOptions options = new GatewayOptions(this.id, 0, VersionedFleet.this.relayPort, "a", 60_000, 1_000,
@@ -431,6 +440,10 @@
 				.block();
 		}
 
+		void isolate() {
+			this.isolated = true;
+		}
+
 		int number() {
 			return this.number;
 		}
@@ -469,7 +482,7 @@
 		public Mono<PeerMessage> request(String hostId, PeerMessage message, Duration timeout) {
 			return Mono.defer(() -> {
 				Host receiver = VersionedFleet.this.hosts.get(hostId);
-				if (receiver == null || this.killed) {
+				if (receiver == null || this.killed || this.isolated) {
 					return Mono.<PeerMessage>error(new IOException("host " + hostId + " is down"));
 				}
 				PeerHandler<PeerMessage> handler = (PeerHandler<PeerMessage>) receiver.handlers.get(message.getClass());
