--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
@@ -6,8 +6,8 @@
  */
 public final class ServerState {
 
-	/** The time within which the list shows a restarted process. */
-	static final long LIST_DELAY_MS = 3_000;
+	/** The time within which the lists of all hosts show a started process. */
+	public static final long LIST_DELAY_MS = 3_000;
 
 	private final ServerHealth health = new ServerHealth();
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
@@ -23,6 +23,7 @@
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.port.StreamVersions;
+import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.core.streamversion.ServedVersions;
 import io.fescuehold.core.streamversion.StreamRecord;
 import io.fescuehold.core.streamversion.StreamRecords;
@@ -67,9 +68,6 @@
 	/** The longest time that a take-up waits for other hosts. */
 	private static final Duration FIND_TIMEOUT = Duration.ofMillis(300);
 
-	/** The time within which the lists of all hosts name a new version. */
-	private static final long LIST_DELAY_MS = 3_000;
-
 	private static final Duration ANNOUNCE_INTERVAL = Duration.ofMillis(100);
 
 	/** Up to this age of the last confirmation the list of servers counts as current. */
@@ -229,7 +227,7 @@
 	private Mono<Void> announceUntilListed(StreamRecord began) {
 		Mono<Void> unconfirmed = Mono.error(() -> new TimeoutException(
 				"no majority of " + holders(began.streamId(), HOLDERS) + " has confirmed the record in time"));
-		long listedInMs = LIST_DELAY_MS - this.served.listedMs(began.service(), began.version(), nowMs());
+		long listedInMs = ServerState.LIST_DELAY_MS - this.served.listedMs(began.service(), began.version(), nowMs());
 		if (listedInMs <= 0 || isKnownToMajority(began)) {
 			return unconfirmed;
 		}
