--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -72,6 +72,8 @@
 		assertThat(requestsBy(this.cutOff)).isEqualTo(directBefore);
 	}
 
+	// Guards against a request that runs twice, or without its team or deadline, because
+	// two hosts handle it.
 	@Test
 	void requestThatIsPassedOnRunsOnceAndKeepsItsIdentity() {
 		cut(CUT_MS);
@@ -112,6 +114,7 @@
 		assertThat(runsById("lookup-").values()).hasSize(20).allMatch((runs) -> runs <= 2);
 	}
 
+	// Guards against servers that work on for callers who have left a cut-off host.
 	@Test
 	void serverOfARequestThatIsPassedOnHearsThatTheCallerHasLeft() throws IOException {
 		cut(CUT_MS);
@@ -219,6 +222,7 @@
 		}
 	}
 
+	// Guards against requests that wander between hosts while no host reaches a server.
 	@Test
 	void serversThatAreGoneForAllAreNotTakenForACut() {
 		this.fleet.backends().forEach(VersionedFleet.Backend::end);
@@ -232,6 +236,7 @@
 		assertThat(Duration.ofNanos(System.nanoTime() - startedNs)).isLessThan(Duration.ofMillis(500));
 	}
 
+	// Guards against a host that goes on passing requests on after the cut.
 	@Test
 	void hostServesByItselfAgainAfterTheCut() {
 		cut(2_000);
@@ -244,6 +249,7 @@
 		assertThat(requestsBy(this.cutOff)).isEqualTo(before + 1);
 	}
 
+	// Guards against callers being refused when the host that passes requests on is lost.
 	@Test
 	void lossOfTheHostThatPassesOnIsBorne() {
 		cut(CUT_MS);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
@@ -122,6 +122,7 @@
 		}
 	}
 
+	// Guards against a guess at the version, and against a refusal that comes late.
 	@Test
 	void streamOfUnknownVersionIsRefusedAtOnceAndReachesNoServer() {
 		try (VersionedFleet fleet = fleet()) {
@@ -140,6 +141,7 @@
 		}
 	}
 
+	// Guards against take-ups being refused while a single version serves (LOST).
 	@Test
 	void streamOfTheOnlyVersionIsTakenUpWithoutARecord() {
 		try (VersionedFleet fleet = fleet()) {
