Formation: the list of initial hosts is replaced as a whole

What callers saw: nothing yet. While causes for a fleet without a leader were looked for, the list of hosts that form the agreement group turned out to be written in place. Cut short by a full disk or a crash it was read as it stood at the next start: a list that holds only the host itself makes that host form a group of its own (read in Bootstrap, not played), one with a cut address makes it wait for a host that does not exist. Cause: a file that decides which group a host belongs to was not atomic. The class of fault: a partial write taken for a whole one. FeedStore and the log already write a temporary file and rename it; the records of streams carry a checksum. Change: DurableFile writes, syncs and renames. A standby whose list does not fit on the disk logs that and tries again at the next pull, instead of failing each pull before its configuration is taken.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
@@ -1,14 +1,11 @@
 package io.fescuehold.runtime.discovery;
 
-import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.codahale.metrics.MetricRegistry;
@@ -26,6 +23,7 @@
 import io.fescuehold.runtime.replica.ReplicaOptions;
 import io.fescuehold.runtime.replica.ReplicaRuntime;
 import io.fescuehold.runtime.replica.ReplicaStatus;
+import io.fescuehold.runtime.storage.DurableFile;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -57,6 +55,8 @@
 
 	private final long seed;
 
+	private final DurableFile formation;
+
 	private ReplicaRuntime replica;
 
 	private List<String> initialHostIds = List.of();
@@ -72,23 +72,24 @@
 		this.state = new RoutingState(listener);
 		this.voterPlan = new VoterPlan(options.losses(), options.timing().absenceMs());
 		this.seed = seed;
+		this.formation = new DurableFile(options.dataFolder().resolve(FORMATION_FILE));
 	}
 
 	/**
 	 * Starts the replica unless the group may still have to be formed.
 	 */
 	void start() {
-		Path formation = this.options.dataFolder().resolve(FORMATION_FILE);
 		try {
-			if (Files.exists(formation)) {
-				open(Files.readAllLines(formation));
+			if (this.formation.exists()) {
+				open(this.formation.read());
 			}
 			else if (!this.options.firstStart() && !mayNeedToFormGroup()) {
 				open(List.of());
 			}
 		}
-		catch (IOException ex) {
-			throw new FescueholdException(ErrorCode.STORAGE_FAILED, formation, ex.getMessage());
+		catch (UncheckedIOException ex) {
+			throw new FescueholdException(ErrorCode.STORAGE_FAILED, this.options.dataFolder().resolve(FORMATION_FILE),
+					ex.getCause().getMessage());
 		}
 	}
 
@@ -108,28 +109,27 @@
 		if (this.replica != null) {
 			return;
 		}
-		try {
-			Files.createDirectories(this.options.dataFolder());
-			Path file = this.options.dataFolder().resolve(FORMATION_FILE);
-			Files.write(file, hostIds);
-			try (FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE)) {
-				channel.force(true);
-			}
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
-		}
+		this.formation.replace(hostIds);
 		open(hostIds);
 	}
 
 	/**
 	 * Opens the replica of a host that is not an initial member of the group, so that it
-	 * can become a voter later.
+	 * can become a voter later. A disk that is full is tried again at the next call.
 	 */
 	void openAsStandby() {
-		if (this.replica == null) {
+		if (this.replica != null) {
+			return;
+		}
+		try {
 			formGroup(List.of());
 		}
+		catch (UncheckedIOException ex) {
+			logger.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.withCause(ex)
+				.log("The replica cannot be opened, because %s cannot be written", FORMATION_FILE);
+		}
 	}
 
 	boolean isOpen() {
