A stopped replica says so in errors, status and metrics

Operators saw "This replica is not the leader; the leader is unknown" from all hosts with a disk and could not tell a running replica without a leader from one that an error had stopped: both used the same words, and no metric or field of the dump differed except "failure".

The status now has a phase (STARTING, RUNNING, STOPPED), the text of NOT_LEADER ends with "and this replica has stopped: REASON", "is starting" or "belongs to no group yet", and agreement.GROUP.running and .failures exist from the start. The reason is cut at 300 characters.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -136,7 +136,6 @@
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
-		this.leaderCalls = new LeaderCalls(transport, scheduler, this::knownLeader, options.timing());
 		this.listReader = new ServerListReader(listSource, options.timing(), scheduler, random, this::onListRead);
 		this.listener = listener;
 		this.ownState = ownState;
@@ -147,6 +146,7 @@
 		this.hosts = new HostTable(options.timing().silenceMs());
 		this.replica = (options.dataFolder() != null) ? new RoutingReplica(options, agreement, scheduler, metrics,
 				this::onDocumentAccepted, random.nextLong()) : null;
+		this.leaderCalls = new LeaderCalls(transport, scheduler, this::knownLeader, this.replica, options.timing());
 		this.hub = new FleetHub(options, this.replica, this.hosts);
 		setSeeds(options.seeds());
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/LeaderCalls.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/LeaderCalls.java
@@ -27,12 +27,17 @@
 
 	private final Supplier<String> leader;
 
+	/** The replica of this host, or null. */
+	private final RoutingReplica replica;
+
 	private final FleetOptions.Timing timing;
 
-	LeaderCalls(PeerTransport transport, Scheduler scheduler, Supplier<String> leader, FleetOptions.Timing timing) {
+	LeaderCalls(PeerTransport transport, Scheduler scheduler, Supplier<String> leader, RoutingReplica replica,
+			FleetOptions.Timing timing) {
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.leader = leader;
+		this.replica = replica;
 		this.timing = timing;
 	}
 
@@ -49,7 +54,7 @@
 		return Mono.defer(() -> {
 			String hostId = this.leader.get();
 			if (hostId == null) {
-				return Mono.<T>error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+				return Mono.<T>error(new FescueholdException(ErrorCode.NOT_LEADER, describeLeader()));
 			}
 			long leftMs = Math.max(1, deadlineMs - nowMs());
 			return this.transport.request(hostId, message, Duration.ofMillis(leftMs)).cast(replyType);
@@ -61,6 +66,10 @@
 				.onRetryExhaustedThrow((spec, signal) -> signal.failure()));
 	}
 
+	private String describeLeader() {
+		return (this.replica != null) ? this.replica.describeLeader() : "unknown";
+	}
+
 	private long nowMs() {
 		return this.scheduler.now(TimeUnit.MILLISECONDS);
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
@@ -177,13 +177,22 @@
 		return (this.replica != null) ? this.replica.leaderHostId() : null;
 	}
 
+	/**
+	 * Describes the leader in error texts.
+	 * @return the host id of the leader, or "unknown" followed by the reason
+	 */
+	String describeLeader() {
+		return (this.replica != null) ? this.replica.status().describeLeader()
+				: "unknown, and this replica belongs to no group yet";
+	}
+
 	RoutingDocument current() {
 		return this.state.current();
 	}
 
 	Mono<Void> readBarrier() {
 		return (this.replica != null) ? this.replica.readBarrier()
-				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, describeLeader()));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/PendingRequests.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/PendingRequests.java
@@ -67,11 +67,16 @@
 		}
 	}
 
-	void failAll(String reason) {
+	/**
+	 * Fails all requests.
+	 * @param reason the reason, for proposals whose outcome is unknown
+	 * @param leaderDetail the leader, for requests without an effect
+	 */
+	void failAll(String reason, String leaderDetail) {
 		Map<Long, MonoSink<byte[]>> pendingProposals = Map.copyOf(this.proposals);
 		pendingProposals.keySet().forEach((id) -> fail(id, error(ErrorCode.OUTCOME_UNKNOWN, reason)));
 		Map<Long, MonoSink<Void>> pendingReadsAndChanges = Map.copyOf(this.readsAndChanges);
-		pendingReadsAndChanges.keySet().forEach((id) -> fail(id, error(ErrorCode.NOT_LEADER, null)));
+		pendingReadsAndChanges.keySet().forEach((id) -> fail(id, error(ErrorCode.NOT_LEADER, leaderDetail)));
 	}
 
 	FescueholdException error(ErrorCode code, String detail) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.LongConsumer;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Meter;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
@@ -46,6 +47,8 @@
 
 	private final Meter appliedMeter;
 
+	private final Counter failures;
+
 	private final List<LongConsumer> appliedListeners = new CopyOnWriteArrayList<>();
 
 	private final Sinks.One<Throwable> failure = Sinks.one();
@@ -63,7 +66,7 @@
 	private volatile ReplicaStatus status;
 
 	ReplicaDriver(ReplicaOptions options, AgreementTransport transport, ReplicatedStateMachine stateMachine,
-			Scheduler scheduler, Meter appliedMeter) {
+			Scheduler scheduler, Meter appliedMeter, Counter failures) {
 		this.options = options;
 		this.transport = transport;
 		this.stateMachine = stateMachine;
@@ -71,6 +74,7 @@
 		this.pendingRequests = new PendingRequests(options.group());
 		this.status = ReplicaStatus.notStarted(options.hostId());
 		this.appliedMeter = appliedMeter;
+		this.failures = failures;
 	}
 
 	EventLoop loop() {
@@ -145,7 +149,7 @@
 		}
 		this.running = false;
 		this.transport.removeReceiver(this.options.group());
-		this.pendingRequests.failAll("the replica is stopping");
+		this.pendingRequests.failAll("the replica is stopping", "unknown, and this replica is stopping");
 		this.writer.close(() -> this.loop.execute(closed));
 	}
 
@@ -242,8 +246,9 @@
 		this.running = false;
 		this.transport.removeReceiver(this.options.group());
 		String reason = String.valueOf(error.getMessage());
-		this.pendingRequests.failAll(reason);
 		this.status = this.status.withFailure(reason);
+		this.failures.inc();
+		this.pendingRequests.failAll(reason, this.status.describeLeader());
 		logger.atSevere().withCause(error).log("Replica of group %s stopped after an error", this.options.group());
 		this.writer.close(() -> {
 		});
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
@@ -84,11 +84,13 @@
 		this.storageFactory = storageFactory;
 		this.diskScheduler = diskScheduler;
 		this.driver = new ReplicaDriver(options, transport, stateMachine, scheduler,
-				metrics.meter(metricName("applied")));
+				metrics.meter(metricName("applied")), metrics.counter(metricName("failures")));
 		this.loop = this.driver.loop();
 		this.pendingRequests = this.driver.pendingRequests();
 		metrics.register(metricName("term"), (Gauge<Long>) () -> status().term());
 		metrics.register(metricName("commitIndex"), (Gauge<Long>) () -> status().commitIndex());
+		metrics.register(metricName("running"),
+				(Gauge<Integer>) () -> (status().phase() == ReplicaStatus.Phase.RUNNING) ? 1 : 0);
 		metrics.register(metricName("leading"), (Gauge<Integer>) () -> (status().role() == Role.LEADER) ? 1 : 0);
 	}
 
@@ -273,7 +275,7 @@
 
 	private boolean checkRunning(MonoSink<?> sink) {
 		if (!this.driver.isRunning()) {
-			sink.error(this.pendingRequests.error(ErrorCode.NOT_LEADER, null));
+			sink.error(this.pendingRequests.error(ErrorCode.NOT_LEADER, status().describeLeader()));
 		}
 		return this.driver.isRunning();
 	}
@@ -289,7 +291,7 @@
 				}
 			});
 			if (!accepted) {
-				sink.error(this.pendingRequests.error(ErrorCode.NOT_LEADER, null));
+				sink.error(this.pendingRequests.error(ErrorCode.NOT_LEADER, "unknown, and this replica is stopping"));
 			}
 		});
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaStatus.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaStatus.java
@@ -22,10 +22,13 @@
  * @param members the members
  * @param pendingChange the request id of the membership change in progress, or null
  * @param failure the error that stopped the replica, or null
+ * @param phase whether the replica takes part in the group
  */
 public record ReplicaStatus(String hostId, String storeId, Role role, long term, String leaderHostId, long lastIndex,
 		long commitIndex, long appliedIndex, long compactedIndex, List<MemberStatus> members, String pendingChange,
-		String failure) {
+		String failure, Phase phase) {
+
+	private static final int MAX_FAILURE_LENGTH = 300;
 
 	static ReplicaStatus of(AgreementNode node) {
 		Membership membership = node.membership();
@@ -37,16 +40,48 @@
 		String leader = (node.leader() != null) ? node.leader().hostId() : null;
 		return new ReplicaStatus(node.self().hostId(), node.self().storeId(), node.role(), node.term(), leader,
 				node.lastIndex(), node.commitIndex(), node.appliedIndex(), node.compactedIndex(), members, pending,
-				null);
+				null, Phase.RUNNING);
 	}
 
 	static ReplicaStatus notStarted(String hostId) {
-		return new ReplicaStatus(hostId, null, Role.FOLLOWER, 0, null, 0, 0, 0, 0, List.of(), null, null);
+		return new ReplicaStatus(hostId, null, Role.FOLLOWER, 0, null, 0, 0, 0, 0, List.of(), null, null,
+				Phase.STARTING);
 	}
 
 	ReplicaStatus withFailure(String reason) {
+		String failureText = reason.substring(0, Math.min(reason.length(), MAX_FAILURE_LENGTH));
 		return new ReplicaStatus(this.hostId, this.storeId, Role.FOLLOWER, this.term, null, this.lastIndex,
-				this.commitIndex, this.appliedIndex, this.compactedIndex, this.members, this.pendingChange, reason);
+				this.commitIndex, this.appliedIndex, this.compactedIndex, this.members, this.pendingChange, failureText,
+				Phase.STOPPED);
+	}
+
+	/**
+	 * Describes the leader in error texts, so that a replica that has stopped differs
+	 * from a running one that knows no leader.
+	 * @return the host id of the leader, or "unknown" followed by the reason
+	 */
+	public String describeLeader() {
+		return switch (this.phase) {
+			case STARTING -> "unknown, and this replica is starting";
+			case RUNNING -> (this.leaderHostId != null) ? this.leaderHostId : "unknown";
+			case STOPPED -> "unknown, and this replica has stopped: " + this.failure;
+		};
+	}
+
+	/**
+	 * Whether a replica takes part in the group.
+	 */
+	public enum Phase {
+
+		/** The store is being opened. */
+		STARTING,
+
+		/** The replica takes part. */
+		RUNNING,
+
+		/** An error has stopped the replica. */
+		STOPPED
+
 	}
 
 	/**
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaFaultTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/ReplicaFaultTests.java
@@ -99,6 +99,32 @@
 		assertThat(leader.status().failure()).isEqualTo("broken");
 	}
 
+	/** Guards against a stopped replica that looks like one that knows no leader. */
+	@Test
+	void errorsAndStatusTellAStoppedReplicaFromOneWithoutALeader() {
+		ReplicaRuntime leader = formGroup();
+		ReplicaRuntime follower = this.replicas.values().stream().filter((other) -> other != leader).findAny().get();
+		this.network.isolate(follower.status().hostId());
+		advanceTime(3_000);
+		assertThat(errorText(follower)).endsWith("the leader is unknown");
+		assertThat(follower.status().phase()).isEqualTo(ReplicaStatus.Phase.RUNNING);
+		this.stores.get(follower.status().hostId()).syncError = ErrorCode.STORAGE_FAILED;
+		this.network.heal();
+		advanceTime(3_000);
+		collectNow(leader.propose(bytes("x")));
+		assertThat(errorText(follower)).contains("the leader is unknown, and this replica has stopped: ")
+			.contains("a test makes the sync fail");
+		assertThat(follower.status().phase()).isEqualTo(ReplicaStatus.Phase.STOPPED);
+	}
+
+	private String errorText(ReplicaRuntime replica) {
+		List<String> texts = new ArrayList<>();
+		replica.readBarrier().subscribe((done) -> {
+		}, (error) -> texts.add(error.getMessage()));
+		advanceTime(100);
+		return texts.getFirst();
+	}
+
 	private ReplicaRuntime formGroup() {
 		for (String hostId : HOSTS) {
 			ReplicaOptions options = new ReplicaOptions("g", hostId, Path.of("unused"), HOSTS, Map.of(), TIMING);
