Store: the last batch is durable once the store is open again

A replica treats every entry and vote that it reads when it opens its store as durable. That is wrong for the last batch: after a failed sync the operating system keeps it readable but drops it from the pages still to be written, and after a kill between write and sync it was never synced. An entry acknowledged after the reopening could be lost with the power. Today this needs a restart of the process after the error; a replica that is reopened within its process makes it common.

A later batch is only written after the sync of the one before, so only the last batch of the last segment can be affected. It is now written again in place with the same bytes and synced before the store is used; the same bytes make a torn rewrite harmless and need no free space. If one of these fails, the store does not open.

DiskStorageTests#batchWhoseSyncFailedIsDurableOnceTheStoreIsOpenAgain failed before ("Expecting code to raise a throwable": the store opened although the sync still failed). DiskStorageTests and ReplicaRuntimeTests pass.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -24,7 +24,8 @@
 /**
  * Stores a replica's log, vote and snapshot in a folder. After a failed sync every
  * further write fails, because the operating system may have discarded the data that
- * could not be written.
+ * could not be written. A store that is opened again makes everything that it reads
+ * durable first.
  */
 public final class DiskStorage implements ReplicaStorage {
 
@@ -84,6 +85,8 @@
 	@Override
 	public StoredState load() {
 		try {
+			// A rename whose sync failed must be durable before older files are deleted.
+			this.disk.syncFolder(this.options.folder());
 			this.snapshot.open();
 			this.log.open();
 			return combineSnapshotAndLog(this.log.takeLoadedEntries());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
@@ -47,6 +47,9 @@
 
 	private long position;
 
+	/** The last batch read, until it is durable. */
+	private ByteBuffer lastBatch;
+
 	SegmentLog(Path folder, Disk disk, long segmentBytes) {
 		this.folder = folder;
 		this.disk = disk;
@@ -67,9 +70,9 @@
 	}
 
 	/**
-	 * Reads all segments, removes a torn write from the end of the last one and opens it
-	 * for writes.
-	 * @throws IOException if a file cannot be read or truncated
+	 * Reads all segments, removes a torn write from the end of the last one, makes its
+	 * last batch durable and opens it for writes.
+	 * @throws IOException if a file cannot be read or written
 	 */
 	void open() throws IOException {
 		List<Path> files = listFiles();
@@ -81,6 +84,18 @@
 		}
 		this.channel = FileChannel.open(this.segments.getLast().file, StandardOpenOption.WRITE);
 		this.position = this.channel.size();
+		rewriteLastBatch();
+	}
+
+	// The sync of the last batch may be missing or may have failed. After a failed sync
+	// the
+	// batch can still be read although the operating system will not write it again.
+	private void rewriteLastBatch() throws IOException {
+		if (this.lastBatch != null) {
+			this.disk.write(this.channel, this.lastBatch, this.position - this.lastBatch.remaining());
+			this.disk.sync(this.channel);
+			this.lastBatch = null;
+		}
 	}
 
 	HardState hardState() {
@@ -192,6 +207,7 @@
 		this.segments.add(segment);
 		ByteBuffer content = ByteBuffer.wrap(Files.readAllBytes(file));
 		int offset = 0;
+		this.lastBatch = null;
 		while (offset < content.limit()) {
 			int size = Batch.sizeAt(content, offset);
 			if (size < 0) {
@@ -206,6 +222,7 @@
 			for (LogRecord logRecord : Batch.records(content, offset, size)) {
 				replay(segment, file, offset, logRecord);
 			}
+			this.lastBatch = content.slice(offset, size);
 			offset += size;
 		}
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/DiskStorageTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/DiskStorageTests.java
@@ -198,6 +198,26 @@
 		}
 	}
 
+	/**
+	 * Guards against relying on a batch that can be read after its sync failed, but that
+	 * a power loss removes.
+	 */
+	@Test
+	void batchWhoseSyncFailedIsDurableOnceTheStoreIsOpenAgain() {
+		try (DiskStorage storage = open()) {
+			storage.load();
+			storage.append(1, entries(1, 2, 1));
+			storage.sync();
+			storage.append(3, entries(3, 3, 1));
+			this.disk.syncFails = true;
+			assertCode(storage::sync, ErrorCode.STORAGE_FAILED);
+		}
+		assertCode(this::read, ErrorCode.STORAGE_FAILED);
+		this.disk.syncFails = false;
+		assertThat(read().entries()).hasSize(3);
+		assertThat(this.disk.unsafeWrite).isNull();
+	}
+
 	@Test
 	void fullDiskLosesNothingAndRecovers() {
 		try (DiskStorage storage = open()) {
