Fleet: log lines tell which configuration a host obeys and who confirmed it

Cause: Fleet kept the document in a field and logged nothing about it; the line of a submission named the submitted number only. Change: ConfigurationInForce holds the document and its last confirmation. It logs each replacement with its source and the age of the last confirmation, and each change of the host that confirms. Evidence: lines only, no decision changes; no test.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -249,10 +249,11 @@
 			RoutingRules.check(config);
 			return this.fleet.submit(Documents.of(config.number(), submitted))
 				.doOnNext((outcome) -> logger.atInfo()
-					.log("Submission of configuration %d: %s", config.number(), outcome))
+					.log("Submission of configuration %d: %s; this host obeys configuration %d", config.number(),
+							outcome, this.belief.number()))
 				.doOnError((error) -> logger.atWarning()
-					.log("Submission of configuration %d has no known outcome: %s", config.number(),
-							error.getMessage()));
+					.log("Submission of configuration %d has no known outcome: %s; this host obeys configuration %d",
+							config.number(), error.getMessage(), this.belief.number()));
 		});
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -92,7 +92,7 @@
 
 	private GroupFormation formation;
 
-	private RoutingDocument document = RoutingDocument.NONE;
+	private final ConfigurationInForce configuration;
 
 	private ServerList servers = ServerList.EMPTY;
 
@@ -139,6 +139,7 @@
 		this.leaderCalls = new LeaderCalls(transport, scheduler, this::knownLeader, options.timing());
 		this.listReader = new ServerListReader(listSource, options.timing(), scheduler, random, this::onListRead);
 		this.listener = listener;
+		this.configuration = new ConfigurationInForce(listener, this.clockMs);
 		this.ownState = ownState;
 		this.announcements = metrics.counter("fleet.announcements");
 		this.random = random;
@@ -355,7 +356,7 @@
 		this.pendingTargets.add(target);
 		long askedAtMs = this.clockMs.getAsLong();
 		Map<String, Set<String>> partsRead = target.equals(knownLeader()) ? this.listener.takePartsRead() : Map.of();
-		SyncMessage.Pull pull = new SyncMessage.Pull(ownRecord(), this.document.number(), this.servers.revision(),
+		SyncMessage.Pull pull = new SyncMessage.Pull(ownRecord(), this.configuration.number(), this.servers.revision(),
 				this.hostsRevision, this.listener.ownRequests(), partsRead);
 		this.transport.request(target, pull, Duration.ofMillis(this.options.timing().pullTimeoutMs()))
 			.cast(SyncMessage.News.class)
@@ -382,13 +383,9 @@
 			this.replica.openAsStandby();
 		}
 		if (news.document() != null) {
-			RoutingDocument newer = RoutingDocument.decode(news.document());
-			if (newer.number() > this.document.number()) {
-				this.document = newer;
-				this.listener.onDocument(newer);
-			}
+			this.configuration.take(RoutingDocument.decode(news.document()), "leader " + from);
 		}
-		this.listener.onConfirmed(askedAtMs);
+		this.configuration.confirm(from, askedAtMs);
 		if (news.servers() != null && news.servers().revision() != this.servers.revision()) {
 			applyServers(news.servers());
 		}
@@ -487,7 +484,7 @@
 		dump.put("hostId", this.options.hostId());
 		dump.put("leader", knownLeader());
 		dump.put("silenceMs", silenceMs());
-		dump.put("configuration", this.document.number());
+		dump.put("configuration", this.configuration.number());
 		dump.put("servers", this.servers);
 		dump.put("hosts", this.hosts.hosts());
 		dump.put("replica", (this.replica != null) ? this.replica.dump() : "no disk");
