Fleet: a host obeys what it acknowledges, and committed configurations spread without a leader

Three faults act on the same lines of Fleet and are mended together: 1. Only a leader's answer to a pull put a configuration in force. The answer to a submission or a read did not, so it overtook the pull; with the leader lost then, the host went on under the old configuration. A submission that was overtaken was acknowledged under an even older one. LeaderCalls now puts the configuration in force before it returns the outcome; if that fails, the outcome is unknown (OUTCOME_UNKNOWN). 2. The number was recorded before the listener had put the configuration in force, and any answer of a leader confirmed it. After a failed update the next answer called the old configuration the newest. The number is now recorded last, here and for server lists and hosts. News carries the leader's number (optional; a leader of an earlier version confirms as before), and only the number in force is confirmed. An answer that cannot be processed no longer counts as a lost leader; a pull that cannot be sent no longer ends the pulls; a failed task of the tick no longer ends the others. 3. No other host, nor a host's own replica, passed a committed configuration on. A host now takes what its replica has applied, attaches its configuration to a redirect if the sender of the pull holds an older one, and pulls from a sender that holds a newer one while no leader is known. Until a leader has confirmed a configuration once, a starting host waits for the leader as before. PullTargets and TaskGuard hold what no longer fitted into Fleet.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ConfigurationInForce.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/ConfigurationInForce.java
@@ -1,5 +1,6 @@
 package io.fescuehold.runtime.discovery;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -18,16 +19,23 @@
 
 	private final LongSupplier clockMs;
 
+	private final Runnable onTaken;
+
 	private final ConfigFreshness freshness = new ConfigFreshness();
 
 	private RoutingDocument document = RoutingDocument.NONE;
 
 	private String confirmedBy;
 
-	private boolean confirmedOnce;
-
-	ConfigurationInForce(FleetListener listener, LongSupplier clockMs) {
+	/**
+	 * Creates an empty view.
+	 * @param listener the listener that puts configurations in force
+	 * @param clockMs the clock in milliseconds
+	 * @param onTaken called after a configuration was put in force
+	 */
+	ConfigurationInForce(FleetListener listener, LongSupplier clockMs, Runnable onTaken) {
 		this.listener = listener;
+		this.onTaken = onTaken;
 		this.clockMs = clockMs;
 	}
 
@@ -40,41 +48,72 @@
 	}
 
 	/**
-	 * Puts a committed configuration in force, unless it is not newer.
+	 * Returns whether a leader has confirmed a configuration since this process started.
+	 * Until then, what a replica or another daemon holds may be older than what this
+	 * daemon acknowledged before.
+	 * @return whether there was a confirmation
+	 */
+	boolean isConfirmedOnce() {
+		return this.confirmedBy != null;
+	}
+
+	/**
+	 * Puts a committed configuration in force, unless it is not newer. If that fails, the
+	 * previous one stays in force.
 	 * @param committed the configuration
 	 * @param source where it came from, for the log
+	 * @return whether this configuration or a newer one is in force now
 	 */
-	void take(RoutingDocument committed, String source) {
-		if (committed.number() <= this.document.number()) {
-			return;
-		}
+	boolean take(RoutingDocument committed, String source) {
 		long previous = this.document.number();
+		if (committed.number() <= previous) {
+			return true;
+		}
+		try {
+			this.listener.onDocument(committed);
+		}
+		catch (RuntimeException ex) {
+			logger.atSevere()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.withCause(ex)
+				.log("Configuration %d from %s cannot be put in force; configuration %d stays, which was confirmed %s",
+						committed.number(), source, previous, age());
+			return false;
+		}
 		this.document = committed;
-		this.listener.onDocument(committed);
 		logger.atInfo()
 			.log("Configuration %d from %s replaces configuration %d, which was confirmed %s", committed.number(),
 					source, previous, age());
+		this.onTaken.run();
+		return true;
 	}
 
 	/**
-	 * Records that the configuration in force is the newest.
+	 * Records that a configuration is the newest, if it is the one in force.
 	 * @param hostId the leader that confirmed it
+	 * @param number the number of the newest configuration
 	 * @param askedAtMs the time in milliseconds at which the confirmation was requested
 	 */
-	void confirm(String hostId, long askedAtMs) {
+	void confirm(String hostId, long number, long askedAtMs) {
+		if (number != this.document.number()) {
+			logger.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.log("Leader %s holds configuration %d and does not confirm configuration %d, which was confirmed %s",
+						hostId, number, this.document.number(), age());
+			return;
+		}
 		if (!hostId.equals(this.confirmedBy)) {
 			logger.atInfo()
-				.log("Configuration %d is confirmed by %s, previously by %s %s", this.document.number(), hostId,
-						this.confirmedBy, age());
+				.log("Configuration %d is confirmed by %s, previously by %s %s", number, hostId, this.confirmedBy,
+						age());
 		}
 		this.confirmedBy = hostId;
-		this.confirmedOnce = true;
 		this.freshness.confirm(askedAtMs);
 		this.listener.onConfirmed(askedAtMs);
 	}
 
 	private String age() {
-		return this.confirmedOnce ? this.freshness.ageMs(this.clockMs.getAsLong()) + " ms ago" : "never";
+		return isConfirmedOnce() ? this.freshness.ageMs(this.clockMs.getAsLong()) + " ms ago" : "never";
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -1,10 +1,7 @@
 package io.fescuehold.runtime.discovery;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -23,7 +20,6 @@
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.membership.HostTable;
-import io.fescuehold.core.membership.LeaderSearch;
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.port.StateDump;
@@ -88,8 +84,6 @@
 
 	private final Counter announcements;
 
-	private final List<String> seeds = new ArrayList<>();
-
 	private GroupFormation formation;
 
 	private final ConfigurationInForce configuration;
@@ -100,10 +94,7 @@
 
 	private String leaderHostId;
 
-	private final LeaderSearch search;
-
-	/** The hosts whose reply to a pull is pending. */
-	private final Set<String> pendingTargets = new HashSet<>();
+	private final PullTargets targets;
 
 	private long lastContactMs;
 
@@ -136,19 +127,20 @@
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
-		this.leaderCalls = new LeaderCalls(transport, scheduler, this::knownLeader, options.timing());
+		this.configuration = new ConfigurationInForce(listener, this.clockMs, this::onConfigurationTaken);
+		this.leaderCalls = new LeaderCalls(transport, scheduler, this::knownLeader, options.timing(),
+				this.configuration);
 		this.listReader = new ServerListReader(listSource, options.timing(), scheduler, random, this::onListRead);
 		this.listener = listener;
-		this.configuration = new ConfigurationInForce(listener, this.clockMs);
 		this.ownState = ownState;
 		this.announcements = metrics.counter("fleet.announcements");
 		this.random = random;
-		this.search = new LeaderSearch(random);
 		this.incarnation = incarnation;
 		this.hosts = new HostTable(options.timing().silenceMs());
+		this.targets = new PullTargets(options.hostId(), this.hosts, random);
 		this.replica = (options.dataFolder() != null) ? new RoutingReplica(options, agreement, scheduler, metrics,
 				this::onDocumentAccepted, random.nextLong()) : null;
-		this.hub = new FleetHub(options, this.replica, this.hosts);
+		this.hub = new FleetHub(options, this.replica, this.hosts, this.configuration);
 		setSeeds(options.seeds());
 	}
 
@@ -159,11 +151,12 @@
 		onMessage(SyncMessage.Pull.class, (pull) -> {
 			Mono<SyncMessage.News> answer = this.hub.handle(pull, knownLeader(), this.clockMs.getAsLong());
 			scheduleLeaderCheck();
+			pullIfNewer(pull);
 			return answer;
 		});
-		onMessage(SyncMessage.Submit.class, (submit) -> submitLocally(RoutingDocument.decode(submit.document()))
+		onMessage(SyncMessage.Submit.class, (submit) -> this.hub.submit(RoutingDocument.decode(submit.document()))
 			.map((outcome) -> new SyncMessage.Submitted(outcome.name())));
-		onMessage(SyncMessage.ReadNewest.class, (read) -> readLocally().map(SyncMessage.Newest::new));
+		onMessage(SyncMessage.ReadNewest.class, (read) -> this.hub.readNewest().map(SyncMessage.Newest::new));
 		onMessage(SyncMessage.Form.class, (form) -> {
 			if (this.replica != null) {
 				this.replica.formGroup(form.hostIds());
@@ -197,8 +190,7 @@
 	 * @param hostIds the host ids
 	 */
 	public void setSeeds(List<String> hostIds) {
-		this.seeds.clear();
-		this.seeds.addAll(hostIds);
+		this.targets.setSeeds(hostIds);
 	}
 
 	/**
@@ -218,34 +210,22 @@
 	}
 
 	/**
-	 * Submits a configuration.
+	 * Submits a configuration. An outcome that acknowledges it is only returned once this
+	 * daemon obeys the configuration or a newer one.
 	 * @param submission the configuration
-	 * @return the outcome; errors if no leader replies in time, in which case the
-	 * configuration may or may not take effect
+	 * @return the outcome; errors if no leader replies in time or this daemon cannot put
+	 * the configuration in force, in which case it may or may not take effect
 	 */
 	public Mono<SubmissionOutcome> submit(RoutingDocument submission) {
-		return this.leaderCalls.call(new SyncMessage.Submit(submission.encode()), SyncMessage.Submitted.class)
-			.map((reply) -> SubmissionOutcome.valueOf(reply.outcome()));
+		return this.leaderCalls.submit(submission);
 	}
 
 	/**
-	 * Reads the newest configuration.
+	 * Reads the newest configuration, which is also put in force.
 	 * @return the configuration; errors if no leader replies in time
 	 */
 	public Mono<RoutingDocument> readNewest() {
-		return this.leaderCalls.call(new SyncMessage.ReadNewest(), SyncMessage.Newest.class)
-			.map((reply) -> RoutingDocument.decode(reply.document()));
-	}
-
-	private Mono<SubmissionOutcome> submitLocally(RoutingDocument submission) {
-		return (this.replica != null) ? this.replica.submit(submission)
-				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
-	}
-
-	private Mono<byte[]> readLocally() {
-		return (this.replica != null)
-				? this.replica.readBarrier().then(Mono.fromSupplier(() -> this.replica.current().encode()))
-				: Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
+		return this.leaderCalls.readNewest();
 	}
 
 	private String knownLeader() {
@@ -257,7 +237,16 @@
 	}
 
 	private void onDocumentAccepted(RoutingDocument accepted) {
-		this.scheduler.schedule(this.hub::releaseUpdated);
+		this.scheduler.schedule(() -> {
+			if (this.configuration.isConfirmedOnce()) {
+				this.configuration.take(accepted, "the own replica");
+			}
+			this.hub.releaseUpdated();
+		});
+	}
+
+	private void onConfigurationTaken() {
+		this.hub.releaseOutdated();
 	}
 
 	// Pulls that are held until a leader is known must not wait for the next tick.
@@ -284,14 +273,16 @@
 
 	private void tick() {
 		long nowMs = this.clockMs.getAsLong();
-		this.hosts.observe(ownRecord(), nowMs);
-		tickHub(nowMs);
-		this.formation.tick(this.hosts.hosts(), (this.replica != null) ? this.replica.initialHostIds() : List.of(),
-				this.replica != null && this.replica.isOpen(), knownLeader() != null, nowMs);
+		TaskGuard.run("observe this host", () -> this.hosts.observe(ownRecord(), nowMs));
+		TaskGuard.run("answer held pulls", () -> tickHub(nowMs));
+		TaskGuard.run("form the group",
+				() -> this.formation.tick(this.hosts.hosts(),
+						(this.replica != null) ? this.replica.initialHostIds() : List.of(),
+						this.replica != null && this.replica.isOpen(), knownLeader() != null, nowMs));
 		if (this.replica != null) {
-			this.replica.reconcileVoters(this.hub.liveHosts(), nowMs);
+			TaskGuard.run("change the voters", () -> this.replica.reconcileVoters(this.hub.liveHosts(), nowMs));
 		}
-		this.listReader.tick(this.hub.isLeading(), silenceMs(), nowMs);
+		TaskGuard.run("read the server list", () -> this.listReader.tick(this.hub.isLeading(), silenceMs(), nowMs));
 	}
 
 	// The announcement is not proof of leadership: the reply to the next pull confirms it
@@ -311,12 +302,12 @@
 	}
 
 	private void applyServers(ServerList list) {
+		this.listener.onServers(list);
 		this.servers = list;
 		logger.atInfo()
 			.log("Server list %d has %d servers, %d of them leaving", list.revision(), list.servers().size(),
 					list.servers().stream().filter(BackendServer::leaving).count());
 		this.hub.setServers(list);
-		this.listener.onServers(list);
 	}
 
 	private void pull() {
@@ -325,44 +316,50 @@
 			return;
 		}
 		String leader = knownLeader();
-		if (leader != null && !this.pendingTargets.contains(leader)) {
+		if (leader != null && !this.targets.isPending(leader)) {
 			sendPull(leader);
 		}
 		// A disconnected replica may name a leader that has failed long ago.
 		if (leader == null || silenceMs() >= this.options.timing().silenceMs()) {
-			this.search.next(possibleVoters(), hostIds(this.hosts.hosts()), Set.copyOf(this.pendingTargets))
-				.forEach(this::sendPull);
+			this.targets.next().forEach(this::sendPull);
 			schedulePull(
 					this.options.timing().pullPauseMs() + this.random.nextLong(this.options.timing().pullPauseMs()));
 		}
 	}
 
-	private Set<String> possibleVoters() {
-		Set<String> hostIds = new LinkedHashSet<>(this.seeds);
-		hostIds.addAll(hostIds(this.hosts.hosts().stream().filter(HostRecord::hasStore).toList()));
-		hostIds.remove(this.options.hostId());
-		return hostIds.isEmpty() ? Set.of(this.options.hostId()) : hostIds;
-	}
-
-	private List<String> hostIds(List<HostRecord> records) {
-		return records.stream()
-			.map(HostRecord::hostId)
-			.filter((hostId) -> !hostId.equals(this.options.hostId()))
-			.toList();
+	// A daemon that holds a newer configuration than this one does not wait for the next
+	// pull of this one.
+	private void pullIfNewer(SyncMessage.Pull received) {
+		String sender = received.sender().hostId();
+		if (received.number() > this.configuration.number() && this.configuration.isConfirmedOnce()
+				&& knownLeader() == null && !this.targets.isPending(sender)) {
+			sendPull(sender);
+		}
 	}
 
-	// Prompt parts are only reported to the leader; other daemons would discard them.
 	private void sendPull(String target) {
-		this.pendingTargets.add(target);
+		this.targets.begin(target);
 		long askedAtMs = this.clockMs.getAsLong();
-		Map<String, Set<String>> partsRead = target.equals(knownLeader()) ? this.listener.takePartsRead() : Map.of();
-		SyncMessage.Pull pull = new SyncMessage.Pull(ownRecord(), this.configuration.number(), this.servers.revision(),
-				this.hostsRevision, this.listener.ownRequests(), partsRead);
-		this.transport.request(target, pull, Duration.ofMillis(this.options.timing().pullTimeoutMs()))
+		long heldNumber = this.configuration.number();
+		Mono.defer(() -> this.transport.request(target, createPull(target, heldNumber),
+				Duration.ofMillis(this.options.timing().pullTimeoutMs())))
 			.cast(SyncMessage.News.class)
 			.switchIfEmpty(Mono.error(() -> new FescueholdException(ErrorCode.NOT_LEADER, "unknown")))
 			.publishOn(this.scheduler)
-			.subscribe((news) -> onNews(target, news, askedAtMs), (error) -> onPullFailed(target, error));
+			.subscribe((news) -> {
+				this.targets.end(target);
+				if (!TaskGuard.run("process the answer of host " + target,
+						() -> onNews(target, news, heldNumber, askedAtMs))) {
+					schedulePull(this.options.timing().holdMs());
+				}
+			}, (error) -> onPullFailed(target, error));
+	}
+
+	// Prompt parts are only reported to the leader; other daemons would discard them.
+	private SyncMessage.Pull createPull(String target, long heldNumber) {
+		Map<String, Set<String>> partsRead = target.equals(knownLeader()) ? this.listener.takePartsRead() : Map.of();
+		return new SyncMessage.Pull(ownRecord(), heldNumber, this.servers.revision(), this.hostsRevision,
+				this.listener.ownRequests(), partsRead);
 	}
 
 	private HostRecord ownRecord() {
@@ -370,9 +367,8 @@
 				(this.replica != null) ? this.replica.storeId() : null, this.ownState.get());
 	}
 
-	private void onNews(String from, SyncMessage.News news, long askedAtMs) {
+	private void onNews(String from, SyncMessage.News news, long heldNumber, long askedAtMs) {
 		long nowMs = this.clockMs.getAsLong();
-		this.pendingTargets.remove(from);
 		if (!news.current()) {
 			onRedirect(from, news, nowMs);
 			return;
@@ -382,10 +378,7 @@
 		if (this.replica != null) {
 			this.replica.openAsStandby();
 		}
-		if (news.document() != null) {
-			this.configuration.take(RoutingDocument.decode(news.document()), "leader " + from);
-		}
-		this.configuration.confirm(from, askedAtMs);
+		boolean obeyed = onConfiguration(from, news, heldNumber, askedAtMs);
 		if (news.servers() != null && news.servers().revision() != this.servers.revision()) {
 			applyServers(news.servers());
 		}
@@ -393,12 +386,21 @@
 			if (!this.hub.isLeading()) {
 				this.hosts.replaceAll(news.hosts(), nowMs);
 			}
-			this.hostsRevision = news.hostsRevision();
 			this.listener.onHosts(news.hosts());
+			this.hostsRevision = news.hostsRevision();
 		}
 		this.listener.onOtherRequests(news.otherRequests());
 		this.listener.onPartsRead(news.otherPartsRead());
-		schedulePull(Math.max(0, MIN_PULL_INTERVAL_MS - (nowMs - askedAtMs)));
+		schedulePull(obeyed ? Math.max(0, MIN_PULL_INTERVAL_MS - (nowMs - askedAtMs)) : this.options.timing().holdMs());
+	}
+
+	// A leader of an earlier version only tells that it holds nothing newer.
+	private boolean onConfiguration(String from, SyncMessage.News news, long heldNumber, long askedAtMs) {
+		RoutingDocument newer = (news.document() != null) ? RoutingDocument.decode(news.document()) : null;
+		boolean obeyed = newer == null || this.configuration.take(newer, "leader " + from);
+		long confirmedNumber = (newer != null) ? newer.number() : heldNumber;
+		this.configuration.confirm(from, (news.number() != null) ? news.number() : confirmedNumber, askedAtMs);
+		return obeyed;
 	}
 
 	// The named leader may be outdated, so the search continues while that leader is
@@ -407,11 +409,14 @@
 		if (!this.hub.isLeading() && news.hosts() != null) {
 			news.hosts().forEach((host) -> this.hosts.observe(host, nowMs));
 		}
+		if (news.document() != null && this.configuration.isConfirmedOnce()) {
+			this.configuration.take(RoutingDocument.decode(news.document()), "host " + from);
+		}
 		if (from.equals(this.leaderHostId)) {
 			setLeader(null);
 		}
 		String named = news.leaderHostId();
-		if (knownLeader() == null && named != null && !named.equals(from) && !this.pendingTargets.contains(named)) {
+		if (knownLeader() == null && named != null && !named.equals(from) && !this.targets.isPending(named)) {
 			sendPull(named);
 		}
 		ensurePullScheduled();
@@ -424,7 +429,7 @@
 	}
 
 	private void onPullFailed(String target, Throwable error) {
-		this.pendingTargets.remove(target);
+		this.targets.end(target);
 		logger.atInfo()
 			.atMostEvery(1, TimeUnit.SECONDS)
 			.log("Host %s does not respond; the last contact with the leader was %d ms ago: %s", target, silenceMs(),
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
@@ -7,10 +7,13 @@
 import java.util.Set;
 import java.util.function.Predicate;
 
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostTable;
 import io.fescuehold.core.prompt.PartReportRelay;
 import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.core.servers.FleetLoad;
 import io.fescuehold.core.servers.ServerList;
 import reactor.core.publisher.Mono;
@@ -35,6 +38,8 @@
 
 	private final HostTable hosts;
 
+	private final ConfigurationInForce configuration;
+
 	private final FleetLoad load;
 
 	private final PartReportRelay partUpdates;
@@ -52,10 +57,11 @@
 
 	private boolean wasLeading;
 
-	FleetHub(FleetOptions options, RoutingReplica replica, HostTable hosts) {
+	FleetHub(FleetOptions options, RoutingReplica replica, HostTable hosts, ConfigurationInForce configuration) {
 		this.options = options;
 		this.replica = replica;
 		this.hosts = hosts;
+		this.configuration = configuration;
 		this.load = new FleetLoad(options.timing().silenceMs());
 		this.partUpdates = new PartReportRelay(MAX_PART_UPDATES, options.timing().silenceMs());
 	}
@@ -70,22 +76,24 @@
 	 * @param pull the pull
 	 * @param knownLeader the host id of the known leader, or null
 	 * @param nowMs the current time in milliseconds
-	 * @return the reply, which a replica delays while it knows no leader
+	 * @return the reply, which a replica delays while it knows neither a leader nor a
+	 * newer configuration
 	 */
 	Mono<SyncMessage.News> handle(SyncMessage.Pull pull, String knownLeader, long nowMs) {
 		this.leaderHostId = knownLeader;
 		this.hosts.observe(pull.sender(), nowMs);
 		this.hostsWithoutPull.remove(pull.sender().hostId());
 		if (!isLeading()) {
-			boolean repliesAtOnce = knownLeader != null || this.replica == null;
-			return (repliesAtOnce ? Mono.<Void>empty() : hold(pull, nowMs)).then(Mono.fromSupplier(this::redirect));
+			boolean repliesAtOnce = knownLeader != null || this.replica == null || isOutdated(pull);
+			return (repliesAtOnce ? Mono.<Void>empty() : hold(pull, nowMs))
+				.then(Mono.fromSupplier(() -> redirect(pull)));
 		}
 		this.load.put(pull.sender().hostId(), pull.requests(), nowMs);
 		this.partUpdates.put(pull.sender().hostId(), pull.partsRead(), nowMs);
 		Mono<Void> ready = hasUpdates(pull) ? Mono.empty() : hold(pull, nowMs);
 		return ready.then(this.replica.readBarrier())
 			.then(Mono.fromSupplier(() -> news(pull, nowMs)))
-			.onErrorResume((error) -> Mono.fromSupplier(this::redirect));
+			.onErrorResume((error) -> Mono.fromSupplier(() -> redirect(pull)));
 	}
 
 	private Mono<Void> hold(SyncMessage.Pull pull, long nowMs) {
@@ -93,10 +101,16 @@
 			.create((sink) -> this.heldPulls.add(new HeldPull(pull, sink, nowMs + this.options.timing().holdMs())));
 	}
 
-	// Names the known leader and the candidates. Only hosts with a store can lead.
-	private SyncMessage.News redirect() {
-		return new SyncMessage.News(isLeading() ? null : this.leaderHostId, false, null, null, this.hosts.revision(),
-				this.hosts.hosts().stream().filter(HostRecord::hasStore).toList(), Map.of(), Map.of());
+	// Names the known leader and the candidates. Only hosts with a store can lead. A
+	// committed configuration spreads even if there is no leader.
+	private SyncMessage.News redirect(SyncMessage.Pull pull) {
+		return new SyncMessage.News(isLeading() ? null : this.leaderHostId, false,
+				isOutdated(pull) ? this.configuration.document().encode() : null, null, this.hosts.revision(),
+				this.hosts.hosts().stream().filter(HostRecord::hasStore).toList(), Map.of(), Map.of(), null);
+	}
+
+	private boolean isOutdated(SyncMessage.Pull pull) {
+		return pull.number() < this.configuration.number();
 	}
 
 	private SyncMessage.News news(SyncMessage.Pull pull, long nowMs) {
@@ -105,7 +119,22 @@
 				(document.number() > pull.number()) ? document.encode() : null,
 				hasNewServers(pull) ? this.servers : null, this.hosts.revision(),
 				(this.hosts.revision() != pull.hostsRevision()) ? this.hosts.hosts() : null,
-				this.load.totalExcluding(pull.sender().hostId(), nowMs), this.partUpdates.take(pull.sender().hostId()));
+				this.load.totalExcluding(pull.sender().hostId(), nowMs), this.partUpdates.take(pull.sender().hostId()),
+				document.number());
+	}
+
+	Mono<SubmissionOutcome> submit(RoutingDocument submission) {
+		return (this.replica != null) ? this.replica.submit(submission) : notLeader();
+	}
+
+	Mono<byte[]> readNewest() {
+		return (this.replica != null)
+				? this.replica.readBarrier().then(Mono.fromSupplier(() -> this.replica.current().encode()))
+				: notLeader();
+	}
+
+	private static <T> Mono<T> notLeader() {
+		return Mono.error(new FescueholdException(ErrorCode.NOT_LEADER, "unknown"));
 	}
 
 	private boolean hasNewServers(SyncMessage.Pull pull) {
@@ -163,6 +192,13 @@
 		release((heldPull) -> hasUpdates(heldPull.pull));
 	}
 
+	/**
+	 * Releases the held pulls of daemons that obey an older configuration than this one.
+	 */
+	void releaseOutdated() {
+		release((heldPull) -> isOutdated(heldPull.pull));
+	}
+
 	private void release(Predicate<HeldPull> due) {
 		List<HeldPull> released = this.heldPulls.stream().filter(due).toList();
 		this.heldPulls.removeAll(released);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/LeaderCalls.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/LeaderCalls.java
@@ -8,6 +8,8 @@
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.port.PeerTransport;
+import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.routes.SubmissionOutcome;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.util.retry.Retry;
@@ -29,22 +31,61 @@
 
 	private final FleetOptions.Timing timing;
 
-	LeaderCalls(PeerTransport transport, Scheduler scheduler, Supplier<String> leader, FleetOptions.Timing timing) {
+	private final ConfigurationInForce configuration;
+
+	LeaderCalls(PeerTransport transport, Scheduler scheduler, Supplier<String> leader, FleetOptions.Timing timing,
+			ConfigurationInForce configuration) {
 		this.transport = transport;
 		this.scheduler = scheduler;
 		this.leader = leader;
 		this.timing = timing;
+		this.configuration = configuration;
 	}
 
 	/**
-	 * Calls the leader.
-	 * @param message the request message
-	 * @param replyType the type of its reply
-	 * @param <T> the type of the reply
-	 * @return the reply; errors if no leader replies in time, in which case the call may
-	 * or may not have had an effect
+	 * Submits a configuration. An outcome that acknowledges it is only returned once this
+	 * daemon obeys the configuration or a newer one.
+	 * @param submission the configuration
+	 * @return the outcome; errors if no leader replies in time or this daemon cannot put
+	 * the configuration in force, in which case it may or may not take effect
 	 */
-	<T extends SyncMessage> Mono<T> call(SyncMessage message, Class<T> replyType) {
+	Mono<SubmissionOutcome> submit(RoutingDocument submission) {
+		return call(new SyncMessage.Submit(submission.encode()), SyncMessage.Submitted.class).publishOn(this.scheduler)
+			.flatMap((reply) -> {
+				SubmissionOutcome outcome = SubmissionOutcome.valueOf(reply.outcome());
+				return switch (outcome) {
+					case ACCEPTED, REPEATED -> obey(submission).thenReturn(outcome);
+					case OVERTAKEN -> obeyNewerThan(submission).thenReturn(outcome);
+					case CONFLICT -> Mono.just(outcome);
+				};
+			});
+	}
+
+	private Mono<Void> obey(RoutingDocument committed) {
+		return this.configuration.take(committed, "an operator") ? Mono.empty()
+				: Mono.error(new FescueholdException(ErrorCode.OUTCOME_UNKNOWN,
+						"configuration " + committed.number() + " cannot be put in force here"));
+	}
+
+	private Mono<Void> obeyNewerThan(RoutingDocument overtaken) {
+		return (this.configuration.number() > overtaken.number()) ? Mono.empty() : callForNewest().flatMap(this::obey);
+	}
+
+	/**
+	 * Reads the newest configuration, which is also put in force.
+	 * @return the configuration; errors if no leader replies in time
+	 */
+	Mono<RoutingDocument> readNewest() {
+		return callForNewest().doOnNext((newest) -> this.configuration.take(newest, "a read of the newest"));
+	}
+
+	private Mono<RoutingDocument> callForNewest() {
+		return call(new SyncMessage.ReadNewest(), SyncMessage.Newest.class)
+			.map((reply) -> RoutingDocument.decode(reply.document()))
+			.publishOn(this.scheduler);
+	}
+
+	private <T extends SyncMessage> Mono<T> call(SyncMessage message, Class<T> replyType) {
 		long deadlineMs = nowMs() + this.timing.submitMs();
 		return Mono.defer(() -> {
 			String hostId = this.leader.get();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -44,7 +44,8 @@
 	 * arrived, so that the other components are up to date
 	 * @param document the configuration, see
 	 * {@link io.fescuehold.core.routes.RoutingDocument}, or null if the sender of the
-	 * pull holds it
+	 * pull holds it; from a daemon that is not the leader, a committed configuration that
+	 * is newer than that of the sender of the pull
 	 * @param servers the server list, or null if the sender of the pull holds it
 	 * @param hostsRevision the revision of the hosts
 	 * @param hosts the live daemons, or null if the sender of the pull holds them
@@ -52,10 +53,12 @@
 	 * server
 	 * @param otherPartsRead the prompt parts that servers have read for the other daemons
 	 * since the last pull of the sender, by server
+	 * @param number the number of the newest configuration, or null if the replying
+	 * daemon is not the leader or runs an earlier version
 	 */
 	record News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
-			List<HostRecord> hosts, Map<String, Integer> otherRequests,
-			Map<String, Set<String>> otherPartsRead) implements SyncMessage {
+			List<HostRecord> hosts, Map<String, Integer> otherRequests, Map<String, Set<String>> otherPartsRead,
+			Long number) implements SyncMessage {
 
 		// A daemon of an earlier version sends no parts.
 		public News {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetTests.java
@@ -121,6 +121,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a host that does not obey what its own replica has applied, because
+	 * no leader answers its pulls.
+	 */
+	@Test
+	void hostObeysWhatItsReplicaHasAppliedThoughItsPullsAreLost() {
+		try (TestFleet fleet = new TestFleet(this.folder, 3, 0)) {
+			fleet.submit(1, TestFleet.document(7, "a"));
+			fleet.awaitInForce(7);
+			fleet.host(2).losePulls();
+			fleet.submit(1, TestFleet.document(8, "b"));
+			fleet.awaitInForce(8);
+		}
+	}
+
 	@Test
 	void hostGoesOnAskingAfterAnEmptyAnswer() {
 		AtomicInteger pulls = new AtomicInteger();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
@@ -159,7 +159,7 @@
 		if (leads && this.votersKnowTheDaemons) {
 			this.daemons.forEach((daemon) -> hosts.add(daemon.record()));
 		}
-		return new SyncMessage.News(this.leader, leads, null, null, 1, hosts, Map.of(), Map.of());
+		return new SyncMessage.News(this.leader, leads, null, null, 1, hosts, Map.of(), Map.of(), leads ? 0L : null);
 	}
 
 	/** A daemon without a disk. */
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/SyncMessageTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/SyncMessageTests.java
@@ -17,7 +17,7 @@
 	void messagesOfAnEarlierVersionHaveNoParts() {
 		HostRecord sender = new HostRecord("10.0.0.1", "a", 1, null, HostState.READY);
 		assertThat(new SyncMessage.Pull(sender, 1, 1, 1, Map.of(), null).partsRead()).isEmpty();
-		assertThat(new SyncMessage.News("10.0.0.1", true, null, null, 1, null, Map.of(), null).otherPartsRead())
+		assertThat(new SyncMessage.News("10.0.0.1", true, null, null, 1, null, Map.of(), null, null).otherPartsRead())
 			.isEmpty();
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -25,6 +25,9 @@
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.core.port.PeerHandler;
+import io.fescuehold.core.port.PeerMessage;
+import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.core.servers.BackendServer;
@@ -221,6 +224,8 @@
 
 		private volatile long confirmedMs;
 
+		private volatile boolean losesPulls;
+
 		private volatile Set<String> partsRead = Set.of();
 
 		private final Set<String> reportedParts = ConcurrentHashMap.newKeySet();
@@ -238,7 +243,7 @@
 			FleetOptions options = new FleetOptions(hostId(number), "domain-" + number % 3, TestFleet.this.port,
 					TestFleet.this.seeds, firstStart, disk, 1, scheduler.now(TimeUnit.MILLISECONDS),
 					FleetOptions.Timing.DEFAULT);
-			this.fleet = new Fleet(options, this.transport, new AgreementTransport(this.transport), scheduler,
+			this.fleet = new Fleet(options, new PullLoss(), new AgreementTransport(this.transport), scheduler,
 					() -> Mono.fromSupplier(this::list), this, () -> this.state, this.metrics,
 					new SplittableRandom(number), System.nanoTime());
 			this.transport.start().block(LIMIT);
@@ -282,6 +287,11 @@
 			return this.live;
 		}
 
+		// Loses all pulls that this host sends from now on.
+		void losePulls() {
+			this.losesPulls = true;
+		}
+
 		void setState(HostState newState) {
 			this.state = newState;
 		}
@@ -347,6 +357,28 @@
 			return parts.isEmpty() ? Map.of() : Map.of("i-1", parts);
 		}
 
+		/** The transport of the host, which can lose pulls. */
+		private final class PullLoss implements PeerTransport {
+
+			@Override
+			public void send(String hostId, PeerMessage message) {
+				Host.this.transport.send(hostId, message);
+			}
+
+			@Override
+			public Mono<PeerMessage> request(String hostId, PeerMessage message, Duration timeout) {
+				return (Host.this.losesPulls && message instanceof SyncMessage.Pull)
+						? Mono.error(new IllegalStateException("lost by the test"))
+						: Host.this.transport.request(hostId, message, timeout);
+			}
+
+			@Override
+			public <T extends PeerMessage> void onMessage(Class<T> type, PeerHandler<T> handler) {
+				Host.this.transport.onMessage(type, handler);
+			}
+
+		}
+
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/VirtualNetwork.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/VirtualNetwork.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
@@ -40,6 +41,15 @@
 		this.isolatedHostIds.add(hostId);
 	}
 
+	/**
+	 * Isolates a host later. A message that it has received by then is still answered.
+	 * @param hostId the host
+	 * @param delay the time until then
+	 */
+	void isolate(String hostId, Duration delay) {
+		this.scheduler.schedule(() -> isolate(hostId), delay.toNanos() + 1, TimeUnit.NANOSECONDS);
+	}
+
 	/**
 	 * Returns the number of messages that were sent to some hosts since the last call,
 	 * and resets the counts of all hosts.
