Test: a vote that a slow disk delays beyond an election is lost (red)

One of three voters is lost and a sync at the other voter takes three election timeouts: no leader within 8 election timeouts and 4 syncs.

Cause, from reading: the candidate has gone back to pre-votes by the time the VoteReply arrives, and Election.onVoteReply counts it for a CANDIDATE only.

--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimHost.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SimHost.java
@@ -27,6 +27,8 @@
 
 	boolean syncsHang;
 
+	int extraSyncMs;
+
 	private final Simulation simulation;
 
 	private double clockRate;
@@ -87,6 +89,13 @@
 		crash();
 	}
 
+	void resumeSyncs() {
+		this.syncsHang = false;
+		if (isUp()) {
+			scheduleSync();
+		}
+	}
+
 	void loseDisk() {
 		crash();
 		this.diskLosses++;
@@ -200,7 +209,7 @@
 			return;
 		}
 		this.syncScheduled = true;
-		schedule(this.simulation.syncDelayMs(), () -> {
+		schedule(this.simulation.syncDelayMs() + this.extraSyncMs, () -> {
 			this.syncScheduled = false;
 			for (Output done : this.disk.sync()) {
 				onSynced(done);
