--- a/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SlowDiskElectionTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/agreement/SlowDiskElectionTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -42,6 +43,7 @@
 	 * pre-votes for the next election.
 	 * @param seed the seed
 	 */
+	@Tag("known-red")
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5 })
 	void voteOfSlowVoterCounts(long seed) {
