A replica that stopped on an error is restarted by its process

Cause: an error of the store, the state machine or the agreement code stopped the replica of a host for good. The process went on and still reported its store, so that the host stayed a voter and was never replaced. A second such stop, or the loss of a second voter, left no majority. The class of fault: a part of a process ends while the process counts as alive. Evidence: ReplicaRestartTests failed on ("Not within 15 s: submission 2"; both replicas had "stopped after an error"). Change: RoutingReplica closes the failed replica and starts a new one from its disk, at first after about 0.1 s, then up to every 2 s. It does not rely on the time of the process start for leases, and waits while the store is missing, since an empty store would count as a lost disk. A damaged store is not opened again. While a replica is stopped its host reports no store, and VoterPlan replaces it like an absent one. The failure is reported only once the store is closed and its lock released.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/membership/VoterPlan.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/membership/VoterPlan.java
@@ -13,8 +13,8 @@
 /**
  * Selects the voters of the group among the hosts with a disk. A group of 2f + 1 voters
  * survives the loss of f of them; the voters are spread over the failure domains. A host
- * that returned with an empty store replaces itself, and an absent host is replaced by a
- * live one.
+ * that returned with an empty store replaces itself, and a host that is absent or whose
+ * replica has stopped is replaced by a live one.
  */
 public final class VoterPlan {
 
@@ -119,7 +119,8 @@
 	private void trackAbsence(List<Voter> members, Map<String, HostRecord> liveById, long nowMs) {
 		Set<String> absent = new HashSet<>();
 		for (Voter voter : members) {
-			if (!liveById.containsKey(voter.hostId())) {
+			HostRecord host = liveById.get(voter.hostId());
+			if (host == null || !host.hasStore()) {
 				absent.add(voter.hostId());
 				this.absentSinceMs.putIfAbsent(voter.hostId(), nowMs);
 			}
--- a/fescuehold-core/src/test/java/io/fescuehold/core/membership/VoterPlanTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/membership/VoterPlanTests.java
@@ -58,6 +58,20 @@
 		assertThat(change.addHostId()).as("a host of the failure domain without a voter").isEqualTo("5");
 	}
 
+	/**
+	 * Guards against a voter that is kept for good although its replica has stopped while
+	 * its process goes on.
+	 */
+	@Test
+	void voterWhoseReplicaHasStoppedIsReplacedLikeAnAbsentOne() {
+		VoterPlan plan = new VoterPlan(1, REPLACE_AFTER_MS);
+		List<HostRecord> live = List.of(host("1", "a"), diskless("2", "b"), host("3", "c"), host("5", "b"));
+		assertThat(plan.next(voters(), live, 0)).isNull();
+		MembershipChange change = plan.next(voters(), live, REPLACE_AFTER_MS);
+		assertThat(change.removeHostId()).isEqualTo("2");
+		assertThat(change.addHostId()).isEqualTo("5");
+	}
+
 	@Test
 	void voterThatReturnsInTimeStays() {
 		VoterPlan plan = new VoterPlan(1, REPLACE_AFTER_MS);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/RoutingReplica.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -23,6 +24,7 @@
 import io.fescuehold.runtime.replica.ReplicaOptions;
 import io.fescuehold.runtime.replica.ReplicaRuntime;
 import io.fescuehold.runtime.replica.ReplicaStatus;
+import io.fescuehold.runtime.storage.DiskStorage;
 import io.fescuehold.runtime.storage.DurableFile;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -41,6 +43,10 @@
 
 	private static final String FORMATION_FILE = "initial-hosts";
 
+	private static final long MIN_RESTART_DELAY_MS = 100;
+
+	private static final long MAX_RESTART_DELAY_MS = 2_000;
+
 	private final FleetOptions options;
 
 	private final AgreementTransport transport;
@@ -57,12 +63,23 @@
 
 	private final DurableFile formation;
 
-	private ReplicaRuntime replica;
+	private volatile ReplicaRuntime replica;
 
 	private List<String> initialHostIds = List.of();
 
 	private String pendingRequestId;
 
+	private long replicaStartedAtMs;
+
+	private long restartDelayMs = MIN_RESTART_DELAY_MS;
+
+	private int restarts;
+
+	/** Whether this process has opened the store before. */
+	private boolean storeExisted;
+
+	private volatile boolean stopped;
+
 	RoutingReplica(FleetOptions options, AgreementTransport transport, Scheduler scheduler, MetricRegistry metrics,
 			Consumer<RoutingDocument> listener, long seed) {
 		this.options = options;
@@ -146,27 +163,79 @@
 
 	private void open(List<String> initialHostIds) {
 		this.initialHostIds = initialHostIds;
+		startReplica(this.options.startedAtMs());
+	}
+
+	private void startReplica(long silentSinceMs) {
 		ReplicaOptions replicaOptions = new ReplicaOptions(GROUP, this.options.hostId(), this.options.dataFolder(),
-				initialHostIds, Map.of(this.options.hostId(), this.options.failureDomain()), FleetOptions.AGREEMENT,
-				this.options.startedAtMs());
-		this.replica = new ReplicaRuntime(replicaOptions, this.transport, this.state, this.scheduler, this.metrics,
-				this.seed);
-		this.replica.failure()
-			.subscribe((error) -> logger.atSevere()
+				this.initialHostIds, Map.of(this.options.hostId(), this.options.failureDomain()),
+				FleetOptions.AGREEMENT, silentSinceMs);
+		ReplicaRuntime started = new ReplicaRuntime(replicaOptions, this.transport, this.state, this.scheduler,
+				this.metrics, this.seed + this.restarts);
+		this.replica = started;
+		this.replicaStartedAtMs = nowMs();
+		started.failure().subscribe((error) -> this.scheduler.schedule(() -> onReplicaFailed(started, error)));
+		started.start().subscribe((done) -> {
+		}, (error) -> this.scheduler.schedule(() -> onReplicaFailed(started, error)));
+	}
+
+	private void onReplicaFailed(ReplicaRuntime failed, Throwable error) {
+		if (this.stopped || this.replica != failed) {
+			return;
+		}
+		this.storeExisted |= failed.status().storeId() != null;
+		if (error instanceof FescueholdException refusal && refusal.code() == ErrorCode.STORAGE_DAMAGED) {
+			logger.atSevere()
 				.withCause(error)
-				.log("The replica has failed; this host continues without a replica"));
-		this.replica.start().subscribe((done) -> {
-		}, (error) -> logger.atSevere().withCause(error).log("The replica failed to start"));
+				.log("The replica is not restarted, because its store is damaged; replace this host");
+			return;
+		}
+		boolean ranForLong = nowMs() - this.replicaStartedAtMs > MAX_RESTART_DELAY_MS;
+		this.restartDelayMs = ranForLong ? MIN_RESTART_DELAY_MS
+				: Math.min(2 * this.restartDelayMs, MAX_RESTART_DELAY_MS);
+		long delayMs = this.restartDelayMs / 2 + ThreadLocalRandom.current().nextLong(this.restartDelayMs / 2);
+		logger.atSevere().withCause(error).log("The replica has failed; it is restarted in %d ms", delayMs);
+		failed.stop().subscribe((done) -> {
+		}, (ex) -> logger.atSevere().withCause(ex).log("The failed replica could not be closed"),
+				() -> this.scheduler.schedule(() -> restart(failed), delayMs, TimeUnit.MILLISECONDS));
+	}
+
+	// A store that is missing would be created empty, and the host would count as one
+	// that has lost its disk.
+	private void restart(ReplicaRuntime failed) {
+		if (this.stopped || this.replica != failed) {
+			return;
+		}
+		if (this.storeExisted && !DiskStorage.exists(ReplicaOptions.storeFolder(this.options.dataFolder(), GROUP))) {
+			logger.atWarning()
+				.atMostEvery(1, TimeUnit.SECONDS)
+				.log("The replica is not restarted yet, because its store in \"%s\" is missing",
+						this.options.dataFolder());
+			this.scheduler.schedule(() -> restart(failed), MAX_RESTART_DELAY_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		this.restarts++;
+		logger.atInfo().log("Restarting the replica, restart %d of this process", this.restarts);
+		// The failed replica may have acknowledged a lease just before.
+		startReplica(ReplicaOptions.REPLICA_START_MS);
+	}
+
+	private long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
 	}
 
 	/**
 	 * Returns the id of the store. There is none while the store is being opened: a
 	 * made-up id would be taken as a sign that the disk was lost.
 	 * @return the id, {@link HostRecord#UNFORMED} while the replica is not open, or null
-	 * while the store is being opened
+	 * while the store is being opened or the replica has stopped
 	 */
 	String storeId() {
-		return (this.replica != null) ? this.replica.status().storeId() : HostRecord.UNFORMED;
+		if (this.replica == null) {
+			return HostRecord.UNFORMED;
+		}
+		ReplicaStatus status = this.replica.status();
+		return (status.phase() != ReplicaStatus.Phase.STOPPED) ? status.storeId() : null;
 	}
 
 	boolean isLeading() {
@@ -267,6 +336,7 @@
 	}
 
 	void stop() {
+		this.stopped = true;
 		if (this.replica != null) {
 			this.replica.stop().block(Duration.ofSeconds(2));
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/DiskWriter.java
@@ -115,10 +115,14 @@
 				syncUnsyncedWrites();
 			}
 			finally {
-				this.storage.close();
 				this.failed = true;
-				closed.run();
-				this.worker.dispose();
+				try {
+					this.storage.close();
+				}
+				finally {
+					closed.run();
+					this.worker.dispose();
+				}
 			}
 		});
 	}
@@ -176,8 +180,12 @@
 
 	private void fail(RuntimeException error) {
 		this.failed = true;
-		this.storage.close();
-		this.listener.failed(error);
+		try {
+			this.storage.close();
+		}
+		finally {
+			this.listener.failed(error);
+		}
 	}
 
 	private void markUnsynced(long sequence) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -240,7 +240,14 @@
 	}
 
 	private void fail(RuntimeException error) {
+		fail(error, false);
+	}
+
+	private void fail(RuntimeException error, boolean storeClosed) {
 		if (!this.running) {
+			if (storeClosed) {
+				this.failure.tryEmitValue(error);
+			}
 			return;
 		}
 		this.running = false;
@@ -250,9 +257,12 @@
 		this.failures.inc();
 		this.pendingRequests.failAll(reason, this.status.describeLeader());
 		logger.atSevere().withCause(error).log("Replica of group %s stopped after an error", this.options.group());
-		this.writer.close(() -> {
-		});
-		this.failure.tryEmitValue(error);
+		if (storeClosed) {
+			this.failure.tryEmitValue(error);
+		}
+		else {
+			this.writer.close(() -> this.loop.execute(() -> this.failure.tryEmitValue(error)));
+		}
 	}
 
 	private void runIfRunning(LongConsumer event) {
@@ -301,7 +311,7 @@
 
 		@Override
 		public void failed(RuntimeException error) {
-			ReplicaDriver.this.loop.execute(() -> fail(error));
+			ReplicaDriver.this.loop.execute(() -> fail(error, true));
 		}
 
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
@@ -4,6 +4,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.agreement.MembershipChange;
@@ -103,7 +104,13 @@
 		return Mono.fromCallable(this::openStore)
 			.subscribeOn(this.diskScheduler)
 			.flatMap((opened) -> this.<Void>executeOnLoop((sink) -> {
-				this.driver.start(opened, this.seed, this.diskScheduler, this.metrics, metricName("disk"));
+				try {
+					this.driver.start(opened, this.seed, this.diskScheduler, this.metrics, metricName("disk"));
+				}
+				catch (RuntimeException ex) {
+					opened.storage().close();
+					throw ex;
+				}
 				sink.success();
 			}));
 	}
@@ -218,7 +225,8 @@
 
 	/**
 	 * Returns a publisher of the error that stops this replica.
-	 * @return emits the error if a write, sync or the state machine fails
+	 * @return emits the error once the store is closed, if a write, sync or the state
+	 * machine fails
 	 */
 	public Mono<Throwable> failure() {
 		return this.driver.failure().asMono();
@@ -266,7 +274,8 @@
 			return;
 		}
 		this.driver.stop(() -> {
-			this.metrics.removeMatching((name, metric) -> name.startsWith(metricName("")));
+			this.metrics
+				.removeMatching((name, metric) -> name.startsWith(metricName("")) && !(metric instanceof Counter));
 			this.loop.stop();
 			this.diskScheduler.dispose();
 			sink.success();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -77,6 +77,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether a folder holds a store.
+	 * @param folder the folder
+	 * @return whether opening it does not create a store
+	 */
+	public static boolean exists(Path folder) {
+		return Files.exists(folder.resolve(STORE_ID_FILE));
+	}
+
 	@Override
 	public String storeId() {
 		return this.storeId;
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -268,7 +268,11 @@
 		}
 
 		long announcements() {
-			return this.metrics.counter("fleet.announcements").getCount();
+			return count("fleet.announcements");
+		}
+
+		long count(String counter) {
+			return this.metrics.counter(counter).getCount();
 		}
 
 		long number() {
