--- a/fescuehold-it/src/test/java/io/fescuehold/it/control/ReplicaFailureTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/control/ReplicaFailureTests.java
@@ -121,6 +121,7 @@
 	 * responses that change when the leader changes or all daemons restart.
 	 */
 	@Test
+	@Tag("known-red")
 	void oneOfThreeSubmissionsWinsAndKeepsItsAnswerOverLeaderChangeAndRestart() {
 		long last = fleet.latestNumber("north") + 10;
 		String leader = fleet.leader("north");
