--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/SegmentLog.java
@@ -88,8 +88,7 @@
 	}
 
 	// The sync of the last batch may be missing or may have failed. After a failed sync
-	// the
-	// batch can still be read although the operating system will not write it again.
+	// the batch can still be read although the operating system will not write it again.
 	private void rewriteLastBatch() throws IOException {
 		if (this.lastBatch != null) {
 			this.disk.write(this.channel, this.lastBatch, this.position - this.lastBatch.remaining());
