--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -61,6 +61,19 @@
 			"Prompt part %s was cancelled at server \"%s\" because several servers of \"%s\" crashed on it;"
 					+ " send the prompt without it"),
 
+	/** The request is known to crash servers. Argument: service. */
+	REQUEST_QUARANTINED(503,
+			"The request is refused because several servers of \"%s\" crashed on it;"
+					+ " change it or retry after the time in the Retry-After header"),
+
+	/**
+	 * The request was cancelled at a server because it is known to crash servers.
+	 * Arguments: server, service.
+	 */
+	REQUEST_CRASHES_SERVERS(502,
+			"The request was cancelled at server \"%s\" because several servers of \"%s\" crashed on it;"
+					+ " change it before it is sent again"),
+
 	/** The process is stopping. */
 	DRAINING(503, "This host is draining; ask an entry host for other addresses"),
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
@@ -11,11 +11,15 @@
 import java.util.function.Function;
 
 /**
- * Infers which prompt parts crash the servers of one service. A crash ends all requests
- * of the server, but only a request that it was about to answer can have caused it. Parts
- * are suspected that several crashes have in common and that no server has answered since
- * the first of these crashes. A crash that is attributed to one part does not count
- * against other parts.
+ * Infers which requests, or which prompt parts, crash the servers of one service. A crash
+ * ends all requests of the server, but only a request that it was about to answer can
+ * have caused it. Features are suspected that several crashes have in common and that no
+ * server has answered since the first of these crashes. A crash that is attributed to one
+ * feature does not count against others.
+ * <p>
+ * The smallest explanation wins: a request that came again explains its crashes better
+ * than the parts of its prompt, which other requests share. A part is only to blame for
+ * crashes that no single request explains.
  */
 final class CrashAttribution {
 
@@ -42,7 +46,7 @@
 	 * Attributes the crashes of a service.
 	 * @param service the service
 	 * @param crashes its crashes
-	 * @param answeredAtMs returns when a prompt with a part was last answered, in
+	 * @param answeredAtMs returns when a request with a feature was last answered, in
 	 * milliseconds, or null if never
 	 * @return the attributions, most probable first
 	 */
@@ -57,59 +61,73 @@
 	}
 
 	private void add(CrashRecord crash) {
-		Set<String> parts = new HashSet<>();
-		crash.prompts().forEach(parts::addAll);
-		for (String part : parts) {
-			Long answered = this.answeredAtMs.apply(part);
+		Set<String> features = new HashSet<>();
+		crash.requests().forEach(features::addAll);
+		for (String feature : features) {
+			Long answered = this.answeredAtMs.apply(feature);
 			if (answered == null || answered < crash.atMs()) {
-				this.unexplained.computeIfAbsent(part, (id) -> new ArrayList<>()).add(crash);
+				this.unexplained.computeIfAbsent(feature, (id) -> new ArrayList<>()).add(crash);
 			}
 		}
 	}
 
-	// A part that was never answered is more probable than one that was answered before.
+	// A feature that was never answered is more probable than one that was answered
+	// before.
 	private boolean attributeMostProbable() {
-		Comparator<String> byProbability = Comparator.comparing((String part) -> this.answeredAtMs.apply(part) == null)
-			.thenComparing((part) -> countCrashes(this.unexplained.get(part)));
-		String mostProbable = this.unexplained.keySet()
-			.stream()
-			.filter((part) -> countCrashes(this.unexplained.get(part)) >= MIN_CRASHES)
-			.max(byProbability)
-			.orElse(null);
+		Comparator<String> byProbability = Comparator
+			.comparing((String feature) -> this.answeredAtMs.apply(feature) == null)
+			.thenComparing((feature) -> countCrashes(this.unexplained.get(feature)))
+			.thenComparing(RequestIdentity::isRequest);
+		List<String> candidates = this.unexplained.keySet().stream().filter(this::canBeToBlame).toList();
+		String mostProbable = candidates.stream().max(byProbability).orElse(null);
 		if (mostProbable == null) {
 			return false;
 		}
 		List<CrashRecord> crashes = List.copyOf(this.unexplained.get(mostProbable));
-		List<String> equallyProbable = this.unexplained.keySet()
-			.stream()
-			.filter((part) -> byProbability.compare(part, mostProbable) == 0
-					&& this.unexplained.get(part).equals(crashes))
+		List<String> equallyProbable = candidates.stream()
+			.filter((feature) -> byProbability.compare(feature, mostProbable) == 0
+					&& this.unexplained.get(feature).equals(crashes))
 			.toList();
-		for (Set<String> group : smallestGroups(equallyProbable, crashes)) {
+		List<Set<String>> groups = smallestGroups(equallyProbable, crashes);
+		for (Set<String> group : groups) {
 			this.attributions
 				.add(new Attribution(this.service, group, crashes.stream().map(CrashRecord::serverId).toList(),
-						crashes.stream().map(CrashRecord::atMs).toList()));
+						crashes.stream().map(CrashRecord::atMs).toList(), groups.size() > 1));
 		}
 		this.unexplained.values().forEach((suspected) -> suspected.removeAll(crashes));
 		return true;
 	}
 
-	// Returns the groups of inseparable parts that contain no other group.
-	private static List<Set<String>> smallestGroups(List<String> parts, List<CrashRecord> crashes) {
+	private boolean canBeToBlame(String feature) {
+		List<CrashRecord> crashes = this.unexplained.get(feature);
+		return countCrashes(crashes) >= MIN_CRASHES
+				&& (RequestIdentity.isRequest(feature) || !isExplainedByOneRequest(crashes));
+	}
+
+	private boolean isExplainedByOneRequest(List<CrashRecord> crashes) {
+		Set<String> requests = new HashSet<>();
+		crashes.getFirst().requests().forEach(requests::addAll);
+		return requests.stream()
+			.filter(RequestIdentity::isRequest)
+			.anyMatch((request) -> this.unexplained.getOrDefault(request, List.of()).containsAll(crashes));
+	}
+
+	// Returns the groups of inseparable features that contain no other group.
+	private static List<Set<String>> smallestGroups(List<String> features, List<CrashRecord> crashes) {
 		Set<Set<String>> groups = new HashSet<>();
-		parts.forEach((part) -> groups.add(inseparableParts(part, parts, crashes)));
+		features.forEach((feature) -> groups.add(inseparableFeatures(feature, features, crashes)));
 		return groups.stream()
 			.filter((group) -> groups.stream().noneMatch((other) -> !other.equals(group) && group.containsAll(other)))
 			.toList();
 	}
 
-	// Returns the parts that every suspected prompt with the given part contains.
-	private static Set<String> inseparableParts(String part, List<String> candidates, List<CrashRecord> crashes) {
+	// Returns the features that every suspected request with the given one has.
+	private static Set<String> inseparableFeatures(String feature, List<String> candidates, List<CrashRecord> crashes) {
 		Set<String> inseparable = new HashSet<>(candidates);
 		for (CrashRecord crash : crashes) {
-			for (Set<String> prompt : crash.prompts()) {
-				if (prompt.contains(part)) {
-					inseparable.retainAll(prompt);
+			for (Set<String> request : crash.requests()) {
+				if (request.contains(feature)) {
+					inseparable.retainAll(request);
 				}
 			}
 		}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashEvidence.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashEvidence.java
@@ -5,11 +5,11 @@
 import java.util.Set;
 
 /**
- * Evidence on crashing prompt parts that daemons exchange. Times are sent as ages,
- * because the clocks of daemons differ.
+ * Evidence on crashes that daemons exchange. Times are sent as ages, because the clocks
+ * of daemons differ.
  *
  * @param crashes the crashes
- * @param answers the newest sound responses to prompts with parts that are suspected
+ * @param answers the newest sound responses to requests with suspected features
  */
 public record CrashEvidence(List<Crash> crashes, List<Answer> answers) {
 
@@ -39,7 +39,7 @@
 	 * @param serverId the instance id of the server
 	 * @param ageMs the time in milliseconds since the crash
 	 * @param prompts for each request that the server had not begun to answer, the ids of
-	 * its shared prompt parts
+	 * its features; daemons that only know prompt parts pass the ids of requests on
 	 */
 	public record Crash(String service, String serverId, long ageMs, List<Set<String>> prompts) {
 
@@ -55,10 +55,10 @@
 	}
 
 	/**
-	 * The newest sound response of a service to a prompt with a part.
+	 * The newest sound response of a service to a request with a feature.
 	 *
 	 * @param service the service
-	 * @param partId the id of the part
+	 * @param partId the id of the feature
 	 * @param ageMs the time in milliseconds since the response
 	 */
 	public record Answer(String service, String partId, long ageMs) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashRecord.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashRecord.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * A crash of a server as far as the daemons have reported it.
@@ -10,7 +11,10 @@
 final class CrashRecord {
 
 	/** A bound on the memory and the messages; several hundred requests of usual size. */
-	static final int MAX_PART_IDS = 1_024;
+	static final int MAX_FEATURE_IDS = 1_024;
+
+	/** Beyond {@link #MAX_FEATURE_IDS}, requests are only recorded as a whole. */
+	static final int MAX_WHOLE_REQUESTS = 512;
 
 	private final String service;
 
@@ -18,9 +22,11 @@
 
 	private final long atMs;
 
-	private final Set<Set<String>> prompts = new LinkedHashSet<>();
+	private final Set<Set<String>> requests = new LinkedHashSet<>();
+
+	private int featureIdCount;
 
-	private int partIdCount;
+	private int wholeRequestCount;
 
 	private long version;
 
@@ -42,8 +48,9 @@
 		return this.atMs;
 	}
 
-	Set<Set<String>> prompts() {
-		return this.prompts;
+	// Returns the features of each request that the server had not begun to answer.
+	Set<Set<String>> requests() {
+		return this.requests;
 	}
 
 	long version() {
@@ -54,17 +61,27 @@
 		this.version = newVersion;
 	}
 
-	// Returns whether any prompt was not known before.
-	boolean addPrompts(Collection<Set<String>> added) {
+	// Returns whether any request was not known before.
+	boolean addRequests(Collection<Set<String>> added) {
 		boolean changed = false;
-		for (Set<String> prompt : added) {
-			if (!prompt.isEmpty() && this.partIdCount + prompt.size() <= MAX_PART_IDS
-					&& this.prompts.add(Set.copyOf(prompt))) {
-				this.partIdCount += prompt.size();
-				changed = true;
-			}
+		for (Set<String> features : added) {
+			changed |= !features.isEmpty() && !this.requests.contains(features) && addRequest(features);
 		}
 		return changed;
 	}
 
+	// A request with many prompt parts must not keep others from being recorded.
+	private boolean addRequest(Set<String> features) {
+		if (this.featureIdCount + features.size() <= MAX_FEATURE_IDS) {
+			this.featureIdCount += features.size();
+			return this.requests.add(Set.copyOf(features));
+		}
+		Set<String> whole = features.stream().filter(RequestIdentity::isRequest).collect(Collectors.toSet());
+		if (whole.size() != 1 || this.wholeRequestCount >= MAX_WHOLE_REQUESTS || !this.requests.add(whole)) {
+			return false;
+		}
+		this.wholeRequestCount++;
+		return true;
+	}
+
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/package-info.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Attribution of server crashes to prompt parts, and the quarantine of these parts.
+ * Attribution of server crashes to requests and prompt parts, and their quarantine.
  */
 package io.fescuehold.core.quarantine;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvidenceGossip.java
@@ -15,7 +15,7 @@
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.port.PeerMessage;
 import io.fescuehold.core.port.PeerTransport;
-import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.relay.RingNeighbours;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -55,7 +55,7 @@
 
 	private final Supplier<List<String>> seeds;
 
-	private final PromptQuarantine quarantine;
+	private final RequestQuarantine quarantine;
 
 	private final ServerRequestLimits limits;
 
@@ -81,7 +81,7 @@
 	 * @param limits the limits that servers named
 	 */
 	public EvidenceGossip(String hostId, PeerTransport transport, Scheduler scheduler, Supplier<List<HostRecord>> hosts,
-			Supplier<List<String>> seeds, PromptQuarantine quarantine, ServerRequestLimits limits) {
+			Supplier<List<String>> seeds, RequestQuarantine quarantine, ServerRequestLimits limits) {
 		this.hostId = hostId;
 		this.transport = transport;
 		this.scheduler = scheduler;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -32,7 +32,7 @@
 	private static final long REJECTED_RETRY_AFTER_MS = 150;
 
 	/**
-	 * A server that crashes on a prompt does so as it begins to answer; one that still
+	 * A server that crashes on a request does so as it begins to answer; one that still
 	 * sends events after this time has survived that.
 	 */
 	private static final long SURVIVED_MS = 200;
@@ -154,7 +154,7 @@
 	 */
 	void started() {
 		this.dispatcher.attemptStarted(this.target);
-		if (this.request.head().prompt() != null && !this.target.relay()) {
+		if (!this.target.relay()) {
 			this.guard.attemptStarted(this);
 		}
 	}
@@ -171,7 +171,7 @@
 	}
 
 	/**
-	 * Cancels the current attempt, because its prompt is known to crash servers.
+	 * Cancels the current attempt, because the request is known to crash servers.
 	 * @param attribution the attribution
 	 */
 	void withdraw(Attribution attribution) {
@@ -199,8 +199,7 @@
 		if (!this.awaitingResponse && !this.mayHaveRun) {
 			return this.guard.refusal(attribution);
 		}
-		return FescueholdException.of(ErrorCode.PROMPT_CRASHES_SERVERS, RunStatus.UNKNOWN, 0, attribution.parts(),
-				serverId(), attribution.service());
+		return this.guard.cancellation(attribution, serverId());
 	}
 
 	/**
@@ -217,7 +216,7 @@
 	}
 
 	private void recordAnswered() {
-		if (this.request.head().prompt() != null && !this.answered && !this.target.relay()) {
+		if (!this.answered && !this.target.relay()) {
 			this.answered = true;
 			this.guard.answered(this, this.request);
 		}
@@ -462,7 +461,7 @@
 	}
 
 	private void suspectUnlessAnswered() {
-		if (this.request.head().prompt() != null && !this.answered && !this.target.relay()) {
+		if (!this.answered && !this.target.relay()) {
 			this.guard.connectionLost(this.request, this.target.server());
 		}
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +14,7 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
@@ -146,6 +148,9 @@
 	}
 
 	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
+		if (!candidates.isEmpty() && this.quarantineGuard.isSuspected(request)) {
+			return new Target(isolated(request, candidates), null, "SUSPECTED", false);
+		}
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
 			return (choice != null) ? new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false)
@@ -155,6 +160,16 @@
 		return (server != null) ? new Target(server, null, "LEAST_COST", false) : null;
 	}
 
+	// All hosts send a suspected request to the same server, and different ones mostly to
+	// different servers.
+	private static ServerState isolated(GatewayRequest request, List<ServerState> candidates) {
+		long requestHash = RendezvousHash.hash(request.features().identity().id());
+		return candidates.stream()
+			.min(Comparator.comparingLong(
+					(server) -> RendezvousHash.combine(requestHash, RendezvousHash.hash(server.server().id()))))
+			.orElseThrow();
+	}
+
 	private List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
 		if (this.belief.requestLimits().isEmpty()) {
 			return servers;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -13,7 +13,7 @@
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.prompt.PartHolders;
-import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteTable;
@@ -61,7 +61,7 @@
 
 	private final PartHolders holders = new PartHolders(MAX_TRACKED_PARTS, PART_RETENTION_MS);
 
-	private final PromptQuarantine quarantine;
+	private final RequestQuarantine quarantine;
 
 	private final ServerRequestLimits requestLimits;
 
@@ -82,7 +82,7 @@
 	 */
 	public GatewayBelief(String hostId, RoutingCodec codec, LongSupplier clockMs, RandomGenerator random) {
 		this.requestLimits = new ServerRequestLimits(random);
-		this.quarantine = new PromptQuarantine(hostId);
+		this.quarantine = new RequestQuarantine(hostId);
 		this.codec = codec;
 		this.clockMs = clockMs;
 		this.servedVersions = new ServedVersions(streamRetentionMs(), clockMs.getAsLong());
@@ -175,7 +175,7 @@
 	 * Returns the quarantine of prompt parts that crash servers.
 	 * @return the quarantine
 	 */
-	public PromptQuarantine quarantine() {
+	public RequestQuarantine quarantine() {
 		return this.quarantine;
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -1,5 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
+import java.util.List;
+import java.util.Locale;
 import java.util.function.LongSupplier;
 
 import com.google.common.flogger.FluentLogger;
@@ -117,19 +119,21 @@
 	}
 
 	void connectionLost(GatewayRequest request, String serverId, int eventCount, long sinceFirstEventMs) {
-		if (request.head().prompt() != null && tryAcquire(0)) {
+		if (tryAcquire(0)) {
+			List<PromptPart> parts = (request.head().prompt() != null) ? request.head().prompt().parts() : List.of();
 			logger.atInfo()
-				.log("request %s: connection to server %s lost after %d events, %d ms after the first; prompt parts %s",
-						request.head().requestId(), serverId, eventCount, sinceFirstEventMs,
-						request.head().prompt().parts().stream().limit(MAX_LOGGED_PARTS).map(PromptPart::id).toList());
+				.log("request %s: connection to server %s lost after %d events, %d ms after the first; prompt parts %s;"
+						+ " identity %s", request.head().requestId(), serverId, eventCount, sinceFirstEventMs,
+						parts.stream().limit(MAX_LOGGED_PARTS).map(PromptPart::id).toList(),
+						request.features().identity().id());
 		}
 	}
 
-	void serverProbed(BackendServer server, int promptCount, boolean crashed) {
+	void serverProbed(BackendServer server, int requestCount, boolean crashed) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
 				.log("Server %s of %s lost %d prompts before it answered and %s", server.id(), server.service(),
-						promptCount, crashed ? "refuses connections: it has crashed" : "is not known to have crashed");
+						requestCount, crashed ? "refuses connections: it has crashed" : "is not known to have crashed");
 		}
 	}
 
@@ -155,24 +159,30 @@
 	void quarantined(Attribution attribution, long nowMs) {
 		if (tryAcquire(0)) {
 			logger.atWarning()
-				.log("Prompt parts %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them",
-						attribution.parts(), attribution.service(), attribution.heldUntilMs() - nowMs,
-						attribution.serverIds());
+				.log("%s %s of %s are quarantined for %d ms: crashes of servers %s are attributed to them%s",
+						kind(attribution), attribution.features(), attribution.service(),
+						attribution.heldUntilMs() - nowMs, attribution.serverIds(),
+						attribution.ambiguous() ? ", or to others" : "");
 		}
 	}
 
 	void quarantineLifted(Attribution attribution) {
 		if (tryAcquire(0)) {
 			logger.atWarning()
-				.log("The quarantine of prompt parts %s of %s has ended", attribution.parts(), attribution.service());
+				.log("The quarantine of %s %s of %s has ended", kind(attribution).toLowerCase(Locale.ROOT),
+						attribution.features(), attribution.service());
 		}
 	}
 
+	private static String kind(Attribution attribution) {
+		return attribution.isRequest() ? "Requests" : "Prompt parts";
+	}
+
 	void quarantineTrial(GatewayRequest request, Attribution attribution) {
 		if (tryAcquire(0)) {
 			logger.atWarning()
-				.log("request %s is a trial of quarantined prompt parts %s of %s", request.head().requestId(),
-						attribution.parts(), attribution.service());
+				.log("request %s is a trial of quarantined %s %s of %s", request.head().requestId(),
+						kind(attribution).toLowerCase(Locale.ROOT), attribution.features(), attribution.service());
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -1,5 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
+import io.fescuehold.core.quarantine.RequestFeatures;
+import io.fescuehold.core.quarantine.RequestIdentity;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.TeamAccess;
 
@@ -15,14 +17,21 @@
  * @param deadlineAtMs the deadline of the complete response, in milliseconds of the
  * gateway's clock
  * @param hop what the host told that passed the request on, or null if a caller sent it
+ * @param features what can make the request crash servers
  */
 record GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
-		long deadlineAtMs, RelayHop hop) {
+		long deadlineAtMs, RelayHop hop, RequestFeatures features) {
 
 	private static final int LEAST_URGENT = 9;
 
 	private static final int ROUTE_PRIORITIES = 3;
 
+	GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
+			long deadlineAtMs, RelayHop hop) {
+		this(head, body, route, team, service, receivedAtMs, deadlineAtMs, hop, new RequestFeatures(head.prompt(),
+				new RequestIdentity(head.method(), head.uri(), (team != null) ? team.name() : null, body)));
+	}
+
 	/**
 	 * Returns the priority at a model engine, ordered by the team's priority first and by
 	 * the route's second.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -15,8 +15,9 @@
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.quarantine.Attribution;
-import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.runtime.backend.ConnectProbe;
 import reactor.core.publisher.Mono;
@@ -24,7 +25,7 @@
 import reactor.netty.resources.LoopResources;
 
 /**
- * Keeps prompts that crash servers away from the servers. A lost connection counts as a
+ * Keeps requests that crash servers away from the servers. A lost connection counts as a
  * crash if the server refuses connections afterwards. Not thread-safe: confined to one
  * thread.
  */
@@ -40,7 +41,7 @@
 
 	private final GatewayBelief belief;
 
-	private final PromptQuarantine quarantine;
+	private final RequestQuarantine quarantine;
 
 	private final Scheduler scheduler;
 
@@ -56,9 +57,10 @@
 	private final Set<Attempts> unanswered = new HashSet<>();
 
 	/**
-	 * The prompts whose connections were lost, by server, until the server is checked.
+	 * The features of the requests whose connections were lost, by server, until the
+	 * server is checked.
 	 */
-	private final Map<String, Set<Set<String>>> lostPrompts = new HashMap<>();
+	private final Map<String, Set<Set<String>>> lostRequests = new HashMap<>();
 
 	private List<Attribution> attributions = List.of();
 
@@ -80,10 +82,7 @@
 	 * @return the attribution that forbids it, or null
 	 */
 	Attribution check(GatewayRequest request) {
-		if (request.head().prompt() == null) {
-			return null;
-		}
-		Attribution attribution = this.quarantine.find(request.service(), request.head().prompt());
+		Attribution attribution = this.quarantine.find(request.service(), request.features());
 		if (attribution == null) {
 			return null;
 		}
@@ -106,9 +105,41 @@
 	 * @return the error
 	 */
 	FescueholdException refusal(Attribution attribution) {
-		return FescueholdException.of(ErrorCode.PROMPT_QUARANTINED, RunStatus.NO,
-				Math.max(TRIAL_RETRY_AFTER_MS, attribution.heldUntilMs() - nowMs()), attribution.parts(),
-				attribution.service());
+		long retryAfterMs = Math.max(TRIAL_RETRY_AFTER_MS, attribution.heldUntilMs() - nowMs());
+		return attribution.isRequest()
+				? FescueholdException.of(ErrorCode.REQUEST_QUARANTINED, RunStatus.NO, retryAfterMs,
+						attribution.service())
+				: FescueholdException.of(ErrorCode.PROMPT_QUARANTINED, RunStatus.NO, retryAfterMs,
+						attribution.features(), attribution.service());
+	}
+
+	/**
+	 * Creates the error of a request that may have run at a server.
+	 * @param attribution the attribution that ends it
+	 * @param serverId the server
+	 * @return the error
+	 */
+	FescueholdException cancellation(Attribution attribution, String serverId) {
+		return attribution.isRequest()
+				? FescueholdException.of(ErrorCode.REQUEST_CRASHES_SERVERS, RunStatus.UNKNOWN, 0, serverId,
+						attribution.service())
+				: FescueholdException.of(ErrorCode.PROMPT_CRASHES_SERVERS, RunStatus.UNKNOWN, 0, attribution.features(),
+						serverId, attribution.service());
+	}
+
+	/**
+	 * Returns whether a request may be to blame for a crash. Requests that were lost
+	 * together are then sent to different servers, so that the next outcome of each tells
+	 * which one is.
+	 * @param request the request
+	 * @return whether a server was lost that had not begun to answer it
+	 */
+	boolean isSuspected(GatewayRequest request) {
+		return this.quarantine.isSuspected(request.service(), request.features())
+				|| (!this.lostRequests.isEmpty() && this.lostRequests.values()
+					.stream()
+					.flatMap(Set::stream)
+					.anyMatch((features) -> features.contains(request.features().identity().id())));
 	}
 
 	void attemptStarted(Attempts attempts) {
@@ -126,7 +157,7 @@
 	 */
 	void answered(Attempts attempts, GatewayRequest request) {
 		this.unanswered.remove(attempts);
-		this.quarantine.recordAnswer(request.service(), request.head().prompt(), nowMs());
+		this.quarantine.recordAnswer(request.service(), request.features(), nowMs());
 	}
 
 	/**
@@ -136,18 +167,17 @@
 	 */
 	void connectionLost(GatewayRequest request, ServerState server) {
 		BackendServer backend = server.server();
-		Set<String> parts = PromptQuarantine.partIds(request.head().prompt());
-		if (backend.leaving() || parts.isEmpty()) {
+		if (backend.leaving()) {
 			return;
 		}
-		Set<Set<String>> prompts = this.lostPrompts.get(backend.id());
-		if (prompts == null) {
-			prompts = new HashSet<>();
-			this.lostPrompts.put(backend.id(), prompts);
+		Set<Set<String>> requests = this.lostRequests.get(backend.id());
+		if (requests == null) {
+			requests = new HashSet<>();
+			this.lostRequests.put(backend.id(), requests);
 			long lostAtMs = nowMs();
 			this.scheduler.schedule(() -> probe(backend, lostAtMs), CHECK_DELAY_MS, TimeUnit.MILLISECONDS);
 		}
-		prompts.add(parts);
+		requests.add(request.features().ids());
 	}
 
 	private void probe(BackendServer server, long lostAtMs) {
@@ -160,10 +190,15 @@
 	}
 
 	private void onProbed(BackendServer server, long lostAtMs, boolean crashed) {
-		Set<Set<String>> prompts = this.lostPrompts.remove(server.id());
-		this.log.serverProbed(server, prompts.size(), crashed);
+		Set<Set<String>> requests = this.lostRequests.remove(server.id());
+		this.log.serverProbed(server, requests.size(), crashed);
 		if (crashed) {
-			this.quarantine.recordCrash(server.service(), server.id(), prompts, lostAtMs, nowMs());
+			ServerState state = this.belief.servers().find(server.id());
+			if (state != null) {
+				state.health().record(ServerOutcome.UNREACHABLE, nowMs());
+				this.belief.holders().forget(server.id());
+			}
+			this.quarantine.recordCrash(server.service(), server.id(), requests, lostAtMs);
 		}
 	}
 
@@ -179,11 +214,11 @@
 		}
 		previous.stream()
 			.filter((attribution) -> this.attributions.stream()
-				.noneMatch((current) -> current.parts().equals(attribution.parts())))
+				.noneMatch((current) -> current.features().equals(attribution.features())))
 			.forEach(this.log::quarantineLifted);
 		for (Attempts attempts : new ArrayList<>(this.unanswered)) {
 			GatewayRequest request = attempts.request();
-			Attribution attribution = this.quarantine.find(request.service(), request.head().prompt());
+			Attribution attribution = this.quarantine.find(request.service(), request.features());
 			if (attribution != null && nowMs < attribution.heldUntilMs()) {
 				this.unanswered.remove(attempts);
 				attempts.withdraw(attribution);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -60,7 +60,16 @@
 	}
 
 	static String encode(FescueholdException refusal) {
-		return refusal.code().name() + "," + refusal.run().name() + "," + refusal.retryAfterMs();
+		return codeForAllVersions(refusal.code()).name() + "," + refusal.run().name() + "," + refusal.retryAfterMs();
+	}
+
+	// Daemons of earlier versions would take a code that they do not know for a failure.
+	private static ErrorCode codeForAllVersions(ErrorCode code) {
+		return switch (code) {
+			case REQUEST_QUARANTINED -> ErrorCode.PROMPT_QUARANTINED;
+			case REQUEST_CRASHES_SERVERS -> ErrorCode.PROMPT_CRASHES_SERVERS;
+			default -> code;
+		};
 	}
 
 	/**
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/EvidenceGossipTests.java
@@ -16,7 +16,8 @@
 import io.fescuehold.core.port.PeerTransport;
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.prompt.PromptShape;
-import io.fescuehold.core.quarantine.PromptQuarantine;
+import io.fescuehold.core.quarantine.RequestFeatures;
+import io.fescuehold.core.quarantine.RequestQuarantine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,8 +35,8 @@
 
 	private static final Duration CONTACT = Duration.ofMillis(3_000);
 
-	private static final PromptShape PROMPT = new PromptShape(
-			List.of(new PromptPart("bad", 10), new PromptPart("own", 5)), 10);
+	private static final RequestFeatures PROMPT = new RequestFeatures(
+			new PromptShape(List.of(new PromptPart("bad", 10), new PromptPart("own", 5)), 10), null);
 
 	private final VirtualTimeScheduler scheduler = VirtualTimeScheduler.create();
 
@@ -67,8 +68,7 @@
 	}
 
 	private void crash(int daemon, String serverId) {
-		long nowMs = nowMs();
-		this.daemons.get(daemon).quarantine.recordCrash("model", serverId, List.of(Set.of("bad")), nowMs, nowMs);
+		this.daemons.get(daemon).quarantine.recordCrash("model", serverId, List.of(Set.of("bad")), nowMs());
 		this.scheduler.advanceTimeBy(Duration.ofMillis(200));
 	}
 
@@ -177,14 +177,14 @@
 
 		};
 		start(2);
-		PromptQuarantine quarantine = new PromptQuarantine("10.0.0.9");
+		RequestQuarantine quarantine = new RequestQuarantine("10.0.0.9");
 		EvidenceGossip gossip = new EvidenceGossip("10.0.0.9", emptyReplies, this.scheduler,
 				() -> this.hosts.subList(0, 1), List::of, quarantine, new ServerRequestLimits(new SplittableRandom(1)));
 		this.scheduler.advanceTimeBy(Duration.ofSeconds(11));
 		gossip.start();
 		this.scheduler.advanceTimeBy(Duration.ofSeconds(11));
 		requests.set(0);
-		quarantine.recordCrash("model", "i-1", List.of(Set.of("bad")), nowMs(), nowMs());
+		quarantine.recordCrash("model", "i-1", List.of(Set.of("bad")), nowMs());
 		this.scheduler.advanceTimeBy(Duration.ofSeconds(3));
 		assertThat(requests.get()).isBetween(3, 10);
 		gossip.stop();
@@ -213,7 +213,7 @@
 
 		private final String hostId;
 
-		private final PromptQuarantine quarantine;
+		private final RequestQuarantine quarantine;
 
 		private final ServerRequestLimits limits;
 
@@ -223,7 +223,7 @@
 
 		Daemon(String hostId) {
 			this.hostId = hostId;
-			this.quarantine = new PromptQuarantine(hostId);
+			this.quarantine = new RequestQuarantine(hostId);
 			this.limits = new ServerRequestLimits(new SplittableRandom(1));
 			this.gossip = new EvidenceGossip(hostId, EvidenceGossipTests.this.network.transport(hostId),
 					EvidenceGossipTests.this.scheduler, () -> EvidenceGossipTests.this.hosts,
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CrashingPromptTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CrashingPromptTests.java
@@ -84,7 +84,7 @@
 	}
 
 	private TestGateway.Answer send(String id, String parts) {
-		return this.gateway.request("/resumable/x", id, "prompt", Map.of("X-Parts", parts)).block();
+		return this.gateway.request("/resumable/x", id, "prompt of " + parts, Map.of("X-Parts", parts)).block();
 	}
 
 	// Requests with one part crashed one server after the other (BUDGET).
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -12,6 +12,7 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 
+import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.runtime.http.ScriptedServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -166,7 +167,7 @@
 			// Longer than the time within which losses of one server count as one crash.
 			sleep(2_100);
 		}
-		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantinedParts()).isEmpty());
+		assertThat(this.fleet.hosts()).allSatisfy((host) -> assertThat(host.quarantined()).isEmpty());
 	}
 
 	// Guards against prompts that crash servers staying out of quarantine because other
@@ -184,7 +185,9 @@
 			this.fleet.crashingStream(host, this.fleet.nextRequestId());
 			sleep(300);
 		}
-		assertThat(host.quarantinedParts()).containsExactly(Set.of(VersionedFleet.CRASHING_PART));
+		assertThat(host.quarantined()).singleElement()
+			.extracting(Attribution::features)
+			.isEqualTo(Set.of(VersionedFleet.CRASHING_PART));
 	}
 
 	private void useAllServers(List<VersionedFleet.Host> hosts) throws InterruptedException {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -10,7 +10,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -181,7 +180,7 @@
 	 * @param requestId the id of the attempt
 	 */
 	void crashingStream(Host host, String requestId) {
-		send(host, "/resumable/x", requestId, CRASHING_PARTS, new TakenStream());
+		send(host, "/resumable/" + requestId, requestId, CRASHING_PARTS, new TakenStream());
 	}
 
 	/**
@@ -433,11 +432,8 @@
 			return Mono.fromSupplier(() -> this.reach.isCutOff("service")).subscribeOn(this.scheduler).block();
 		}
 
-		List<Set<String>> quarantinedParts() {
-			return Mono
-				.fromSupplier(() -> this.belief.quarantine().attributions().stream().map(Attribution::parts).toList())
-				.subscribeOn(this.scheduler)
-				.block();
+		List<Attribution> quarantined() {
+			return Mono.fromSupplier(this.belief.quarantine()::attributions).subscribeOn(this.scheduler).block();
 		}
 
 		void isolate() {
