--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/RequestQuarantine.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/RequestQuarantine.java
@@ -123,6 +123,20 @@
 		}
 	}
 
+	/**
+	 * Records a crash that was attributed to features before this process started.
+	 * @param service the service of the server
+	 * @param serverId the instance id of the server
+	 * @param features the ids of the features
+	 * @param ageMs the time in milliseconds since the crash
+	 * @param nowMs the time in milliseconds
+	 */
+	public void restoreCrash(String service, String serverId, Set<String> features, long ageMs, long nowMs) {
+		if (ageMs < RETENTION_MS) {
+			recordCrash(service, serverId, List.of(features), nowMs - ageMs);
+		}
+	}
+
 	/**
 	 * Adds the evidence of another daemon.
 	 * @param evidence the evidence
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -21,6 +21,7 @@
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.backend.BackendOptions;
 import io.fescuehold.runtime.discovery.EvidenceGossip;
+import io.fescuehold.runtime.discovery.EvidenceStore;
 import io.fescuehold.runtime.discovery.Fleet;
 import io.fescuehold.runtime.discovery.FleetOptions;
 import io.fescuehold.runtime.discovery.ReachDirectory;
@@ -104,6 +105,9 @@
 
 	private final EvidenceGossip gossip;
 
+	/** Null if the host has no disk. */
+	private final EvidenceStore evidence;
+
 	private final OperationsServer operations;
 
 	private volatile List<String> seeds;
@@ -152,6 +156,8 @@
 				this::hostState, this.metrics, random, System.currentTimeMillis());
 		this.gossip = new EvidenceGossip(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
 				() -> this.seeds, this.belief.quarantine(), this.belief.requestLimits());
+		this.evidence = (settings.dataFolder() != null) ? new EvidenceStore(settings.dataFolder().resolve("quarantine"),
+				this.belief.quarantine(), this.scheduler, System::currentTimeMillis) : null;
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
 				this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
@@ -173,6 +179,9 @@
 	public void start() {
 		this.streams.start(this.settings.firstStart());
 		this.reach.start();
+		if (this.evidence != null) {
+			this.evidence.start();
+		}
 		this.server.start();
 		this.operations.start();
 		this.transport.start().block(Duration.ofSeconds(5));
