--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -170,6 +170,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether the current attempt was sent to a server of its own, because the
+	 * request may be to blame for a crash.
+	 * @param serverId the instance id of the server
+	 * @return whether it was sent there for this reason
+	 */
+	boolean isSuspectAt(String serverId) {
+		return this.target.reason().equals(Dispatcher.Target.SUSPECTED) && serverId().equals(serverId);
+	}
+
 	/**
 	 * Cancels the current attempt, because the request is known to crash servers.
 	 * @param attribution the attribution
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -149,7 +149,7 @@
 
 	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
 		if (!candidates.isEmpty() && this.quarantineGuard.isSuspected(request)) {
-			return new Target(isolated(request, candidates), null, "SUSPECTED", false);
+			return new Target(isolated(request, candidates), null, Target.SUSPECTED, false);
 		}
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
@@ -162,9 +162,12 @@
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
 	// different servers.
-	private static ServerState isolated(GatewayRequest request, List<ServerState> candidates) {
+	private ServerState isolated(GatewayRequest request, List<ServerState> servers) {
 		long requestHash = RendezvousHash.hash(request.features().identity().id());
-		return candidates.stream()
+		List<ServerState> free = servers.stream()
+			.filter((server) -> !this.quarantineGuard.hasSuspect(server.server().id()))
+			.toList();
+		return (free.isEmpty() ? servers : free).stream()
 			.min(Comparator.comparingLong(
 					(server) -> RendezvousHash.combine(requestHash, RendezvousHash.hash(server.server().id()))))
 			.orElseThrow();
@@ -445,6 +448,9 @@
 	 */
 	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
 
+		/** The reason for a server that runs no other suspected request of this host. */
+		static final String SUSPECTED = "SUSPECTED";
+
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -142,6 +142,16 @@
 					.anyMatch((features) -> features.contains(request.features().identity().id())));
 	}
 
+	/**
+	 * Returns whether a server runs a request of this host that may be to blame for a
+	 * crash.
+	 * @param serverId the instance id of the server
+	 * @return whether it has not begun to answer such a request
+	 */
+	boolean hasSuspect(String serverId) {
+		return this.unanswered.stream().anyMatch((attempts) -> attempts.isSuspectAt(serverId));
+	}
+
 	void attemptStarted(Attempts attempts) {
 		this.unanswered.add(attempts);
 	}
