--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
@@ -76,6 +76,9 @@
 		/** Nothing was sent, so the server cannot have run the request. */
 		NOT_SENT,
 
+		/** Nothing was sent, because the server no longer takes requests. */
+		WITHHELD,
+
 		/** The connection was lost after sending began. */
 		LOST,
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
@@ -13,9 +13,12 @@
  * together, or null if it names no limit
  * @param rejectionsPerS the requests a second that the server can reject without failing,
  * or null if it is not brittle
+ * @param restMs the time in milliseconds for which the server wants no more requests from
+ * this host, or null if it named none
+ * @param leaving whether the server is about to stop
  */
 public record AnswerHead(String requestId, boolean signed, boolean notRun, boolean otherInstance,
-		Double requestLimitPerS, Double rejectionsPerS) {
+		Double requestLimitPerS, Double rejectionsPerS, Long restMs, boolean leaving) {
 
 	private static final int FIRST_STATUS_AFTER_SUCCESS = 300;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -78,6 +78,9 @@
 
 	private Dispatcher.Target target;
 
+	/** The server behind the host that passes the request on, or null. */
+	private String relayedServerId;
+
 	private final StreamBinding binding = new StreamBinding();
 
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
@@ -264,6 +267,7 @@
 			return null;
 		}
 		this.binding.setRelayedVersion(headers.get(RelayHop.RESPONSE_VERSION));
+		this.relayedServerId = headers.get(RelayHop.RESPONSE_SERVER);
 		return RelayHop.refusal(headers, serverId());
 	}
 
@@ -292,6 +296,10 @@
 	}
 
 	private void sent() {
+		if (!this.dispatcher.maySend(this.target)) {
+			throw new BackendFailure(BackendFailure.Kind.WITHHELD, "it rests or leaves since the request was placed",
+					null);
+		}
 		this.awaitingResponse = true;
 		this.sentAtMs = this.dispatcher.nowMs();
 	}
@@ -303,7 +311,7 @@
 	void headReceived(AnswerHead head) {
 		if (!head.otherInstance()) {
 			this.dispatcher.recordResponse(this.target);
-			this.dispatcher.recordLimit(this.target, head, this.sentAtMs);
+			this.dispatcher.recordStatements(this.target, this.relayedServerId, head, this.sentAtMs);
 		}
 	}
 
@@ -342,6 +350,10 @@
 				replaced ? ServerOutcome.REPLACED : ServerOutcome.REJECTED);
 		// A rejected attempt does not count towards the route's limit of attempts.
 		this.attemptCount--;
+		FescueholdException resting = this.dispatcher.restRefusal(this.request, this.binding.current());
+		if (resting != null) {
+			return this.mayHaveRun ? runUnknown(resting.getMessage()) : resting;
+		}
 		if (this.rejectionCount <= MAX_REJECTIONS && this.dispatcher.tryAcquireRetry(this.request, this.attemptCount)) {
 			this.log.serverFailed(this.request, serverId(), "not run, status " + response.status(),
 					"trying another server");
@@ -377,6 +389,11 @@
 			return refusal;
 		}
 		String reason = String.valueOf(failure.getMessage());
+		if (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.WITHHELD) {
+			this.attemptCount--;
+			this.log.serverFailed(this.request, serverId(), reason, "nothing was sent, trying another server");
+			return null;
+		}
 		boolean stalled = failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.STALLED;
 		boolean notSent = !this.awaitingResponse
 				|| (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.NOT_SENT);
@@ -476,7 +493,7 @@
 		}
 	}
 
-	private String serverId() {
+	String serverId() {
 		return this.target.server().server().id();
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -58,6 +58,14 @@
 					this.scheduler);
 	}
 
+	/**
+	 * Returns the server of the last attempt.
+	 * @return its instance id
+	 */
+	String serverId() {
+		return this.attempts.serverId();
+	}
+
 	private Mono<BackendResponse> attempt() {
 		Dispatcher.Target target = this.attempts.next();
 		this.attempts.started();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -1,8 +1,6 @@
 package io.fescuehold.runtime.gateway;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,9 +9,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
-import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.prompt.EngineChoice;
@@ -34,29 +30,18 @@
  */
 final class Dispatcher {
 
-	/** A paused server is usually available again within this time. */
-	private static final long NO_SERVER_RETRY_AFTER_MS = 300;
-
-	/** Crashed servers have mostly restarted, and the list shows it, within this time. */
-	private static final long VERSION_RETRY_AFTER_MS = 1_000;
-
-	private static final long MIN_LIMIT_RETRY_AFTER_MS = 50;
-
-	private static final long MAX_LIMIT_RETRY_AFTER_MS = 5_000;
-
 	private final GatewayBelief belief;
 
 	private final CallerProtocol protocol;
 
 	private final BackendPools pools;
 
+	private final ServerCandidates candidates;
+
 	private final LongSupplier clockMs;
 
 	private final WindowedRetryBudget budget;
 
-	/** The time for which streams may be continued at a server that is about to stop. */
-	private final long leavingUseMs;
-
 	private final LeastLoadedSelector leastLoadedSelector;
 
 	private final EnginePlacement enginePlacement;
@@ -67,9 +52,6 @@
 
 	private final RelayTargets relays;
 
-	/** When the next refused caller of each service is asked to return. */
-	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
-
 	private final GatewayMetrics metrics;
 
 	private final GatewayLog log;
@@ -82,7 +64,7 @@
 		this.pools = pools;
 		this.clockMs = clockMs;
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
-		this.leavingUseMs = options.leavingUseMs();
+		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics);
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
@@ -116,20 +98,17 @@
 	 * @param binding the servers that may send events of the stream
 	 * @return the target; errors with code NO_SERVER, with code STREAM_VERSION_GONE if no
 	 * server of the bound version is left, or with code OVERLOADED if all servers limit
-	 * their requests
+	 * their requests or rest
 	 */
 	Target choose(GatewayRequest request, int attempt, Set<String> tried, VersionBinding binding) {
 		long nowMs = nowMs();
 		List<ServerState> all = this.belief.servers().of(request.service());
-		List<ServerState> untried = candidates(all, tried, binding, nowMs);
-		List<ServerState> candidates = withinLimits(request.service(), untried, nowMs);
-		if (candidates.isEmpty() && !untried.isEmpty()) {
-			throw limitExceeded(request.service(), untried, nowMs);
-		}
-		Target target = select(request, candidates, all, nowMs);
-		if (target == null) {
-			throw noServer(request, binding);
+		List<ServerState> untried = this.candidates.of(request.service(), tried, binding, nowMs);
+		List<ServerState> withinLimits = this.candidates.withinLimits(request.service(), untried, nowMs);
+		if (withinLimits.isEmpty()) {
+			throw this.candidates.refusal(request.service(), untried, binding, nowMs);
 		}
+		Target target = select(request, withinLimits, all, nowMs);
 		this.belief.requestLimits().consume(target.server().server().id());
 		if (attempt == 1) {
 			this.budget.recordRequest(request.service(), nowMs);
@@ -139,25 +118,16 @@
 		return target;
 	}
 
-	private static FescueholdException noServer(GatewayRequest request, VersionBinding binding) {
-		return (binding instanceof VersionBinding.ToVersion(String version))
-				? FescueholdException.of(ErrorCode.STREAM_VERSION_GONE, RunStatus.NO, VERSION_RETRY_AFTER_MS, version,
-						request.service())
-				: FescueholdException.of(ErrorCode.NO_SERVER, RunStatus.NO, NO_SERVER_RETRY_AFTER_MS,
-						request.service());
-	}
-
-	private Target select(GatewayRequest request, List<ServerState> candidates, List<ServerState> all, long nowMs) {
-		if (!candidates.isEmpty() && this.quarantineGuard.isSuspected(request)) {
-			return new Target(isolated(request, candidates), null, Target.SUSPECTED, false);
+	private Target select(GatewayRequest request, List<ServerState> servers, List<ServerState> all, long nowMs) {
+		if (this.quarantineGuard.isSuspected(request)) {
+			return new Target(isolated(request, servers), null, Target.SUSPECTED, false);
 		}
 		if (request.head().prompt() != null) {
-			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), candidates, all, nowMs);
-			return (choice != null) ? new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false)
-					: null;
+			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), servers,
+					this.candidates.copySources(all, nowMs), nowMs);
+			return new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false);
 		}
-		ServerState server = this.leastLoadedSelector.select(candidates, nowMs);
-		return (server != null) ? new Target(server, null, "LEAST_COST", false) : null;
+		return new Target(this.leastLoadedSelector.select(servers, nowMs), null, "LEAST_COST", false);
 	}
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
@@ -173,52 +143,25 @@
 			.orElseThrow();
 	}
 
-	private List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
-		if (this.belief.requestLimits().isEmpty()) {
-			return servers;
-		}
-		double loadFraction = this.belief.loadFraction(service);
-		return servers.stream()
-			.filter((server) -> this.belief.requestLimits().hasRoom(server, loadFraction, nowMs))
-			.filter((server) -> this.belief.requestLimits().isAllowed(server.server().id(), loadFraction, nowMs))
-			.toList();
-	}
-
-	// Callers return one after the other in the order of their refusals, at the rate that
-	// the limits allow.
-	private FescueholdException limitExceeded(String service, List<ServerState> servers, long nowMs) {
-		this.metrics.limited(service);
-		List<String> limited = servers.stream()
-			.map((server) -> server.server().id())
-			.filter((serverId) -> this.belief.requestLimits().isLimited(serverId, nowMs))
-			.toList();
-		long waitMs = limited.isEmpty() ? MIN_LIMIT_RETRY_AFTER_MS
-				: this.belief.requestLimits().meanWaitMs(limited, this.belief.loadFraction(service), nowMs);
-		long returnAtMs = Math.max(nowMs, this.nextReturnAtMs.getOrDefault(service, nowMs)) + waitMs;
-		returnAtMs = Math.clamp(returnAtMs, nowMs + MIN_LIMIT_RETRY_AFTER_MS, nowMs + MAX_LIMIT_RETRY_AFTER_MS);
-		this.nextReturnAtMs.put(service, returnAtMs);
-		return FescueholdException.of(ErrorCode.OVERLOADED, RunStatus.NO, returnAtMs - nowMs, service);
+	/**
+	 * Creates the refusal of a request whose servers all rest.
+	 * @param request the request
+	 * @param binding the servers that may send events of the stream
+	 * @return the refusal with the time at which the first server takes requests again,
+	 * or null if some server does not rest
+	 */
+	FescueholdException restRefusal(GatewayRequest request, VersionBinding binding) {
+		return this.candidates.restRefusal(request.service(), binding, nowMs());
 	}
 
-	private List<ServerState> candidates(List<ServerState> all, Set<String> tried, VersionBinding binding, long nowMs) {
-		List<ServerState> usable = new ArrayList<>();
-		List<ServerState> paused = new ArrayList<>();
-		List<ServerState> leaving = new ArrayList<>();
-		for (ServerState server : all) {
-			if (tried.contains(server.server().id()) || !binding.allows(server, nowMs)) {
-				continue;
-			}
-			if (server.server().leaving()) {
-				leaving.add(server);
-			}
-			else {
-				(server.health().isUsable(nowMs) ? usable : paused).add(server);
-			}
-		}
-		if (usable.isEmpty() && paused.isEmpty() && binding instanceof VersionBinding.ToVersion) {
-			return leaving.stream().filter((server) -> server.leavingMs(nowMs) < this.leavingUseMs).toList();
-		}
-		return usable.isEmpty() ? paused : usable;
+	/**
+	 * Returns whether a request may still go to its target. It may have waited for a
+	 * connection since the target was chosen.
+	 * @param target the server, or a host that passes the request on
+	 * @return whether the target still takes it
+	 */
+	boolean maySend(Target target) {
+		return target.relay() || this.candidates.maySend(target.server(), nowMs());
 	}
 
 	/**
@@ -248,8 +191,8 @@
 
 	private List<ServerState> alternatives(GatewayRequest request, Set<String> tried, VersionBinding binding,
 			long nowMs) {
-		return withinLimits(request.service(),
-				candidates(this.belief.servers().of(request.service()), tried, binding, nowMs), nowMs);
+		return this.candidates.withinLimits(request.service(),
+				this.candidates.of(request.service(), tried, binding, nowMs), nowMs);
 	}
 
 	/**
@@ -274,9 +217,10 @@
 	void recordRefusedConnection(Target target) {
 		ServerState server = target.server();
 		if (server.isVersionCertain(nowMs())) {
-			this.reach.isReachedByOthers(server.server())
-				.filter((reached) -> !reached)
-				.subscribe((gone) -> server.connectionRefused());
+			this.reach.isReachedByOthers(server.server()).filter((reached) -> !reached).subscribe((gone) -> {
+				server.connectionRefused();
+				this.belief.intake().forget(server.server().id());
+			});
 		}
 	}
 
@@ -388,16 +332,30 @@
 	}
 
 	/**
-	 * Records what a server says in a response of the requests that it still takes.
-	 * @param target the server
+	 * Records what a server says of itself in a response. A host that passes requests on
+	 * keeps to limits and rests itself, but this host may reach the server again soon.
+	 * @param target the server, or a host that passes the request on
+	 * @param relayedServerId the server behind that host, or null if it is not known
 	 * @param head the head of the response
 	 * @param sentAtMs when the request was sent that the response answers
 	 */
-	void recordLimit(Target target, AnswerHead head, long sentAtMs) {
+	void recordStatements(Target target, String relayedServerId, AnswerHead head, long sentAtMs) {
+		long nowMs = nowMs();
+		String serverId = target.relay() ? relayedServerId : target.server().server().id();
+		if (serverId != null && this.belief.intake().recordLeaving(serverId, head.leaving(), sentAtMs, nowMs)) {
+			this.log.leaves(serverId, head.leaving());
+		}
 		if (target.relay()) {
 			return;
 		}
 		BackendServer server = target.server().server();
+		if (head.restMs() != null && this.belief.intake().recordRest(server.id(), head.restMs(), nowMs)) {
+			this.log.rests(server, head.restMs());
+		}
+		recordLimit(server, head, target.server().load(), sentAtMs);
+	}
+
+	private void recordLimit(BackendServer server, AnswerHead head, int load, long sentAtMs) {
 		Double limitPerS = head.requestLimitPerS();
 		if (this.belief.requestLimits().record(server.id(), limitPerS, sentAtMs, nowMs())) {
 			this.log.limitChanged(server, limitPerS, this.belief.loadFraction(server.service()));
@@ -407,7 +365,7 @@
 		}
 		else if (this.belief.requestLimits()
 			.recordBrittle(server.id(), head.rejectionsPerS(), head.notRun(), nowMs())) {
-			this.log.brittle(server, head.rejectionsPerS(), head.notRun(), target.server().load());
+			this.log.brittle(server, head.rejectionsPerS(), head.notRun(), load);
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -9,6 +9,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.freshness.ConfigFreshness;
+import io.fescuehold.core.limits.ServerIntake;
 import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
@@ -65,6 +66,8 @@
 
 	private final ServerRequestLimits requestLimits;
 
+	private final ServerIntake intake = new ServerIntake();
+
 	private final LoadFractions loadFractions = new LoadFractions();
 
 	private final ServedVersions servedVersions;
@@ -126,6 +129,7 @@
 		long nowMs = this.clockMs.getAsLong();
 		this.quarantine.expire(nowMs);
 		this.requestLimits.expire(nowMs);
+		this.intake.expire(nowMs);
 		if (this.requestLimits.isEmpty()) {
 			this.loadFractions.clear();
 		}
@@ -187,6 +191,14 @@
 		return this.requestLimits;
 	}
 
+	/**
+	 * Returns which servers leave or rest.
+	 * @return what the servers said to this daemon
+	 */
+	public ServerIntake intake() {
+		return this.intake;
+	}
+
 	/**
 	 * Returns the software versions that can have begun streams.
 	 * @return the versions
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -9,6 +9,7 @@
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.BackendServer;
+import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.core.streamversion.StreamRecord;
 import io.fescuehold.core.streamversion.VersionVerdict;
 
@@ -147,6 +148,23 @@
 		}
 	}
 
+	void rests(BackendServer server, long restMs) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("Server %s of %s wants no requests of this daemon for %d ms", server.id(), server.service(),
+						restMs);
+		}
+	}
+
+	void leaves(String serverId, boolean leaving) {
+		if (tryAcquire(0)) {
+			ServerState server = this.belief.servers().find(serverId);
+			logger.atInfo()
+				.log("Server %s says that it %s; the list says %s", serverId, leaving ? "leaves" : "no longer leaves",
+						(server != null && server.server().leaving()) ? "the same" : "otherwise");
+		}
+	}
+
 	void brittle(BackendServer server, double rejectionsPerS, boolean rejected, int load) {
 		if (tryAcquire(0)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -55,6 +55,10 @@
 		this.registry.counter(PREFIX + "limited." + service).inc();
 	}
 
+	void resting(String service) {
+		this.registry.counter(PREFIX + "resting." + service).inc();
+	}
+
 	void quarantined(String service) {
 		this.registry.counter(PREFIX + "quarantined." + service).inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -25,6 +25,7 @@
 import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingConfig;
 import io.fescuehold.core.routes.TeamAccess;
+import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.runtime.backend.BackendPools;
 import io.fescuehold.runtime.backend.BackendResponse;
 import io.fescuehold.runtime.http.BodyReader;
@@ -67,7 +68,7 @@
 	/** Headers of one connection, and those that only hosts may set. */
 	private static final Set<String> NOT_RETURNED = Set.of("connection", "keep-alive", "transfer-encoding", "te",
 			"trailer", "upgrade", "proxy-connection", "content-length", RelayHop.RESPONSE_VERSION,
-			RelayHop.RESPONSE_REFUSAL);
+			RelayHop.RESPONSE_SERVER, RelayHop.RESPONSE_REFUSAL);
 
 	private final GatewayOptions options;
 
@@ -287,8 +288,11 @@
 			this.log.passedOn(request);
 		}
 		if (!request.route().isStreaming()) {
-			return new CallExchange(this.dispatcher, this.scheduler, this.log, request).run()
-				.flatMap((backendResponse) -> deliver(request, backendResponse, response));
+			CallExchange exchange = new CallExchange(this.dispatcher, this.scheduler, this.log, request);
+			return exchange.run().flatMap((backendResponse) -> {
+				nameServer(request, exchange.serverId(), response);
+				return deliver(request, backendResponse, response);
+			});
 		}
 		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, request);
 		return Mono.from(exchange.run()
@@ -306,11 +310,15 @@
 	private Publisher<Void> deliverStream(GatewayRequest request, StreamExchange exchange, StreamItem first,
 			Flux<StreamItem> items, HttpServerResponse response) {
 		return switch (first) {
-			case StreamItem.Complete complete -> items.then(deliver(request, complete.response(), response));
+			case StreamItem.Complete complete -> {
+				nameServer(request, exchange.serverId(), response);
+				yield items.then(deliver(request, complete.response(), response));
+			}
 			case StreamItem.Head head -> {
 				this.metrics.firstEvent(request.route().name(), this.clockMs.getAsLong() - request.receivedAtMs());
 				response.status(head.status());
 				addHeaders(response, head.headers());
+				nameServer(request, exchange.serverId(), response);
 				if (request.hop() != null && exchange.version() != null) {
 					response.header(RelayHop.RESPONSE_VERSION, exchange.version());
 				}
@@ -332,6 +340,12 @@
 		};
 	}
 
+	private static void nameServer(GatewayRequest request, String serverId, HttpServerResponse response) {
+		if (request.hop() != null) {
+			response.header(RelayHop.RESPONSE_SERVER, serverId);
+		}
+	}
+
 	private void answered(GatewayRequest request, int status) {
 		long tookMs = this.clockMs.getAsLong() - request.receivedAtMs();
 		this.metrics.answered(request.route().name(), status, tookMs);
@@ -391,6 +405,14 @@
 		return "gateway";
 	}
 
+	private Map<String, Object> dump(ServerState state) {
+		long nowMs = this.clockMs.getAsLong();
+		return Map.of("server", state.server(), "load", state.load(), "own", state.ownRequests(), "failureRate",
+				state.health().failureRate(nowMs), "usable", state.health().isUsable(nowMs), "resting",
+				this.belief.intake().isResting(state.server().id(), nowMs), "leavingMs",
+				this.belief.intake().leavingMs(state, nowMs));
+	}
+
 	@Override
 	public Object dump() {
 		Map<String, Object> dump = new TreeMap<>();
@@ -400,12 +422,7 @@
 		dump.put("pools", this.pools.size());
 		dump.put("relays", this.dispatcher.relays().addresses());
 		Map<String, Object> servers = new TreeMap<>();
-		this.belief.servers()
-			.all()
-			.forEach((state) -> servers.put(state.server().id(),
-					Map.of("server", state.server(), "load", state.load(), "own", state.ownRequests(), "failureRate",
-							state.health().failureRate(this.clockMs.getAsLong()), "usable",
-							state.health().isUsable(this.clockMs.getAsLong()))));
+		this.belief.servers().all().forEach((state) -> servers.put(state.server().id(), dump(state)));
 		dump.put("servers", servers);
 		dump.put("dispatch", this.dispatcher.dump());
 		dump.put("quarantine", this.belief.quarantine().attributions());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -207,6 +207,7 @@
 			if (state != null) {
 				state.health().record(ServerOutcome.UNREACHABLE, nowMs());
 				this.belief.holders().forget(server.id());
+				this.belief.intake().forget(server.id());
 			}
 			this.quarantine.recordCrash(server.service(), server.id(), requests, lostAtMs);
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -20,6 +20,9 @@
 	/** The headers of responses, which callers do not get. */
 	static final String RESPONSE_VERSION = "fescuehold-relay-version";
 
+	/** The instance id of the server that responded. */
+	static final String RESPONSE_SERVER = "fescuehold-relay-server";
+
 	static final String RESPONSE_REFUSAL = "fescuehold-relay-refusal";
 
 	private static final String REQUEST_ATTEMPTS = "fescuehold-relay-attempts";
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -114,6 +114,14 @@
 		return this.attempts.binding().version();
 	}
 
+	/**
+	 * Returns the server of the last attempt.
+	 * @return its instance id
+	 */
+	String serverId() {
+		return this.attempts.serverId();
+	}
+
 	/**
 	 * Returns the position of the last forwarded event.
 	 * @return the position, initially the one after which the caller resumes
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -67,7 +67,9 @@
 		return new AnswerHead(headers.get("x-request".toLowerCase(Locale.ROOT)), headers.containsKey("x-signature"),
 				headers.containsKey("x-not-run") || status == 421, status == 421,
 				headers.containsKey("x-limit") ? Double.valueOf(headers.get("x-limit")) : null,
-				headers.containsKey("x-brittle") ? Double.valueOf(headers.get("x-brittle")) : null);
+				headers.containsKey("x-brittle") ? Double.valueOf(headers.get("x-brittle")) : null,
+				headers.containsKey("x-rest-ms") ? Long.valueOf(headers.get("x-rest-ms")) : null,
+				headers.containsKey("x-leaving"));
 	}
 
 }
