--- a/fescuehold-core/src/main/java/io/fescuehold/core/streamversion/VersionSearch.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/streamversion/VersionSearch.java
@@ -8,18 +8,19 @@
  * Without one the version follows only if a single version can have begun the stream. A
  * host that sees several versions lets a majority of the holders of a stream know its
  * version before the first event, so that a majority without a record and with the same
- * single version proves that no other version is involved.
+ * single version proves that no other version is involved. So does a list of servers that
+ * was asked for after the search began, because the stream had begun before.
  */
 public final class VersionSearch {
 
 	private final int askedHosts;
 
-	private final boolean fresh;
-
 	private final Set<String> served;
 
 	private boolean complete;
 
+	private boolean listConfirmed;
+
 	private int answers;
 
 	private StreamRecord record;
@@ -29,13 +30,11 @@
 	 * @param askedHosts the number of hosts that were asked
 	 * @param served the versions of the service that this host has observed
 	 * @param complete whether these are all that served within the retention
-	 * @param fresh whether this host's list of servers has been confirmed just now
 	 */
-	public VersionSearch(int askedHosts, Set<String> served, boolean complete, boolean fresh) {
+	public VersionSearch(int askedHosts, Set<String> served, boolean complete) {
 		this.askedHosts = askedHosts;
 		this.served = new TreeSet<>(served);
 		this.complete = complete;
-		this.fresh = fresh;
 	}
 
 	/**
@@ -53,6 +52,18 @@
 		return this;
 	}
 
+	/**
+	 * Records that this host has asked for its list of servers after the search began,
+	 * and has it.
+	 * @param listed the versions of the service that this host has observed by now
+	 * @return this search
+	 */
+	public VersionSearch confirmList(Set<String> listed) {
+		this.served.addAll(listed);
+		this.listConfirmed = true;
+		return this;
+	}
+
 	/**
 	 * Decides as far as the answers allow.
 	 * @param last whether no further answer will come
@@ -64,7 +75,7 @@
 		}
 		boolean all = last || this.answers >= this.askedHosts;
 		boolean majority = this.answers > this.askedHosts / 2;
-		if (this.served.size() == 1 && this.complete && (majority || (all && this.fresh))) {
+		if (this.served.size() == 1 && this.complete && (majority || (all && this.listConfirmed))) {
 			return new VersionVerdict.OnlyVersion(this.served.iterator().next());
 		}
 		if (!all) {
--- a/fescuehold-core/src/test/java/io/fescuehold/core/streamversion/VersionSearchTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/streamversion/VersionSearchTests.java
@@ -15,7 +15,7 @@
 
 	@Test
 	void oneRecordDecidesWhateverElseIsUnknown() {
-		VersionSearch search = new VersionSearch(3, Set.of("v1", "v2"), false, false);
+		VersionSearch search = new VersionSearch(3, Set.of("v1", "v2"), false);
 		assertThat(search.verdict(false)).isInstanceOf(VersionVerdict.Open.class);
 		assertThat(search.add(RECORD, Set.of("v2"), false).verdict(false))
 			.isEqualTo(new VersionVerdict.Recorded(RECORD));
@@ -23,14 +23,14 @@
 
 	@Test
 	void singleVersionFollowsFromAMajorityWithoutARecord() {
-		VersionSearch search = new VersionSearch(3, Set.of("v1"), true, false).add(null, Set.of("v1"), true);
+		VersionSearch search = new VersionSearch(3, Set.of("v1"), true).add(null, Set.of("v1"), true);
 		assertThat(search.verdict(false)).isInstanceOf(VersionVerdict.Open.class);
 		assertThat(search.add(null, Set.of("v1"), true).verdict(false)).isEqualTo(new VersionVerdict.OnlyVersion("v1"));
 	}
 
 	@Test
 	void versionThatAnyHostHasObservedRulesOutAGuess() {
-		VersionSearch search = new VersionSearch(3, Set.of("v1"), true, true).add(null, Set.of("v1"), true)
+		VersionSearch search = new VersionSearch(3, Set.of("v1"), true).add(null, Set.of("v1"), true)
 			.add(null, Set.of("v1", "v2"), true)
 			.add(null, Set.of("v1"), true);
 		assertThat(search.verdict(false)).isInstanceOf(VersionVerdict.Unknown.class);
@@ -38,17 +38,18 @@
 
 	@Test
 	void hostsThatStartedLaterThanTheStreamProveNothing() {
-		VersionSearch search = new VersionSearch(2, Set.of("v1"), false, true).add(null, Set.of("v1"), false)
+		VersionSearch search = new VersionSearch(2, Set.of("v1"), false).add(null, Set.of("v1"), false)
 			.add(null, Set.of("v1"), false);
 		assertThat(search.verdict(true)).isInstanceOf(VersionVerdict.Unknown.class);
 	}
 
 	@Test
 	void withoutAnswersOnlyACurrentListProvesTheSingleVersion() {
-		assertThat(new VersionSearch(3, Set.of("v1"), true, false).verdict(true))
-			.isInstanceOf(VersionVerdict.Unknown.class);
-		assertThat(new VersionSearch(3, Set.of("v1"), true, true).verdict(true))
+		assertThat(new VersionSearch(3, Set.of("v1"), true).verdict(true)).isInstanceOf(VersionVerdict.Unknown.class);
+		assertThat(new VersionSearch(3, Set.of("v1"), true).confirmList(Set.of("v1")).verdict(true))
 			.isEqualTo(new VersionVerdict.OnlyVersion("v1"));
+		assertThat(new VersionSearch(3, Set.of("v1"), true).confirmList(Set.of("v1", "v2")).verdict(true))
+			.isInstanceOf(VersionVerdict.Unknown.class);
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/StreamDirectory.java
@@ -70,9 +70,6 @@
 
 	private static final Duration ANNOUNCE_INTERVAL = Duration.ofMillis(100);
 
-	/** Up to this age of the last confirmation the list of servers counts as current. */
-	private static final long FRESH_MS = 1_000;
-
 	private final String hostId;
 
 	private final PeerTransport transport;
@@ -118,8 +115,8 @@
 	 * @param hosts supplies the hosts as far as this one knows
 	 * @param seeds supplies the hosts that are asked as well, because this one may not
 	 * know the others yet
-	 * @param confirmedAgeMs supplies the time in milliseconds since the list of servers
-	 * was last confirmed
+	 * @param confirmedAgeMs supplies the time in milliseconds since this host asked for
+	 * the list of servers that it last got
 	 * @param retentionMs supplies the time in milliseconds for which a stream can be
 	 * continued
 	 * @param served the versions that this host has observed
@@ -343,7 +340,7 @@
 			StreamMessage.Find question = new StreamMessage.Find((streamId != null) ? streamId : "", service);
 			Set<String> asked = hostsToAsk(question.streamId());
 			VersionSearch search = new VersionSearch(asked.size(), this.served.of(service, nowMs),
-					this.served.isComplete(nowMs), this.confirmedAgeMs.getAsLong() <= FRESH_MS);
+					this.served.isComplete(nowMs));
 			if (asked.remove(this.hostId)) {
 				search.add(null, Set.of(), false);
 			}
@@ -352,10 +349,18 @@
 				.map((found) -> search.add(found.record(), found.served(), found.complete()).verdict(false))
 				.filter((verdict) -> !(verdict instanceof VersionVerdict.Open))
 				.next()
-				.switchIfEmpty(Mono.fromSupplier(() -> search.verdict(true)));
+				.switchIfEmpty(Mono.fromSupplier(() -> lastVerdict(search, service, nowMs)));
 		});
 	}
 
+	private VersionVerdict lastVerdict(VersionSearch search, String service, long beganAtMs) {
+		long nowMs = nowMs();
+		if (nowMs - this.confirmedAgeMs.getAsLong() >= beganAtMs) {
+			search.confirmList(this.served.of(service, nowMs));
+		}
+		return search.verdict(true);
+	}
+
 	private Mono<StreamMessage.Found> ask(String host, StreamMessage.Find question) {
 		return this.transport.request(host, question, FIND_TIMEOUT)
 			.cast(StreamMessage.Found.class)
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/StreamVersionTests.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -112,7 +114,7 @@
 			VersionedFleet.Host first = fleet.host(3);
 			fleet.startServer("v1.1").breakAfter(4);
 			first.readList();
-			first.isolate();
+			first.isolate(true);
 			old.cut(first, 60_000);
 			TakenStream taken = new TakenStream();
 			fleet.stream(first, fleet.nextRequestId(), taken);
@@ -122,6 +124,38 @@
 		}
 	}
 
+	// Guards against a host that has been cut off for a moment continuing a stream at the
+	// only version that it knows, while another one has joined (ORDER).
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 3 })
+	void hostOutOfStepDoesNotTakeItsOnlyVersionForThatOfAStream(int outOfStep) {
+		try (VersionedFleet fleet = fleet()) {
+			VersionedFleet.Backend old = fleet.startServer("v1");
+			for (int number = 0; number < 4; number++) {
+				fleet.startHost(number, true);
+			}
+			VersionedFleet.Host cutOff = fleet.host(outOfStep);
+			VersionedFleet.Host first = fleet.host(1);
+			awaitExchange();
+			cutOff.isolate(true);
+			VersionedFleet.Backend newer = fleet.startServer("v1.1");
+			newer.breakAfter(4);
+			fleet.hosts().stream().filter((host) -> host != cutOff).forEach(VersionedFleet.Host::readList);
+			old.cut(first, 60_000);
+			TakenStream taken = new TakenStream();
+			fleet.stream(first, fleet.nextRequestId(), taken);
+			assertThat(taken.versions()).containsExactly("v1.1");
+			assertThat(takeUp(fleet, cutOff, taken)).isEqualTo(503);
+			assertThat(taken.versions()).containsExactly("v1.1");
+			newer.breakAfter(Integer.MAX_VALUE);
+			cutOff.isolate(false);
+			fleet.readLists();
+			assertThat(takeUp(fleet, cutOff, taken)).isEqualTo(200);
+			assertThat(taken.versions()).containsExactly("v1.1");
+			assertThat(taken.isComplete()).isTrue();
+		}
+	}
+
 	// Guards against a guess at the version, and against a refusal that comes late.
 	@Test
 	void streamOfUnknownVersionIsRefusedAtOnceAndReachesNoServer() {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -199,7 +199,8 @@
 		@Override
 		public Mono<VersionVerdict> find(String streamId, String service) {
 			return Mono.fromSupplier(
-					() -> new VersionSearch(0, this.belief.servedVersions().of(service, 0), true, true).verdict(true));
+					() -> new VersionSearch(0, this.belief.servedVersions().of(service, 0), true).confirmList(Set.of())
+						.verdict(true));
 		}
 
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -410,9 +410,11 @@
 				this.directory.start(firstStart);
 				this.reach.start();
 			});
-			this.confirmations = this.scheduler.schedulePeriodically(
-					() -> this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS)), 0, 100,
-					TimeUnit.MILLISECONDS);
+			this.confirmations = this.scheduler.schedulePeriodically(() -> {
+				if (!this.isolated) {
+					this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
+				}
+			}, 0, 100, TimeUnit.MILLISECONDS);
 			this.server.start();
 			this.port = this.server.port();
 		}
@@ -436,8 +438,8 @@
 			return Mono.fromSupplier(this.belief.quarantine()::attributions).subscribeOn(this.scheduler).block();
 		}
 
-		void isolate() {
-			this.isolated = true;
+		void isolate(boolean newIsolated) {
+			this.isolated = newIsolated;
 		}
 
 		int number() {
