--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/TaskGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/TaskGuard.java
@@ -25,7 +25,8 @@
 			task.run();
 			return true;
 		}
-		catch (RuntimeException ex) {
+		// What others send may be nested more deeply than the stack of a thread.
+		catch (RuntimeException | StackOverflowError ex) {
 			logger.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(ex).log("Failed to %s", description);
 			return false;
 		}
