--- a/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
@@ -3,9 +3,9 @@
 /**
  * The graceful shutdown of a host: it is removed from the entry answers, continues to
  * serve until the last answer that names it has expired, then refuses new requests,
- * finishes those in flight and stops. It never stops while a request is in flight. Since
- * no request is accepted after the last answer has expired and every request has a
- * deadline, the shutdown ends by {@link #latestStopMs(long)}.
+ * finishes those in flight and stops. From the beginning it refuses requests that may not
+ * end before the process has to stop; those that are open then all the same get a final
+ * answer.
  */
 public final class DrainSchedule {
 
@@ -13,8 +13,10 @@
 
 	private final long lastAnswerExpiresAtMs;
 
+	private final long endAtMs;
+
 	/**
-	 * Starts a shutdown.
+	 * Starts a shutdown of a process that may take as long as its requests.
 	 * @param startedAtMs the time in milliseconds at which the host announces the
 	 * shutdown
 	 * @param entryValidMs the longest validity of an entry answer, in milliseconds
@@ -22,8 +24,22 @@
 	 * this host because their host list is outdated
 	 */
 	public DrainSchedule(long startedAtMs, long entryValidMs, long hostListLagMs) {
+		this(startedAtMs, entryValidMs, hostListLagMs, Long.MAX_VALUE);
+	}
+
+	/**
+	 * Starts a shutdown of a process that will be killed.
+	 * @param startedAtMs the time in milliseconds at which the host announces the
+	 * shutdown
+	 * @param entryValidMs the longest validity of an entry answer, in milliseconds
+	 * @param hostListLagMs the time in milliseconds for which other hosts may still name
+	 * this host because their host list is outdated
+	 * @param endAtMs the time in milliseconds at which all requests must have ended
+	 */
+	public DrainSchedule(long startedAtMs, long entryValidMs, long hostListLagMs, long endAtMs) {
 		this.startedAtMs = startedAtMs;
 		this.lastAnswerExpiresAtMs = startedAtMs + hostListLagMs + entryValidMs;
+		this.endAtMs = endAtMs;
 	}
 
 	/**
@@ -40,20 +56,32 @@
 	}
 
 	/**
-	 * Returns when the last entry answer that names this host has expired.
+	 * Returns whether a request ends before the process has to stop. One that may be
+	 * repeated can be continued elsewhere if it takes longer than usual.
+	 * @param repeatable whether the request may be repeated or resumed
+	 * @param deadlineAtMs the deadline of the request in milliseconds
+	 * @param usualMs the time in milliseconds that such requests take
+	 * @param nowMs the time in milliseconds
+	 * @return whether the request may be taken
+	 */
+	public boolean endsInTime(boolean repeatable, long deadlineAtMs, long usualMs, long nowMs) {
+		return deadlineAtMs <= this.endAtMs || (repeatable && nowMs + usualMs <= this.endAtMs);
+	}
+
+	/**
+	 * Returns when all requests must have ended.
 	 * @return the time in milliseconds
 	 */
-	public long lastAnswerExpiresAtMs() {
-		return this.lastAnswerExpiresAtMs;
+	public long endAtMs() {
+		return this.endAtMs;
 	}
 
 	/**
-	 * Returns the latest time at which the shutdown ends.
-	 * @param longestDeadlineMs the longest time in milliseconds that a request may take
-	 * @return the time in milliseconds at which every request has ended
+	 * Returns when the last entry answer that names this host has expired.
+	 * @return the time in milliseconds
 	 */
-	public long latestStopMs(long longestDeadlineMs) {
-		return this.lastAnswerExpiresAtMs + longestDeadlineMs;
+	public long lastAnswerExpiresAtMs() {
+		return this.lastAnswerExpiresAtMs;
 	}
 
 	/**
--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -77,6 +77,11 @@
 	/** The process is stopping. */
 	DRAINING(503, "This host is draining; ask an entry host for other addresses"),
 
+	/** The process stopped before the server answered. Argument: server. */
+	HOST_STOPPED(502,
+			"This host stops before server \"%s\" has answered; ask an entry host for other addresses and"
+					+ " retry if the request is idempotent"),
+
 	/** The call must run at most once but has no key. Arguments: method, path. */
 	KEY_MISSING(400, "%s %s must run at most once; send an Idempotency-Key header"),
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/drain/DrainTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/drain/DrainTests.java
@@ -28,7 +28,16 @@
 		DrainSchedule drain = new DrainSchedule(0, 30_000, 10_000);
 		assertThat(drain.phase(1, 40_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
 		assertThat(drain.phase(1, 4_000_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
-		assertThat(drain.latestStopMs(120_000)).isEqualTo(160_000);
+	}
+
+	// A request that came late in the grace was cut without an answer (LOST).
+	@Test
+	void requestThatMayNotEndBeforeTheStopIsNotTaken() {
+		DrainSchedule drain = new DrainSchedule(0, 3_000, 500, 7_000);
+		assertThat(drain.endsInTime(false, 7_000, 100, 3_400)).isTrue();
+		assertThat(drain.endsInTime(false, 7_001, 100, 3_400)).isFalse();
+		assertThat(drain.endsInTime(true, 18_400, 3_600, 3_400)).isTrue();
+		assertThat(drain.endsInTime(true, 18_400, 3_601, 3_400)).isFalse();
 	}
 
 	@Test
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -68,6 +68,9 @@
 	/** The time reserved for closing the store before the process is killed. */
 	private static final long CLOSE_MS = 600;
 
+	/** The time for the answers to requests that have not ended by then. */
+	private static final long FINAL_ANSWERS_MS = 300;
+
 	private static final long DRAIN_CHECK_MS = 50;
 
 	private static final long POOL_CHECK_MS = 5_000;
@@ -286,8 +289,8 @@
 
 	/**
 	 * Drains the daemon: closes each connection after its next response, waits until the
-	 * entry responses that name this daemon have expired, then refuses new requests and
-	 * waits until those in flight have ended.
+	 * entry responses that name this daemon have expired, then refuses new requests,
+	 * waits until those in flight have ended, and answers those that have not.
 	 * @return completes when the daemon may stop, at the latest shortly before the
 	 * process would be killed
 	 */
@@ -295,10 +298,12 @@
 		return Mono.create((sink) -> this.scheduler.schedule(() -> {
 			long nowMs = this.clock.nowMs();
 			logger.atInfo().log("Draining with %d requests in flight", this.server.inFlight());
-			this.drain = new DrainSchedule(nowMs, this.settings.maxEntryValidMs(), HOST_LIST_LAG_MS);
-			this.server.closeConnections();
+			long latestMs = nowMs + this.settings.stopMs() - CLOSE_MS;
+			this.drain = new DrainSchedule(nowMs, this.settings.maxEntryValidMs(), HOST_LIST_LAG_MS,
+					latestMs - FINAL_ANSWERS_MS);
+			this.server.drain(this.drain);
 			this.fleet.yieldLeadership();
-			checkDrain(sink, nowMs + this.settings.stopMs() - CLOSE_MS);
+			checkDrain(sink, latestMs);
 		}));
 	}
 
@@ -308,6 +313,9 @@
 		if (!phase.acceptsRequests()) {
 			this.server.refuseRequests();
 		}
+		if (nowMs >= this.drain.endAtMs()) {
+			this.server.endRequests();
+		}
 		if (phase == DrainSchedule.Phase.STOPPABLE || nowMs >= latestMs) {
 			logger.atInfo().log("Drain finished, aborting %d requests in flight", this.server.inFlight());
 			sink.success();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -13,7 +13,6 @@
 import io.fescuehold.runtime.backend.BackendRequest;
 import io.fescuehold.runtime.backend.BackendResponse;
 import reactor.core.publisher.Mono;
-import reactor.core.publisher.Sinks;
 
 /**
  * Tracks the attempts of one request: which servers were tried, whether one of them may
@@ -72,9 +71,7 @@
 	/** Whether the current server is known to have survived the start of its response. */
 	private boolean answered;
 
-	private Sinks.One<Attribution> withdrawal = Sinks.one();
-
-	private Attribution withdrawnBy;
+	private final Withdrawal withdrawal;
 
 	private Dispatcher.Target target;
 
@@ -86,6 +83,7 @@
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
 		this.dispatcher = dispatcher;
 		this.guard = dispatcher.quarantineGuard();
+		this.withdrawal = new Withdrawal(this.guard);
 		this.log = log;
 		this.request = request;
 		if (request.hop() != null) {
@@ -101,14 +99,17 @@
 	Dispatcher.Target next() {
 		Attribution quarantined = this.guard.check(this.request);
 		if (quarantined != null) {
-			throw quarantineError(quarantined);
+			this.withdrawal.byQuarantine(quarantined);
+		}
+		if (quarantined != null || this.withdrawal.isByStop()) {
+			throw withdrawalError();
 		}
 		this.target = choose();
 		this.attemptCount++;
 		this.awaitingResponse = false;
 		this.eventCount = 0;
 		this.answered = false;
-		this.withdrawal = Sinks.one();
+		this.withdrawal.renew();
 		this.tried.add(serverId());
 		return this.target;
 	}
@@ -184,35 +185,20 @@
 	}
 
 	/**
-	 * Cancels the current attempt, because the request is known to crash servers.
-	 * @param attribution the attribution
+	 * Returns what ends the attempts early.
+	 * @return the withdrawal
 	 */
-	void withdraw(Attribution attribution) {
-		this.withdrawnBy = attribution;
-		this.withdrawal.tryEmitValue(attribution);
+	Withdrawal withdrawal() {
+		return this.withdrawal;
 	}
 
 	/**
-	 * Returns the signal that cancels the current attempt.
-	 * @return emits once when the attempt must be cancelled
-	 */
-	Mono<Attribution> withdrawn() {
-		return this.withdrawal.asMono();
-	}
-
-	/**
-	 * Returns the error of an attempt that was cancelled by {@link #withdrawn()}.
+	 * Returns the error of an attempt that was withdrawn.
 	 * @return the error for the caller
 	 */
 	FescueholdException withdrawalError() {
-		return quarantineError(this.withdrawnBy);
-	}
-
-	private FescueholdException quarantineError(Attribution attribution) {
-		if (!this.awaitingResponse && !this.mayHaveRun) {
-			return this.guard.refusal(attribution);
-		}
-		return this.guard.cancellation(attribution, serverId());
+		return this.withdrawal.error((this.target != null) ? serverId() : null,
+				this.awaitingResponse || this.mayHaveRun);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -58,6 +58,13 @@
 					this.scheduler);
 	}
 
+	/**
+	 * Ends the request with its final answer, because this host stops.
+	 */
+	void stop() {
+		this.attempts.withdrawal().byStop();
+	}
+
 	/**
 	 * Returns the server of the last attempt.
 	 * @return its instance id
@@ -72,7 +79,8 @@
 		Mono<BackendResponse> exchange = BackendExchange
 			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES)
 			.doFinally((signal) -> this.attempts.ended(target));
-		exchange = StreamDeadline.cut(exchange.flux(), this.attempts.withdrawn(), this.attempts::withdrawalError)
+		exchange = StreamDeadline
+			.cut(exchange.flux(), this.attempts.withdrawal().signal(), this.attempts::withdrawalError)
 			.next();
 		long slowMs = Math.max(MIN_SLOW_MS, (long) SLOW_FACTOR * this.request.route().objectiveMs());
 		if (this.attempts.hasRetryLeft() && this.request.leftMs(this.dispatcher.nowMs()) > 2 * slowMs) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,7 @@
 import java.util.stream.Collectors;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
@@ -100,10 +102,16 @@
 
 	private int inFlight;
 
+	/** What ends each open request when this host stops. */
+	private final Set<Runnable> open = new HashSet<>();
+
 	private boolean closing;
 
 	private boolean refusing;
 
+	/** Null unless this host is about to stop. */
+	private DrainSchedule drain;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param options the options
@@ -187,6 +195,26 @@
 		this.closing = true;
 	}
 
+	/**
+	 * Begins a planned stop: closes connections as {@link #closeConnections()} does, and
+	 * refuses requests that may not end in time with code DRAINING.
+	 * @param schedule the times of the stop
+	 */
+	public void drain(DrainSchedule schedule) {
+		this.drain = schedule;
+		closeConnections();
+	}
+
+	/**
+	 * Ends the open requests. Callers get an answer that says whether the request may
+	 * have run; a stream breaks off after its last event, so that it can be taken up at
+	 * another host.
+	 */
+	public void endRequests() {
+		refuseRequests();
+		List.copyOf(this.open).forEach(Runnable::run);
+	}
+
 	/**
 	 * Refuses new requests with code DRAINING.
 	 */
@@ -270,12 +298,19 @@
 			case GateDecision.Admitted(Route route, var team) -> {
 				this.metrics.request(route.name());
 				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.streamId()));
-				yield forward(new GatewayRequest(head, body, route, team, route.serviceFor(fraction), receivedAtMs,
-						receivedAtMs + limitMs(head, route), hop), response);
+				GatewayRequest request = new GatewayRequest(head, body, route, team, route.serviceFor(fraction),
+						receivedAtMs, receivedAtMs + limitMs(head, route), hop);
+				yield endsInTime(request) ? forward(request, response)
+						: Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
 			}
 		};
 	}
 
+	private boolean endsInTime(GatewayRequest request) {
+		return this.drain == null || this.drain.endsInTime(request.route().isRepeatable(), request.deadlineAtMs(),
+				this.metrics.usualMs(request.route().name()), this.clockMs.getAsLong());
+	}
+
 	private static long limitMs(CallerHead head, Route route) {
 		if (head.deadlineMs() <= 0) {
 			return route.timeoutMs();
@@ -289,13 +324,18 @@
 		}
 		if (!request.route().isStreaming()) {
 			CallExchange exchange = new CallExchange(this.dispatcher, this.scheduler, this.log, request);
-			return exchange.run().flatMap((backendResponse) -> {
+			Runnable stop = exchange::stop;
+			this.open.add(stop);
+			return exchange.run().doFinally((signal) -> this.open.remove(stop)).flatMap((backendResponse) -> {
 				nameServer(request, exchange.serverId(), response);
 				return deliver(request, backendResponse, response);
 			});
 		}
 		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, request);
+		Runnable stop = exchange::stop;
+		this.open.add(stop);
 		return Mono.from(exchange.run()
+			.doFinally((signal) -> this.open.remove(stop))
 			.switchOnFirst((first, items) -> deliverStream(request, exchange, first.get(), items, response)));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/QuarantineGuard.java
@@ -232,7 +232,7 @@
 			Attribution attribution = this.quarantine.find(request.service(), request.features());
 			if (attribution != null && nowMs < attribution.heldUntilMs()) {
 				this.unanswered.remove(attempts);
-				attempts.withdraw(attribution);
+				attempts.withdrawal().byQuarantine(attribution);
 			}
 		}
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -114,6 +114,13 @@
 		return this.attempts.binding().version();
 	}
 
+	/**
+	 * Ends the request with its final answer, because this host stops.
+	 */
+	void stop() {
+		this.attempts.withdrawal().byStop();
+	}
+
 	/**
 	 * Returns the server of the last attempt.
 	 * @return its instance id
@@ -162,7 +169,7 @@
 			.send(this.dispatcher.client(target), this.attempts.prepare(this.headSent ? this.position : -1),
 					(head, content) -> receive(target, head, content))
 			.doFinally((signal) -> this.attempts.ended(target));
-		items = StreamDeadline.cut(failIfStalled(target, items), this.attempts.withdrawn(),
+		items = StreamDeadline.cut(failIfStalled(target, items), this.attempts.withdrawal().signal(),
 				this.attempts::withdrawalError);
 		return items.onErrorResume(this::afterFailure).concatMap(this::evaluate, 1);
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.ServerReach;
@@ -128,6 +129,18 @@
 		return this.server;
 	}
 
+	long nowMs() {
+		return this.scheduler.now(TimeUnit.MILLISECONDS);
+	}
+
+	void drain(DrainSchedule schedule) {
+		Mono.fromRunnable(() -> this.server.drain(schedule)).subscribeOn(this.scheduler).block();
+	}
+
+	void endRequests() {
+		Mono.fromRunnable(this.server::endRequests).subscribeOn(this.scheduler).block();
+	}
+
 	// The caller may receive the response before the gateway decrements the counter.
 	void awaitNothingInFlight() {
 		long untilNs = System.nanoTime() + Duration.ofSeconds(5).toNanos();
