--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -30,6 +30,9 @@
  */
 final class Dispatcher {
 
+	/** A server with this rate has failed two requests in a short time. */
+	private static final double FAILING_RATE = 0.2;
+
 	private final GatewayBelief belief;
 
 	private final CallerProtocol protocol;
@@ -120,7 +123,7 @@
 
 	private Target select(GatewayRequest request, List<ServerState> servers, List<ServerState> all, long nowMs) {
 		if (this.quarantineGuard.isSuspected(request)) {
-			return new Target(isolated(request, servers), null, Target.SUSPECTED, false);
+			return new Target(isolated(request, servers, nowMs), null, Target.SUSPECTED, false);
 		}
 		if (request.head().prompt() != null) {
 			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), servers,
@@ -131,16 +134,15 @@
 	}
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
-	// different servers.
-	private ServerState isolated(GatewayRequest request, List<ServerState> servers) {
+	// different servers, but not to one that fails requests itself.
+	private ServerState isolated(GatewayRequest request, List<ServerState> servers, long nowMs) {
 		long requestHash = RendezvousHash.hash(request.features().identity().id());
-		List<ServerState> free = servers.stream()
-			.filter((server) -> !this.quarantineGuard.hasSuspect(server.server().id()))
-			.toList();
-		return (free.isEmpty() ? servers : free).stream()
-			.min(Comparator.comparingLong(
-					(server) -> RendezvousHash.combine(requestHash, RendezvousHash.hash(server.server().id()))))
-			.orElseThrow();
+		Comparator<ServerState> byPreference = Comparator
+			.comparing((ServerState server) -> server.health().failureRate(nowMs) > FAILING_RATE)
+			.thenComparing((server) -> this.quarantineGuard.hasSuspect(server.server().id()))
+			.thenComparingLong(
+					(server) -> RendezvousHash.combine(requestHash, RendezvousHash.hash(server.server().id())));
+		return servers.stream().min(byPreference).orElseThrow();
 	}
 
 	/**
