--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerHealth.java
@@ -41,6 +41,8 @@
 
 	private int unreachableCount;
 
+	private boolean unproven;
+
 	private long excusedUntilMs = Long.MIN_VALUE;
 
 	/**
@@ -53,6 +55,7 @@
 			case SERVED -> {
 				this.excusedUntilMs = Long.MIN_VALUE;
 				this.unreachableCount = 0;
+				this.unproven = false;
 				updateFailureRate(0, nowMs);
 			}
 			case FAILED -> updateFailureRate(1, nowMs);
@@ -61,6 +64,7 @@
 			case UNREACHABLE, SILENT -> {
 				long backoffMs = FIRST_BACKOFF_MS << Math.min(this.unreachableCount, MAX_DOUBLINGS);
 				this.unreachableCount++;
+				this.unproven = true;
 				this.backoffUntilMs = nowMs + Math.min(backoffMs, MAX_BACKOFF_MS);
 				updateFailureRate(1, nowMs);
 			}
@@ -87,6 +91,14 @@
 		return nowMs >= this.backoffUntilMs;
 	}
 
+	/**
+	 * Returns whether the server could not be reached and has served no request since.
+	 * @return whether it may still be down although it is no longer excluded
+	 */
+	public boolean isUnproven() {
+		return this.unproven;
+	}
+
 	/**
 	 * Returns the fraction of requests that the server fails.
 	 * @param nowMs the time in milliseconds
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerHealthTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerHealthTests.java
@@ -72,4 +72,17 @@
 		assertThat(this.health.failureRate(1)).isZero();
 	}
 
+	// Retries must not all go to servers that are down (LOST).
+	@Test
+	void serverIsUnprovenUntilItServesARequestAgain() {
+		ServerHealth health = new ServerHealth();
+		assertThat(health.isUnproven()).isFalse();
+		health.record(ServerOutcome.UNREACHABLE, 0);
+		health.excuse(10);
+		assertThat(health.isUsable(ServerHealth.FIRST_BACKOFF_MS)).isTrue();
+		assertThat(health.isUnproven()).isTrue();
+		health.record(ServerOutcome.SERVED, ServerHealth.FIRST_BACKOFF_MS);
+		assertThat(health.isUnproven()).isFalse();
+	}
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
@@ -71,6 +71,12 @@
 		if (usable.isEmpty() && paused.isEmpty() && binding instanceof VersionBinding.ToVersion) {
 			return leaving.stream().filter((server) -> maySend(server, nowMs)).toList();
 		}
+		// A request that has failed elsewhere is not used to find out whether a server is
+		// back.
+		List<ServerState> proven = usable.stream().filter((server) -> !server.health().isUnproven()).toList();
+		if (!tried.isEmpty() && !proven.isEmpty()) {
+			return proven;
+		}
 		return usable.isEmpty() ? paused : usable;
 	}
 
