--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Map;
 
 import io.fescuehold.core.error.ErrorCode;
@@ -33,6 +34,8 @@
 
 	private static final int OK = 200;
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	/**
 	 * Multiple of the route's latency objective after which a stream without a first
 	 * event counts as stalled.
@@ -76,6 +79,9 @@
 
 	private boolean headSent;
 
+	/** The type of the response that began the stream. */
+	private String mediaType = "";
+
 	private boolean contiguous;
 
 	private boolean progressed;
@@ -230,6 +236,10 @@
 		if (!head.signed()) {
 			return protocolFailure("the response carries no signature");
 		}
+		String type = mediaType(headers);
+		if (!continues(type)) {
+			return protocolFailure("the response that continues the stream has media type " + type);
+		}
 		EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
 		this.contiguous = false;
 		Flux<StreamItem> events = content.asByteArray()
@@ -240,6 +250,18 @@
 			.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(status, headers), splitter, framed)));
 	}
 
+	// A continuation of another type is an error that the server sent as a success.
+	private boolean continues(String type) {
+		if (this.headSent) {
+			return type.equals(this.mediaType);
+		}
+		return !this.request.head().takesUp() || type.isEmpty() || type.equals(EVENT_STREAM);
+	}
+
+	private static String mediaType(Map<String, String> headers) {
+		return headers.getOrDefault("content-type", "").split(";")[0].strip().toLowerCase(Locale.ROOT);
+	}
+
 	private static Iterable<StreamEvent> split(EventSplitter splitter, byte[] bytes) {
 		try {
 			return splitter.append(bytes);
@@ -282,6 +304,7 @@
 			return Flux.empty();
 		}
 		this.headSent = true;
+		this.mediaType = mediaType(head.headers());
 		this.dispatcher.recordPromptRead(this.request, target);
 		return Flux.just(head);
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayStreamTests.java
@@ -10,6 +10,8 @@
 import io.fescuehold.runtime.http.ScriptedServer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import reactor.core.Disposable;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -303,6 +305,46 @@
 		}
 	}
 
+	// A stream went on with an error that a server had sent as a success, or ended as
+	// complete before its last event (ORDER, MIXED).
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Type: application/json\r\nContent-Length: 15\r\n\r\n{\"error\":\"bad\"}",
+			"Content-Type: application/json\r\nContent-Length: 17\r\n\r\n{\"error\":\"bad\"}\n\n",
+			"Content-Length: 0\r\n\r\n", "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" })
+	void streamDoesNotGoOnWithAnError(String error) {
+		ScriptedServer.Script failing = (request, connection) -> {
+			String head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + request.headers().get("X-Request")
+					+ "\r\n";
+			if (resumeAfter(request) > 0) {
+				connection.send(head + error);
+				return;
+			}
+			connection
+				.send(head + "Content-Type: text/event-stream; charset=utf-8\r\nTransfer-Encoding: chunked\r\n\r\n");
+			events(connection, 1, 3);
+			resetAfterDelay(connection);
+		};
+		try (ScriptedServer one = new ScriptedServer(failing);
+				ScriptedServer two = new ScriptedServer(failing);
+				TestGateway gateway = new TestGateway(one, two)) {
+			TestGateway.Answer answer = gateway.send("/resumable/x", "r1", "prompt");
+			assertThat(answer.brokenOff()).isTrue();
+			assertThat(gateway.counter("gateway.brokenOff")).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void takenUpStreamDoesNotGoOnWithAnError() {
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection
+			.send("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + request.headers().get("X-Request")
+					+ "\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"));
+				TestGateway gateway = new TestGateway(server)) {
+			TestGateway.Answer answer = gateway.request("/resumable/x", "r1", "prompt", Map.of("Last-Event-ID", "4"))
+				.block();
+			assertThat(answer.status()).isEqualTo(502);
+		}
+	}
+
 	@Test
 	void errorBeforeTheStreamIsDelivered() {
 		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection
