--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -32,6 +32,8 @@
 
 	private static final int MAX_POOL_REPLACEMENTS = 5;
 
+	private static final String STATUS_LINE = "HTTP/1.";
+
 	/** Whether a request was sent over the connection. */
 	private static final AttributeKey<Boolean> USED = AttributeKey.valueOf(BackendExchange.class, "used");
 
@@ -113,15 +115,28 @@
 	 * @param head the response head
 	 * @return the headers by lower-case name; the values of repeated headers are joined
 	 * by commas
+	 * @throws BackendFailure if the head is made of the beginning of one response and the
+	 * end of another
 	 */
 	public static Map<String, String> headers(HttpClientResponse head) {
+		checkWhole(head.status().reasonPhrase());
 		Map<String, String> headers = new HashMap<>();
-		head.responseHeaders()
-			.forEach((entry) -> headers.merge(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue(),
-					(first, second) -> first + ", " + second));
+		head.responseHeaders().forEach((entry) -> {
+			checkWhole(entry.getValue());
+			headers.merge(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue(),
+					(first, second) -> first + ", " + second);
+		});
 		return headers;
 	}
 
+	// A line that was cut continues with the status line of the next response.
+	private static void checkWhole(String line) {
+		if (line.contains(STATUS_LINE)) {
+			throw new BackendFailure(BackendFailure.Kind.PROTOCOL,
+					"the response head contains the head of another response", null);
+		}
+	}
+
 	/**
 	 * Returns whether the end of a response is visible. The end of any other response is
 	 * the end of its connection, which is then not reused.
