--- a/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/quarantine/CrashAttribution.java
@@ -15,7 +15,7 @@
  * ends all requests of the server, but only a request that it was about to answer can
  * have caused it. Features are suspected that several crashes have in common and that no
  * server has answered since the first of these crashes. A crash that is attributed to one
- * feature does not count against others.
+ * feature alone says little against others, because they may have been lost with it.
  * <p>
  * The smallest explanation wins: a request that came again explains its crashes better
  * than the parts of its prompt, which other requests share. A part is only to blame for
@@ -26,6 +26,9 @@
 	/** Two crashes are too few, because one request may be lost twice by chance. */
 	static final int MIN_CRASHES = 3;
 
+	/** The number of them that nothing else explains, if a part is to blame. */
+	private static final int MIN_UNEXPLAINED_BY_PART = 2;
+
 	/** Servers that fail together, for example with their rack, count as one crash. */
 	static final long COINCIDENT_MS = 30;
 
@@ -33,6 +36,8 @@
 
 	private final Function<String, Long> answeredAtMs;
 
+	private final Map<String, List<CrashRecord>> unanswered = new HashMap<>();
+
 	private final Map<String, List<CrashRecord>> unexplained = new HashMap<>();
 
 	private final List<Attribution> attributions = new ArrayList<>();
@@ -66,6 +71,7 @@
 		for (String feature : features) {
 			Long answered = this.answeredAtMs.apply(feature);
 			if (answered == null || answered < crash.atMs()) {
+				this.unanswered.computeIfAbsent(feature, (id) -> new ArrayList<>()).add(crash);
 				this.unexplained.computeIfAbsent(feature, (id) -> new ArrayList<>()).add(crash);
 			}
 		}
@@ -89,10 +95,10 @@
 					&& this.unexplained.get(feature).equals(crashes))
 			.toList();
 		List<Set<String>> groups = smallestGroups(equallyProbable, crashes);
+		List<CrashRecord> all = this.unanswered.get(mostProbable);
 		for (Set<String> group : groups) {
-			this.attributions
-				.add(new Attribution(this.service, group, crashes.stream().map(CrashRecord::serverId).toList(),
-						crashes.stream().map(CrashRecord::atMs).toList(), groups.size() > 1));
+			this.attributions.add(new Attribution(this.service, group, all.stream().map(CrashRecord::serverId).toList(),
+					all.stream().map(CrashRecord::atMs).toList(), groups.size() > 1));
 		}
 		this.unexplained.values().forEach((suspected) -> suspected.removeAll(crashes));
 		return true;
@@ -100,8 +106,8 @@
 
 	private boolean canBeToBlame(String feature) {
 		List<CrashRecord> crashes = this.unexplained.get(feature);
-		return countCrashes(crashes) >= MIN_CRASHES
-				&& (RequestIdentity.isRequest(feature) || !isExplainedByOneRequest(crashes));
+		return countCrashes(this.unanswered.get(feature)) >= MIN_CRASHES && (RequestIdentity.isRequest(feature)
+				|| (countCrashes(crashes) >= MIN_UNEXPLAINED_BY_PART && !isExplainedByOneRequest(crashes)));
 	}
 
 	private boolean isExplainedByOneRequest(List<CrashRecord> crashes) {
--- a/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/RequestQuarantineTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/quarantine/RequestQuarantineTests.java
@@ -353,6 +353,23 @@
 		assertThat(isRequestQuarantined("sound: class")).isFalse();
 	}
 
+	// Two causes lifted each other's quarantine in turn, because each explained the
+	// crashes in which both were lost, and went on to crash servers (BUDGET).
+	@Test
+	void causesThatAreLostTogetherAreBothFound() {
+		crashWithRequests("i-1", "p1: class tainted");
+		for (int server = 2; server <= 4; server++) {
+			crashWithRequests("i-" + server, "p" + server + ": class tainted", "bad: class", "s" + server + ": class");
+		}
+		answer("class", "own");
+		crashWithRequests("i-5", "bad: class");
+		assertThat(isRequestQuarantined("bad: class")).isTrue();
+		crashWithRequests("i-6", "p6: class tainted");
+		assertThat(isRequestQuarantined("bad: class")).isTrue();
+		assertThat(isRequestQuarantined("p7: class tainted")).isTrue();
+		assertThat(isRequestQuarantined("s2: class")).isFalse();
+	}
+
 	// A request that was lost together with a guilty one is refused only until the next
 	// outcome of either tells them apart.
 	@ParameterizedTest
