Review: cases 1 and 2 become 2 and 3, and the former case 4 is withdrawn

A graver case takes the first place, and another one the fourth. The checks of the moved cases are unchanged.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# TROUBLE=0 runs the case without the invalid configuration. Writes record.txt beside this file.
+# TROUBLE=0 runs the case without SIGTERM. Writes record.txt beside this file.
 export TROUBLE="${TROUBLE:-1}"
-exec "$(dirname "$0")/../run-case.sh" "review/4" samehost.SameHost
+exec "$(dirname "$0")/../run-case.sh" "review/4" earlystop.EarlyStop
