--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -190,7 +191,7 @@
 			String keep = System.getenv("KEEP");
 			if (keep == null) {
 				try (var files = Files.walk(this.folder)) {
-					files.sorted(java.util.Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+					files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
 				}
 			}
 			else {
@@ -295,8 +296,14 @@
 			new ProcessBuilder("kill", "-" + name, String.valueOf(this.process.pid())).start().waitFor();
 		}
 
-		public Path logFile() {
-			return Rig.this.folder.resolve(this.ip).resolve("log");
+		/** Removes what the ended process had on its disk. */
+		public void wipe() throws IOException {
+			Path data = Rig.this.folder.resolve(this.ip).resolve("data");
+			if (Files.exists(data)) {
+				try (var files = Files.walk(data)) {
+					files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+				}
+			}
 		}
 
 		public synchronized void kill() {
