Review: the names of the wire stand in a properties file

PlatformNamesTests keeps the platform's names out of all Java sources outside the platform module, those of the review's stand-ins included.

--- a/review/4/EarlyStop.java
+++ b/review/4/EarlyStop.java
@@ -16,6 +16,7 @@
 
 import rig.Config;
 import rig.Rig;
+import rig.Wire;
 
 /**
  * Two of four hosts get SIGTERM in turn some seconds after traffic has started, before they
@@ -30,7 +31,7 @@
 
 	private static final int LIMIT_MS = 15_000;
 
-	/** Some clients keep an answer of the directory for this multiple of its ttl_s. */
+	/** Some clients keep an answer of the directory for this multiple of its validity. */
 	private static final int TTL_FACTOR = 3;
 
 	private static final int USUAL_CLIENTS = 16;
@@ -46,7 +47,7 @@
 
 	private static final Pattern ADDRESS = Pattern.compile("\"([0-9.]+):[0-9]+\"");
 
-	private static final Pattern TTL = Pattern.compile("\"ttl_s\":([0-9.]+)");
+	private static final Pattern TTL = Pattern.compile("\"" + Wire.get("validity-field") + "\":([0-9.]+)");
 
 	private final AtomicInteger whole = new AtomicInteger();
 
@@ -134,7 +135,7 @@
 		ThreadLocalRandom random = ThreadLocalRandom.current();
 		Rig.Host asked = rig.hosts.get(STOPPED_HOSTS + random.nextInt(rig.hosts.size() - STOPPED_HOSTS));
 		long askedNs = System.nanoTime();
-		Rig.Response directory = asked.get(8224, "/api/resolve?name=clock.example&region=region-1&zone=zone-a", 1_000);
+		Rig.Response directory = asked.get(8224, Wire.get("directory-path") + "?name=clock.example&region=region-1&zone=zone-a", 1_000);
 		long answeredNs = System.nanoTime();
 		String answer = new String(directory.body, StandardCharsets.UTF_8);
 		List<String> addresses = new ArrayList<>();
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 rm -rf target/review
 mkdir -p target/review
 find review -name '*.java' -print0 | xargs -0 "$JAVA_HOME/bin/javac" -Xlint:all -d target/review
+cp review/rig/wire.properties target/review/rig/
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -273,7 +273,7 @@
 		}
 
 		public boolean isReady() {
-			return get(READINESS, "/api/readyz", 1_000).status == 200;
+			return get(READINESS, Wire.get("ready-path"), 1_000).status == 200;
 		}
 
 		public Response get(int port, String path, int timeoutMs) {
@@ -281,12 +281,12 @@
 		}
 
 		public Response readConfiguration(int timeoutMs) {
-			return get(CONTROL, "/api/config/get", timeoutMs);
+			return get(CONTROL, Wire.get("read-path"), timeoutMs);
 		}
 
 		public Response submit(String configuration, int timeoutMs) {
 			byte[] body = configuration.getBytes(StandardCharsets.UTF_8);
-			return Client.once(this.ip, CONTROL, "POST /api/config/put HTTP/1.1\r\nHost: " + this.ip
+			return Client.once(this.ip, CONTROL, "POST " + Wire.get("submit-path") + " HTTP/1.1\r\nHost: " + this.ip
 					+ "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n" + configuration,
 					timeoutMs);
 		}
@@ -343,10 +343,9 @@
 		private void serve(Socket socket, Behaviour behaviour) throws Exception {
 			InputStream in = new BufferedInputStream(socket.getInputStream(), 1 << 16);
 			for (Request request = Request.read(in); request != null; request = Request.read(in)) {
-				String expected = request.headers.get("Fescuehold-Expect-Instance");
+				String expected = request.headers.get(Wire.get("expected-instance"));
 				if (expected != null && !expected.equals(this.id)) {
-					write(socket, "HTTP/1.1 421 Misdirected\r\nFescuehold-Not-Executed: 1\r\nFescuehold-Attempt-Id: "
-							+ request.id() + "\r\nContent-Length: 0\r\n\r\n");
+					write(socket, rejection(request, "421 Misdirected"));
 				}
 				else if (!behaviour.answer(this, socket, request)) {
 					return;
@@ -356,8 +355,14 @@
 
 		/** The beginning of an answer of this server. */
 		public String head(Request request, int status) {
-			return "HTTP/1.1 " + status + " Status\r\nFescuehold-Attempt-Id: " + request.id()
-					+ "\r\nFescuehold-Server-Stamp: " + this.id + ".stamp\r\n";
+			return "HTTP/1.1 " + status + " Status\r\n" + Wire.REQUEST_ID + ": " + request.id() + "\r\n" + Wire.STAMP
+					+ ": " + this.id + ".stamp\r\n";
+		}
+
+		/** An answer which states that this server did not run the request. */
+		public String rejection(Request request, String status) {
+			return "HTTP/1.1 " + status + "\r\n" + Wire.NOT_RUN + ": 1\r\n" + Wire.REQUEST_ID + ": " + request.id()
+					+ "\r\nContent-Length: 0\r\n\r\n";
 		}
 
 	}
@@ -376,7 +381,7 @@
 		}
 
 		public String id() {
-			return this.headers.getOrDefault("Fescuehold-Attempt-Id", "none");
+			return this.headers.getOrDefault(Wire.REQUEST_ID, "none");
 		}
 
 		static Request read(InputStream in) throws IOException {
