--- a/review/2/UnreadableEntry.java
+++ b/review/2/UnreadableEntry.java
@@ -55,6 +55,9 @@
 		}
 		Thread.sleep(3_000);
 		served(rig, "with the list as it is");
+		// The final fault strikes right after a change was acknowledged.
+		rig.awaitAccepted(Config.of(2, Config.route("orders", "/orders/", "non_idempotent", "depot", 2_400, 193, 1, false)),
+				5_000);
 		for (Rig.Host host : rig.hosts) {
 			host.signal("KILL");
 		}
