Retry budget: the limit of the fleet holds over the life of processes

Cause, two faults: (a) the window of a process that starts is empty, though what the process before it has sent lies in the same 10 s; the same happens when callers move from one host to another within a window; (b) the extra repeats were divided by the hosts in state READY, so that the parts added up to more than the whole while hosts start, drain or are cut off, and a host that knew no list yet took all of them.

Change: a process holds repeats that it earns, by request and by time; what it may hold is bounded by what it may earn in a window. Whatever is sent in an interval was earned in it or held at its beginning, so that a process that starts with nothing needs not know what its predecessor has sent. RetryShare counts hosts in every state and for two windows after they left the list, and gives nothing to a process in its first window and to a host whose list has not been confirmed for a window. The safety factor is unchanged. Metric: repeatsDenied, per service.

WindowedRetryBudgetTests passes with the share given beforehand.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
@@ -3,9 +3,9 @@
 /**
  * The graceful shutdown of a host: it is removed from the entry answers, continues to
  * serve until the last answer that names it has expired, then refuses new requests,
- * finishes those in flight and stops. From the beginning it refuses requests whose deadline
- * lies after the time at which the process has to stop; those that were taken before and
- * are still open then get a final answer.
+ * finishes those in flight and stops. From the beginning it refuses requests whose
+ * deadline lies after the time at which the process has to stop; those that were taken
+ * before and are still open then get a final answer.
  */
 public final class DrainSchedule {
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/retry/WindowedRetryBudget.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/retry/WindowedRetryBudget.java
@@ -5,26 +5,53 @@
 import java.util.Set;
 
 /**
- * Limits the repeated requests to each service in a sliding window. The limit holds for
- * the whole fleet: a daemon allows the configured ratio of its own requests and its part
- * of the configured number of extra repeats, so that daemons need not communicate.
+ * Limits the repeated requests to each service. In every interval of the length of the
+ * window the processes of the fleet together send no more repeats than the configured
+ * ratio of the requests plus the configured extra number, whenever processes start, stop
+ * or are killed, and however callers move between hosts.
+ * <p>
+ * Each process holds a number of repeats for each service that it has earned: a fixed
+ * part for each request, and a fixed part of its share of the extra repeats as time goes
+ * by. What it may hold is bounded by what it may earn in a window. A repeat in an
+ * interval was therefore either earned in that interval or held at its beginning, and
+ * both together stay below the limit. A new process holds nothing and has no share at
+ * first (see {@link RetryShare}), so that processes need neither store nor exchange what
+ * they have sent. Not thread-safe.
  */
 public final class WindowedRetryBudget {
 
 	/**
-	 * The part of the configured limits that is used; the rest covers unequal daemons.
+	 * The part of the configured limits that is used; the rest covers host lists that
+	 * differ between hosts.
 	 */
 	static final double SAFETY_FACTOR = 0.8;
 
+	/** The part of the limit that is earned in a window; the rest may be held. */
+	private static final double EARNED_PART = 0.5;
+
 	private static final int SLICES = 20;
 
-	private final double ratio;
+	private static final long ALWAYS = Long.MIN_VALUE / 2;
+
+	private final double earnedPerRequest;
+
+	private final double heldPerRequest;
+
+	/** The extra repeats that the whole fleet earns in each window. */
+	private final double earnedExtra;
 
-	private final double extraRepeats;
+	private final double heldExtra;
+
+	private final long windowMs;
 
 	private final long sliceMs;
 
-	private final Map<String, Window> windows = new HashMap<>();
+	private final Map<String, Account> accounts = new HashMap<>();
+
+	private double share;
+
+	/** When a share that was lost came back; nothing is earned for the time before. */
+	private long sharesSinceMs = ALWAYS;
 
 	/**
 	 * Creates a budget.
@@ -34,48 +61,68 @@
 	 * @param windowMs the length of the window in milliseconds
 	 */
 	public WindowedRetryBudget(double ratio, double extraRepeats, long windowMs) {
-		this.ratio = ratio;
-		this.extraRepeats = extraRepeats;
+		this.earnedPerRequest = SAFETY_FACTOR * EARNED_PART * ratio;
+		this.heldPerRequest = SAFETY_FACTOR * (1 - EARNED_PART) * ratio;
+		this.earnedExtra = SAFETY_FACTOR * EARNED_PART * extraRepeats;
+		this.heldExtra = SAFETY_FACTOR * (1 - EARNED_PART) * extraRepeats;
+		this.windowMs = windowMs;
 		this.sliceMs = Math.max(1, windowMs / SLICES);
 	}
 
+	/**
+	 * Sets the share of the process in the extra repeats, initially none.
+	 * @param newShare the share, from 0 to 1
+	 * @param nowMs the time in milliseconds
+	 */
+	public void setShare(double newShare, long nowMs) {
+		if (newShare == this.share) {
+			return;
+		}
+		this.accounts.values().forEach((account) -> account.advance(nowMs));
+		if (newShare == 0) {
+			this.sharesSinceMs = Long.MAX_VALUE;
+		}
+		else if (this.share == 0 && this.sharesSinceMs != ALWAYS) {
+			this.sharesSinceMs = nowMs;
+		}
+		this.share = newShare;
+	}
+
 	/**
 	 * Counts a first attempt.
 	 * @param service the service
 	 * @param nowMs the time in milliseconds
 	 */
 	public void recordRequest(String service, long nowMs) {
-		window(service, nowMs).requests[slot(nowMs)]++;
+		Account account = account(service, nowMs);
+		account.requests[slot(nowMs)]++;
+		account.held += this.earnedPerRequest;
 	}
 
 	/**
 	 * Takes a repeat from the budget, if one is left.
 	 * @param service the service
-	 * @param daemons the number of daemons that share the budget
 	 * @param nowMs the time in milliseconds
 	 * @return whether the request may be repeated
 	 */
-	public boolean tryRetry(String service, int daemons, long nowMs) {
-		Usage usage = usage(service, daemons, nowMs);
-		if (usage.repeats() + 1 > usage.allowed()) {
+	public boolean tryRetry(String service, long nowMs) {
+		Account account = account(service, nowMs);
+		if (account.held < 1) {
 			return false;
 		}
-		window(service, nowMs).repeats[slot(nowMs)]++;
+		account.held--;
 		return true;
 	}
 
 	/**
-	 * Returns the use of the budget of a service.
+	 * Returns the state of the budget of a service.
 	 * @param service the service
-	 * @param daemons the number of daemons that share the budget
 	 * @param nowMs the time in milliseconds
-	 * @return the use of the budget in the window that ends now
+	 * @return the state
 	 */
-	public Usage usage(String service, int daemons, long nowMs) {
-		Window window = window(service, nowMs);
-		int requests = sum(window.requests);
-		return new Usage(requests, sum(window.repeats),
-				SAFETY_FACTOR * (this.ratio * requests + this.extraRepeats / Math.max(1, daemons)));
+	public Usage usage(String service, long nowMs) {
+		Account account = account(service, nowMs);
+		return new Usage(account.requestCount(), account.held, account.mostHeld(), this.share);
 	}
 
 	/**
@@ -83,54 +130,69 @@
 	 * @return the names of the services
 	 */
 	public Set<String> services() {
-		return Set.copyOf(this.windows.keySet());
+		return Set.copyOf(this.accounts.keySet());
 	}
 
-	private Window window(String service, long nowMs) {
-		Window window = this.windows.computeIfAbsent(service, (name) -> new Window());
-		long slice = Math.floorDiv(nowMs, this.sliceMs);
-		// The counts cover one slice more than the window, so that the limit holds for
-		// every interval of the window's length, wherever it starts within a slice.
-		long firstCleared = Math.max(window.slice + 1, slice - SLICES);
-		for (long cleared = firstCleared; cleared <= slice; cleared++) {
-			int slot = (int) Math.floorMod(cleared, (long) SLICES + 1);
-			window.requests[slot] = 0;
-			window.repeats[slot] = 0;
-		}
-		window.slice = Math.max(window.slice, slice);
-		return window;
+	private Account account(String service, long nowMs) {
+		Account account = this.accounts.computeIfAbsent(service, (name) -> new Account());
+		account.advance(nowMs);
+		return account;
 	}
 
 	private int slot(long nowMs) {
-		return (int) Math.floorMod(Math.floorDiv(nowMs, this.sliceMs), (long) SLICES + 1);
-	}
-
-	private static int sum(int[] counts) {
-		int sum = 0;
-		for (int count : counts) {
-			sum += count;
-		}
-		return sum;
+		return (int) Math.floorMod(Math.floorDiv(nowMs, this.sliceMs), (long) SLICES);
 	}
 
 	/**
-	 * The use of the budget of a service in one window.
+	 * The state of the budget of a service.
 	 *
-	 * @param requests the number of first attempts
-	 * @param repeats the number of repeats
-	 * @param allowed the number of repeats that are allowed
+	 * @param requests the number of first attempts in the window that ends now
+	 * @param held the number of repeats that may be sent now
+	 * @param mostHeld the number of repeats that may be held
+	 * @param share the share of the process in the extra repeats, from 0 to 1
 	 */
-	public record Usage(int requests, int repeats, double allowed) {
+	public record Usage(int requests, double held, double mostHeld, double share) {
 
 	}
 
-	private static final class Window {
+	private final class Account {
+
+		private final int[] requests = new int[SLICES];
 
-		private final int[] requests = new int[SLICES + 1];
+		private long slice = ALWAYS;
 
-		private final int[] repeats = new int[SLICES + 1];
+		private long advancedToMs = ALWAYS;
 
-		private long slice = Long.MIN_VALUE / 2;
+		private double held;
+
+		private void advance(long nowMs) {
+			WindowedRetryBudget budget = WindowedRetryBudget.this;
+			long currentSlice = Math.floorDiv(nowMs, budget.sliceMs);
+			for (long cleared = Math.max(this.slice + 1,
+					currentSlice - SLICES + 1); cleared <= currentSlice; cleared++) {
+				this.requests[(int) Math.floorMod(cleared, (long) SLICES)] = 0;
+			}
+			this.slice = Math.max(this.slice, currentSlice);
+			long earningMs = nowMs - Math.max(this.advancedToMs, budget.sharesSinceMs);
+			if (earningMs > 0) {
+				this.held += budget.earnedExtra * budget.share * earningMs / budget.windowMs;
+			}
+			this.advancedToMs = Math.max(this.advancedToMs, nowMs);
+			this.held = Math.min(this.held, mostHeld());
+		}
+
+		private double mostHeld() {
+			WindowedRetryBudget budget = WindowedRetryBudget.this;
+			return budget.heldPerRequest * requestCount() + budget.heldExtra * budget.share;
+		}
+
+		private int requestCount() {
+			int sum = 0;
+			for (int count : this.requests) {
+				sum += count;
+			}
+			return sum;
+		}
 
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/retry/WindowedRetryBudgetTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/retry/WindowedRetryBudgetTests.java
@@ -30,6 +30,7 @@
 		List<WindowedRetryBudget> budgets = new ArrayList<>();
 		for (int daemon = 0; daemon < DAEMONS; daemon++) {
 			budgets.add(new WindowedRetryBudget(RATIO, EXTRA_REPEATS, WINDOW_MS));
+			budgets.getLast().setShare(1.0 / DAEMONS, 0);
 		}
 		List<Long> requests = new ArrayList<>();
 		List<Long> repeats = new ArrayList<>();
@@ -37,7 +38,7 @@
 			WindowedRetryBudget budget = budgets.get(random.nextInt(DAEMONS));
 			budget.recordRequest("s", nowMs);
 			requests.add(nowMs);
-			while (budget.tryRetry("s", DAEMONS, nowMs)) {
+			while (budget.tryRetry("s", nowMs)) {
 				repeats.add(nowMs);
 			}
 			assertThat(countInWindow(repeats, nowMs))
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -172,8 +172,8 @@
 	private static GatewayOptions options(GatewaySettings settings) {
 		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.relayPort(),
 				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
-				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.serverDrainMs() / 2,
-				BACKEND);
+				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.firstStart(),
+				settings.serverDrainMs() / 2, BACKEND);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -14,6 +14,7 @@
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
+import io.fescuehold.core.retry.RetryShare;
 import io.fescuehold.core.retry.WindowedRetryBudget;
 import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.LeastLoadedSelector;
@@ -45,6 +46,8 @@
 
 	private final WindowedRetryBudget budget;
 
+	private final RetryShare retryShare;
+
 	private final LeastLoadedSelector leastLoadedSelector;
 
 	private final EnginePlacement enginePlacement;
@@ -67,6 +70,7 @@
 		this.pools = pools;
 		this.clockMs = clockMs;
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
+		this.retryShare = new RetryShare(options.retryWindowMs(), options.firstStart(), nowMs());
 		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics);
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
@@ -114,7 +118,7 @@
 		Target target = select(request, withinLimits, all, nowMs);
 		this.belief.requestLimits().consume(target.server().server().id());
 		if (attempt == 1) {
-			this.budget.recordRequest(request.service(), nowMs);
+			retryBudget().recordRequest(request.service(), nowMs);
 		}
 		this.metrics.placed(target.reason());
 		this.log.placed(request, target, attempt);
@@ -244,14 +248,24 @@
 	 * @return whether the request may be retried
 	 */
 	boolean tryAcquireRetry(GatewayRequest request, int attempt) {
-		boolean allowed = attempt < request.route().maxAttempts()
-				&& this.budget.tryRetry(request.service(), this.belief.serving(), nowMs());
+		if (attempt >= request.route().maxAttempts()) {
+			return false;
+		}
+		boolean allowed = retryBudget().tryRetry(request.service(), nowMs());
 		if (allowed) {
 			this.metrics.retried(request.service());
 		}
+		else {
+			this.metrics.retryDenied(request.service());
+		}
 		return allowed;
 	}
 
+	private WindowedRetryBudget retryBudget() {
+		this.budget.setShare(this.retryShare.fraction(this.belief.hosts(), this.belief.ageMs(), nowMs()), nowMs());
+		return this.budget;
+	}
+
 	/**
 	 * Prepares the request to a server.
 	 * @param request the request
@@ -391,8 +405,7 @@
 	 */
 	Map<String, Object> dump() {
 		Map<String, Object> budgets = new TreeMap<>();
-		this.budget.services()
-			.forEach((service) -> budgets.put(service, this.budget.usage(service, this.belief.serving(), nowMs())));
+		retryBudget().services().forEach((service) -> budgets.put(service, this.budget.usage(service, nowMs())));
 		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -39,6 +39,10 @@
 		this.registry.counter(PREFIX + "repeats." + service).inc();
 	}
 
+	void retryDenied(String service) {
+		this.registry.counter(PREFIX + "repeatsDenied." + service).inc();
+	}
+
 	void relayed(String service) {
 		this.registry.counter(PREFIX + "relayed." + service).inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
@@ -19,13 +19,14 @@
  * @param retryRatio the retries that the fleet may send for each request
  * @param retryExtra the retries that the fleet may send in addition to the ratio
  * @param retryWindowMs the window in milliseconds over which both retry limits apply
+ * @param firstStart whether no process of the fleet has run before
  * @param leavingUseMs the time in milliseconds for which streams may be continued at a
  * server after the list has shown that it is about to stop
  * @param backend the options of connections to servers
  */
 public record GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
-		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, long leavingUseMs,
-		BackendOptions backend) {
+		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
+		long leavingUseMs, BackendOptions backend) {
 
 	/**
 	 * Checks the arguments.
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/PlannedStopTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/PlannedStopTests.java
@@ -59,8 +59,8 @@
 		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection.hang());
 				TestGateway gateway = new TestGateway(server)) {
 			gateway.drain(new DrainSchedule(gateway.nowMs(), 5_000, 0, gateway.nowMs() + UNTIL_END_MS));
-			TestGateway.Answer refused = send(gateway, "/patient/x", 4 * TestGateway.TIMEOUT_MS)
-				.get(UNTIL_END_MS / 2, TimeUnit.MILLISECONDS);
+			TestGateway.Answer refused = send(gateway, "/patient/x", 4 * TestGateway.TIMEOUT_MS).get(UNTIL_END_MS / 2,
+					TimeUnit.MILLISECONDS);
 			assertThat(refused.body()).contains("DRAINING").contains("\"run\":\"no\"");
 			assertThat(server.received()).isEmpty();
 		}
