Storage: the log of a small disk does not take up its own reserve

Callers saw: every further change of the configuration was refused, for good, while all processes ran (report: disks full; Acks, CONFIG).

On a disk of 64 MB the log alone brings the free space below the reserve shortly before that, on all replicas alike.

Evidence: FullDiskSeriesTests#stormOfLargeChangesDoesNotTakeUpTheReserve failed at change 84 of 250, of 400 KB each. With the sizes changed and without the second part (trial), leaderOfAFullDiskCutsItsLogAndExamines- TheDiskAgain fails: a leader whose disk got room again refused on.

A leader that refuses a change because its disk is full cuts its log as far as it is applied, and examines the free space again.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/agreement/AgreementNode.java
@@ -237,6 +237,19 @@
 		this.requestedSnapshotIndex = 0;
 	}
 
+	/**
+	 * Takes a snapshot and keeps none of the entries before it, because the disk is full.
+	 * @param nowMs the time
+	 */
+	public void compact(long nowMs) {
+		advanceTime(nowMs);
+		SnapshotMeta newest = this.context.log.snapshot();
+		long snapshotIndex = (newest != null) ? newest.index() : 0;
+		if (this.requestedSnapshotIndex == 0 && this.context.appliedIndex > snapshotIndex) {
+			requestSnapshot(this.context.appliedIndex + 1);
+		}
+	}
+
 	/**
 	 * Completes the step and returns the outputs of all inputs since the last call.
 	 * @param nowMs the time
@@ -359,14 +372,19 @@
 		boolean tooLarge = this.context.appliedBytes >= this.context.options.maxLogBytes();
 		boolean due = tooLarge || applied - snapshotIndex >= this.context.timing().snapshotEveryEntries();
 		if (due && this.requestedSnapshotIndex == 0) {
-			this.requestedSnapshotIndex = applied;
-			this.context.appliedBytes = 0;
-			SnapshotMeta snapshot = new SnapshotMeta(applied, this.context.log.termAt(applied),
-					MembershipCodec.encode(this.context.log.membershipAt(applied)));
-			this.context.emit(new Output.TakeSnapshot(snapshot, keepFromIndex(applied)));
+			requestSnapshot(keepFromIndex(applied));
 		}
 	}
 
+	private void requestSnapshot(long keepFromIndex) {
+		long applied = this.context.appliedIndex;
+		this.requestedSnapshotIndex = applied;
+		this.context.appliedBytes = 0;
+		SnapshotMeta snapshot = new SnapshotMeta(applied, this.context.log.termAt(applied),
+				MembershipCodec.encode(this.context.log.membershipAt(applied)));
+		this.context.emit(new Output.TakeSnapshot(snapshot, keepFromIndex));
+	}
+
 	private long keepFromIndex(long snapshotIndex) {
 		return this.context.log.firstIndexWithin(snapshotIndex, this.context.options.keepEntries(),
 				this.context.options.maxLogBytes() / KEPT_LOG_DIVISOR);
--- a/fescuehold-core/src/main/java/io/fescuehold/core/port/ReplicaStorage.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/port/ReplicaStorage.java
@@ -78,6 +78,11 @@
 	 */
 	boolean isFull();
 
+	/**
+	 * Determines anew whether the disk has too little free space.
+	 */
+	void checkSpace();
+
 	@Override
 	void close();
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaDriver.java
@@ -153,6 +153,15 @@
 		this.writer.close(() -> this.loop.execute(closed));
 	}
 
+	/**
+	 * Cuts the log of a replica whose disk is full, and examines the disk again. Nothing
+	 * else would do so while proposals are refused.
+	 */
+	void makeSpace() {
+		this.node.compact(this.loop.nowMs());
+		this.writer.read(this.storage::checkSpace);
+	}
+
 	FescueholdException error(ErrorCode code, String reason) {
 		return switch (code) {
 			case NOT_LEADER -> {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/replica/ReplicaRuntime.java
@@ -16,7 +16,6 @@
 import io.fescuehold.core.port.ReplicatedStateMachine;
 import io.fescuehold.core.port.StateDump;
 import io.fescuehold.runtime.storage.DiskStorage;
-import io.fescuehold.runtime.storage.StorageOptions;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 import reactor.core.scheduler.Scheduler;
@@ -60,8 +59,7 @@
 	 */
 	public ReplicaRuntime(ReplicaOptions options, AgreementTransport transport, ReplicatedStateMachine stateMachine,
 			Scheduler scheduler, MetricRegistry metrics, long seed) {
-		this(options, transport, stateMachine, scheduler, metrics, seed,
-				() -> new DiskStorage(StorageOptions.of(options.storeFolder())),
+		this(options, transport, stateMachine, scheduler, metrics, seed, () -> new DiskStorage(options.storeFolder()),
 				Schedulers.newSingle("replica-disk-" + options.group(), true));
 	}
 
@@ -139,6 +137,7 @@
 				return;
 			}
 			if (this.driver.isLeading() && this.driver.storage().isFull()) {
+				this.driver.makeSpace();
 				sink.error(new FescueholdException(ErrorCode.STORAGE_FULL, this.options.storeFolder()));
 				return;
 			}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/Disk.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/Disk.java
@@ -57,6 +57,16 @@
 		return Files.getFileStore(folder).getUsableSpace();
 	}
 
+	/**
+	 * Returns the size of the disk.
+	 * @param folder the folder
+	 * @return the size in bytes
+	 * @throws IOException if the size cannot be determined
+	 */
+	long totalBytes(Path folder) throws IOException {
+		return Files.getFileStore(folder).getTotalSpace();
+	}
+
 	/**
 	 * Replaces a file atomically: writes and syncs a temporary file, renames it and syncs
 	 * the folder.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -12,7 +12,9 @@
 import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 
+import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.agreement.HardState;
 import io.fescuehold.core.agreement.LogEntry;
 import io.fescuehold.core.agreement.SnapshotMeta;
@@ -29,6 +31,10 @@
  */
 public final class DiskStorage implements ReplicaStorage {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final int LOG_INTERVAL_S = 5;
+
 	static final String TEMPORARY_SUFFIX = ".tmp";
 
 	private static final String STORE_ID_FILE = "store-id";
@@ -53,10 +59,14 @@
 
 	/**
 	 * Opens a store and creates it if the folder is missing or empty.
-	 * @param options the options
+	 * @param folder the folder
 	 */
-	public DiskStorage(StorageOptions options) {
-		this(options, new Disk());
+	public DiskStorage(Path folder) {
+		this(folder, new Disk());
+	}
+
+	DiskStorage(Path folder, Disk disk) {
+		this(StorageOptions.of(folder, diskBytes(folder, disk)), disk);
 	}
 
 	DiskStorage(StorageOptions options, Disk disk) {
@@ -188,6 +198,20 @@
 		return this.full;
 	}
 
+	@Override
+	public void checkSpace() {
+		try {
+			updateFull();
+		}
+		catch (IOException ex) {
+			logger.atWarning()
+				.atMostEvery(LOG_INTERVAL_S, TimeUnit.SECONDS)
+				.withCause(ex)
+				.log("The free space of \"%s\" cannot be read; the disk still counts as %s", this.options.folder(),
+						this.full ? "full" : "not full");
+		}
+	}
+
 	@Override
 	public void close() {
 		try {
@@ -271,6 +295,18 @@
 		return created;
 	}
 
+	private static long diskBytes(Path folder, Disk disk) {
+		try {
+			Files.createDirectories(folder);
+			return disk.totalBytes(folder);
+		}
+		catch (IOException ex) {
+			FescueholdException error = new FescueholdException(ErrorCode.STORAGE_FAILED, folder, ex.getMessage());
+			error.initCause(ex);
+			throw error;
+		}
+	}
+
 	private void updateFull() throws IOException {
 		this.full = this.disk.usableBytes(this.options.folder()) < this.options.reserveBytes();
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/MemoryStorage.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/replica/MemoryStorage.java
@@ -75,6 +75,10 @@
 		return new SnapshotPart(this.snapshotData.length, this.snapshotData);
 	}
 
+	@Override
+	public void checkSpace() {
+	}
+
 	@Override
 	public void sync() {
 		if (this.syncError != null) {
