Gateway: one budget for the bytes that a host holds for all requests

Cause: each body and response had a bound of its own, the host had none; collecting one took up to three times its size.

Change: ByteBudget counts the bodies of callers, collected responses and incomplete events against half of the heap. A body that does not fit is read, discarded and refused with HOST_MEMORY_FULL, run "no"; an answer at once would be lost when the connection is closed while the caller sends. A response that does not fit ends with SERVER_FAILED, run "unknown"; its server is not blamed and the request not repeated. A body of known length is collected without copies. Other hosts are told DRAINING, which old builds know.

Not counted yet: the product's own interface and events that wait for a slow caller.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -39,6 +39,14 @@
 	/** The router's queue is full or the wait would be too long. Argument: model. */
 	OVERLOADED(503, "All servers of \"%s\" are at their limit; retry after the time in the Retry-After header"),
 
+	/**
+	 * The host holds as many bytes of requests as it may. Arguments: bytes held, limit in
+	 * bytes.
+	 */
+	HOST_MEMORY_FULL(503,
+			"This host holds %s bytes of requests of at most %s; send the request to another host or retry after"
+					+ " the time in the Retry-After header"),
+
 	/** No usable server is left. Argument: model or service. */
 	NO_SERVER(503, "No server of \"%s\" can be reached; retry after the time in the Retry-After header"),
 
--- a/fescuehold-core/src/main/java/io/fescuehold/core/stream/EventSplitter.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/stream/EventSplitter.java
@@ -60,6 +60,15 @@
 		return this.event.size() > 0;
 	}
 
+	/**
+	 * Returns the bytes that are held for the event that is not complete, with the copy
+	 * of its last line.
+	 * @return the number of bytes
+	 */
+	public long heldBytes() {
+		return (long) this.event.size() + this.line.size();
+	}
+
 	private void endLine(List<StreamEvent> events) {
 		String text = this.line.toString(StandardCharsets.UTF_8).strip();
 		this.line.reset();
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -14,6 +14,7 @@
 import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.entry.NearestEntries;
 import io.fescuehold.core.freshness.SuspensionClock;
+import io.fescuehold.core.limits.ByteBudget;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.routes.RoutingConfig;
@@ -71,6 +72,9 @@
 	/** The time for the answers to requests that have not ended by then. */
 	private static final long FINAL_ANSWERS_MS = 300;
 
+	/** The part of the heap that bodies and events may take. */
+	private static final int HEAP_FRACTION = 2;
+
 	private static final long DRAIN_CHECK_MS = 50;
 
 	private static final long POOL_CHECK_MS = 5_000;
@@ -166,6 +170,7 @@
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
+		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> memory().heldBytes());
 		this.metrics.register("gateway.inFlight", (Gauge<Integer>) this.server::inFlight);
 	}
 
@@ -173,7 +178,15 @@
 		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.relayPort(),
 				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
 				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.firstStart(),
-				settings.serverDrainMs() / 2, BACKEND);
+				settings.serverDrainMs() / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND);
+	}
+
+	/**
+	 * Returns the bytes that this daemon may hold for all requests.
+	 * @return the budget
+	 */
+	public ByteBudget memory() {
+		return this.server.memory();
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -1,6 +1,5 @@
 package io.fescuehold.runtime.backend;
 
-import java.io.ByteArrayOutputStream;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -9,6 +8,8 @@
 import java.util.function.Supplier;
 
 import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.limits.ByteBudget;
+import io.fescuehold.runtime.http.BodyBuffer;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -76,7 +77,7 @@
 	}
 
 	/**
-	 * Sends a request and collects the complete response.
+	 * Sends a request and collects the complete response without counting its bytes.
 	 * @param clients supplies the client of the server
 	 * @param request the request
 	 * @param maxBodyBytes the maximum size of the response body in bytes
@@ -84,30 +85,80 @@
 	 */
 	public static Mono<BackendResponse> sendAndCollect(Supplier<HttpClient> clients, BackendRequest request,
 			int maxBodyBytes) {
-		return send(clients, request, (head, content) -> collect(head, content, maxBodyBytes)).next();
+		return sendAndCollect(clients, request, maxBodyBytes, new ByteBudget(Long.MAX_VALUE).lease());
 	}
 
 	/**
-	 * Collects the complete response.
+	 * Sends a request and collects the complete response.
+	 * @param clients supplies the client of the server
+	 * @param request the request
+	 * @param maxBodyBytes the maximum size of the response body in bytes
+	 * @param lease counts the bytes of the body until it is closed
+	 * @return the response, whatever its status
+	 */
+	public static Mono<BackendResponse> sendAndCollect(Supplier<HttpClient> clients, BackendRequest request,
+			int maxBodyBytes, ByteBudget.Lease lease) {
+		return send(clients, request, (head, content) -> collect(head, content, maxBodyBytes, lease)).next();
+	}
+
+	/**
+	 * Collects the complete response without counting its bytes.
 	 * @param head the response head
 	 * @param content the response body
 	 * @param maxBodyBytes the maximum size of the response body in bytes
 	 * @return the response, or a {@link BackendFailure} of kind TOO_LARGE
 	 */
 	public static Mono<BackendResponse> collect(HttpClientResponse head, ByteBufFlux content, int maxBodyBytes) {
-		return content.reduceWith(ByteArrayOutputStream::new, (bytes, chunk) -> append(bytes, chunk, maxBodyBytes))
-			.map((bytes) -> new BackendResponse(head.status().code(), headers(head), bytes.toByteArray()));
+		return collect(head, content, maxBodyBytes, new ByteBudget(Long.MAX_VALUE).lease());
 	}
 
-	private static ByteArrayOutputStream append(ByteArrayOutputStream bytes, ByteBuf chunk, int maxBodyBytes) {
-		if (bytes.size() + chunk.readableBytes() > maxBodyBytes) {
+	/**
+	 * Collects the complete response.
+	 * @param head the response head
+	 * @param content the response body
+	 * @param maxBodyBytes the maximum size of the response body in bytes
+	 * @param lease counts the bytes of the body until it is closed
+	 * @return the response, or a {@link BackendFailure} of kind TOO_LARGE or
+	 * HOST_MEMORY_FULL, after which the body is no longer held
+	 */
+	public static Mono<BackendResponse> collect(HttpClientResponse head, ByteBufFlux content, int maxBodyBytes,
+			ByteBudget.Lease lease) {
+		return Mono.defer(() -> {
+			BodyBuffer buffer = new BodyBuffer(lease);
+			int lengthBytes = head.responseHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, 0);
+			if (lengthBytes > 0 && lengthBytes <= maxBodyBytes && !buffer.tryExpect(lengthBytes)) {
+				return Mono.error(memoryFull(lengthBytes));
+			}
+			return content.reduceWith(() -> buffer, (bytes, chunk) -> append(bytes, chunk, maxBodyBytes))
+				.map((bytes) -> new BackendResponse(head.status().code(), headers(head), toBytes(bytes)))
+				.doOnError((error) -> buffer.discard())
+				.doOnCancel(buffer::discard);
+		});
+	}
+
+	private static BodyBuffer append(BodyBuffer buffer, ByteBuf chunk, int maxBodyBytes) {
+		int size = buffer.sizeBytes() + chunk.readableBytes();
+		if (size > maxBodyBytes) {
 			throw new BackendFailure(BackendFailure.Kind.TOO_LARGE,
 					"the response body exceeds " + maxBodyBytes + " bytes", null);
 		}
-		byte[] part = new byte[chunk.readableBytes()];
-		chunk.readBytes(part);
-		bytes.writeBytes(part);
-		return bytes;
+		if (!buffer.tryAppend(chunk)) {
+			throw memoryFull(size);
+		}
+		return buffer;
+	}
+
+	private static byte[] toBytes(BodyBuffer buffer) {
+		byte[] body = buffer.toBytes();
+		if (body == null) {
+			throw memoryFull(buffer.sizeBytes());
+		}
+		return body;
+	}
+
+	private static BackendFailure memoryFull(int sizeBytes) {
+		return new BackendFailure(BackendFailure.Kind.HOST_MEMORY_FULL,
+				"this host may not hold " + sizeBytes + " bytes of the response beside other requests", null);
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendFailure.java
@@ -92,7 +92,10 @@
 		PROTOCOL,
 
 		/** The response exceeds the size that the router buffers. */
-		TOO_LARGE
+		TOO_LARGE,
+
+		/** This host may not hold the response beside those of other requests. */
+		HOST_MEMORY_FULL
 
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -390,6 +390,12 @@
 			this.log.serverFailed(this.request, serverId(), reason, "nothing was sent, trying another server");
 			return null;
 		}
+		if (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.HOST_MEMORY_FULL) {
+			// Neither the server is to blame nor would another attempt need less memory.
+			this.awaitingResponse = false;
+			this.mayHaveRun = true;
+			return fail(reason, ErrorCode.SERVER_FAILED, 0);
+		}
 		boolean stalled = failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.STALLED;
 		boolean notSent = !this.awaitingResponse
 				|| (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.NOT_SENT);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -77,7 +77,8 @@
 		Dispatcher.Target target = this.attempts.next();
 		this.attempts.started();
 		Mono<BackendResponse> exchange = BackendExchange
-			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES)
+			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES,
+					this.request.memory())
 			.doFinally((signal) -> this.attempts.ended(target));
 		exchange = StreamDeadline
 			.cut(exchange.flux(), this.attempts.withdrawal().signal(), this.attempts::withdrawalError)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
@@ -22,11 +22,13 @@
  * @param firstStart whether no process of the fleet has run before
  * @param leavingUseMs the time in milliseconds for which streams may be continued at a
  * server after the list has shown that it is about to stop
+ * @param memoryBytes the bytes of bodies and events that the gateway may hold for all
+ * requests
  * @param backend the options of connections to servers
  */
 public record GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
 		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
-		long leavingUseMs, BackendOptions backend) {
+		long leavingUseMs, long memoryBytes, BackendOptions backend) {
 
 	/**
 	 * Checks the arguments.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -1,5 +1,6 @@
 package io.fescuehold.runtime.gateway;
 
+import io.fescuehold.core.limits.ByteBudget;
 import io.fescuehold.core.quarantine.RequestFeatures;
 import io.fescuehold.core.quarantine.RequestIdentity;
 import io.fescuehold.core.routes.Route;
@@ -17,19 +18,21 @@
  * @param deadlineAtMs the deadline of the complete response, in milliseconds of the
  * gateway's clock
  * @param hop what the host told that passed the request on, or null if a caller sent it
+ * @param memory counts the bytes that the host holds for the request
  * @param features what can make the request crash servers
  */
 record GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
-		long deadlineAtMs, RelayHop hop, RequestFeatures features) {
+		long deadlineAtMs, RelayHop hop, ByteBudget.Lease memory, RequestFeatures features) {
 
 	private static final int LEAST_URGENT = 9;
 
 	private static final int ROUTE_PRIORITIES = 3;
 
 	GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
-			long deadlineAtMs, RelayHop hop) {
-		this(head, body, route, team, service, receivedAtMs, deadlineAtMs, hop, new RequestFeatures(head.prompt(),
-				new RequestIdentity(head.method(), head.uri(), (team != null) ? team.name() : null, body)));
+			long deadlineAtMs, RelayHop hop, ByteBudget.Lease memory) {
+		this(head, body, route, team, service, receivedAtMs, deadlineAtMs, hop, memory,
+				new RequestFeatures(head.prompt(),
+						new RequestIdentity(head.method(), head.uri(), (team != null) ? team.name() : null, body)));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -17,6 +17,7 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.limits.ByteBudget;
 import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.port.StateDump;
@@ -94,6 +95,9 @@
 
 	private final Dispatcher dispatcher;
 
+	/** The bytes that this host holds for all requests. */
+	private final ByteBudget memory;
+
 	private final StreamVersions versions;
 
 	private DisposableServer server;
@@ -139,6 +143,7 @@
 		this.gate = new RequestGate(options.keyAgeMs(), options.absenceAgeMs());
 		this.pools = new BackendPools(options.backend(), loops);
 		this.metrics = new GatewayMetrics(registry);
+		this.memory = new ByteBudget(options.memoryBytes());
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
@@ -230,6 +235,14 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Returns the bytes that this host may hold for all requests.
+	 * @return the budget
+	 */
+	public ByteBudget memory() {
+		return this.memory;
+	}
+
 	/**
 	 * Closes the connection pools of servers that are no longer in the server list.
 	 */
@@ -268,25 +281,29 @@
 		if (this.closing) {
 			response.keepAlive(false);
 		}
-		BodyReader bodyReader = new BodyReader(this.belief.limits().maxBodyBytes(), bodyTimeoutMs(head),
-				this.scheduler);
-		return bodyReader.read(http)
+		BodyReader bodyReader = new BodyReader(this.belief.limits().maxBodyBytes(), bodyTimeoutMs(head), this.scheduler,
+				this.memory);
+		ByteBudget.Lease lease = this.memory.lease();
+		return bodyReader.read(http, lease)
 			.defaultIfEmpty(EMPTY_BODY)
-			.flatMap((body) -> serve(head, body, receivedAtMs, response, hop))
+			.flatMap((body) -> serve(head, body, lease, receivedAtMs, response, hop))
 			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response, hop))
 			.doOnCancel(() -> {
 				this.metrics.callerLeft();
 				this.log.callerLeft(head, this.clockMs.getAsLong() - receivedAtMs);
 			})
-			.doFinally((signal) -> this.inFlight--);
+			.doFinally((signal) -> {
+				lease.close();
+				this.inFlight--;
+			});
 	}
 
 	private static int bodyTimeoutMs(CallerHead head) {
 		return (head.deadlineMs() > 0) ? (int) Math.min(head.deadlineMs(), Integer.MAX_VALUE) : 60_000;
 	}
 
-	private Mono<Void> serve(CallerHead head, byte[] body, long receivedAtMs, HttpServerResponse response,
-			RelayHop hop) {
+	private Mono<Void> serve(CallerHead head, byte[] body, ByteBudget.Lease lease, long receivedAtMs,
+			HttpServerResponse response, RelayHop hop) {
 		if (this.refusing) {
 			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
 		}
@@ -299,7 +316,7 @@
 				this.metrics.request(route.name());
 				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.streamId()));
 				GatewayRequest request = new GatewayRequest(head, body, route, team, route.serviceFor(fraction),
-						receivedAtMs, receivedAtMs + limitMs(head, route), hop);
+						receivedAtMs, receivedAtMs + limitMs(head, route), hop, lease);
 				yield endsInTime(request) ? forward(request, response)
 						: Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
 			}
@@ -418,7 +435,7 @@
 		this.metrics.refused(refusal.code().name());
 		this.log.refused(head, refusal, this.clockMs.getAsLong() - receivedAtMs);
 		boolean closesConnection = refusal.code() == ErrorCode.BODY_TOO_LARGE || refusal.code() == ErrorCode.BAD_REQUEST
-				|| refusal.code() == ErrorCode.DRAINING;
+				|| refusal.code() == ErrorCode.DRAINING || refusal.code() == ErrorCode.HOST_MEMORY_FULL;
 		if (closesConnection) {
 			response.keepAlive(false);
 		}
@@ -458,6 +475,7 @@
 		dump.put("configuration", this.belief.number());
 		dump.put("configurationAgeMs", this.belief.ageMs());
 		dump.put("inFlight", this.inFlight);
+		dump.put("heldBytes", this.memory.heldBytes());
 		dump.put("pools", this.pools.size());
 		dump.put("relays", this.dispatcher.relays().addresses());
 		Map<String, Object> servers = new TreeMap<>();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -71,6 +71,7 @@
 		return switch (code) {
 			case REQUEST_QUARANTINED -> ErrorCode.PROMPT_QUARANTINED;
 			case REQUEST_CRASHES_SERVERS -> ErrorCode.PROMPT_CRASHES_SERVERS;
+			case HOST_MEMORY_FULL -> ErrorCode.DRAINING;
 			default -> code;
 		};
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
@@ -88,6 +89,9 @@
 
 	private long progressAtMs;
 
+	/** The bytes of the event that is not complete. */
+	private long heldBytes;
+
 	StreamExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, StreamVersions versions,
 			GatewayRequest request) {
 		this.dispatcher = dispatcher;
@@ -230,7 +234,7 @@
 		}
 		this.attempts.headReceived(head);
 		if (head.notRun() || status != OK) {
-			return BackendExchange.collect(response, content, CallExchange.MAX_RESPONSE_BYTES)
+			return BackendExchange.collect(response, content, CallExchange.MAX_RESPONSE_BYTES, this.request.memory())
 				.map((backendResponse) -> new StreamItem.Complete(backendResponse, false));
 		}
 		if (!head.signed()) {
@@ -244,6 +248,7 @@
 		this.contiguous = false;
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
+			.doFinally((signal) -> hold(0))
 			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(status, headers), event));
 		boolean framed = BackendExchange.isFramed(headers);
 		return events
@@ -262,15 +267,31 @@
 		return headers.getOrDefault("content-type", "").split(";")[0].strip().toLowerCase(Locale.ROOT);
 	}
 
-	private static Iterable<StreamEvent> split(EventSplitter splitter, byte[] bytes) {
+	private Iterable<StreamEvent> split(EventSplitter splitter, byte[] bytes) {
 		try {
-			return splitter.append(bytes);
+			List<StreamEvent> events = splitter.append(bytes);
+			if (!hold(splitter.heldBytes())) {
+				throw new BackendFailure(BackendFailure.Kind.HOST_MEMORY_FULL,
+						"this host may not hold the event of " + splitter.heldBytes() + " bytes beside other requests",
+						null);
+			}
+			return events;
 		}
 		catch (IllegalArgumentException ex) {
 			throw new BackendFailure(BackendFailure.Kind.PROTOCOL, ex.getMessage(), ex);
 		}
 	}
 
+	private boolean hold(long bytes) {
+		long moreBytes = bytes - this.heldBytes;
+		if (moreBytes > 0 && !this.request.memory().tryReserve(moreBytes)) {
+			return false;
+		}
+		this.request.memory().release(-Math.min(0, moreBytes));
+		this.heldBytes = bytes;
+		return true;
+	}
+
 	private Flux<StreamItem> forwardEvent(Dispatcher.Target target, StreamItem.Head head, StreamEvent event) {
 		if (this.headSent) {
 			return emitEvent(event);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
@@ -1,10 +1,11 @@
 package io.fescuehold.runtime.http;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.limits.ByteBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import reactor.core.publisher.Mono;
@@ -12,42 +13,74 @@
 import reactor.netty.http.server.HttpServerRequest;
 
 /**
- * Reads request bodies and enforces a size limit and a time-out.
+ * Reads request bodies and enforces a size limit, a time-out and the budget of bytes that
+ * the host may hold for all requests. What exceeds the budget is read and discarded.
  */
 public final class BodyReader {
 
+	/** Other hosts may take the request at once. */
+	private static final long MEMORY_RETRY_AFTER_MS = 200;
+
 	private final int maxBytes;
 
 	private final int timeoutMs;
 
 	private final Scheduler scheduler;
 
+	private final ByteBudget budget;
+
 	/**
-	 * Creates a reader.
+	 * Creates a reader that does not limit what the host holds.
 	 * @param maxBytes the maximum size of a body in bytes
 	 * @param timeoutMs the maximum time in milliseconds until a body is complete
 	 * @param scheduler the scheduler of the time-out
 	 */
 	public BodyReader(int maxBytes, int timeoutMs, Scheduler scheduler) {
+		this(maxBytes, timeoutMs, scheduler, new ByteBudget(Long.MAX_VALUE));
+	}
+
+	/**
+	 * Creates a reader.
+	 * @param maxBytes the maximum size of a body in bytes
+	 * @param timeoutMs the maximum time in milliseconds until a body is complete
+	 * @param scheduler the scheduler of the time-out
+	 * @param budget the bytes that the host may hold
+	 */
+	public BodyReader(int maxBytes, int timeoutMs, Scheduler scheduler, ByteBudget budget) {
 		this.maxBytes = maxBytes;
 		this.timeoutMs = timeoutMs;
 		this.scheduler = scheduler;
+		this.budget = budget;
+	}
+
+	/**
+	 * Reads the whole body without counting it for longer than it is read.
+	 * @param request the request
+	 * @return see {@link #read(HttpServerRequest, ByteBudget.Lease)}
+	 */
+	public Mono<byte[]> read(HttpServerRequest request) {
+		return Mono.using(this.budget::lease, (lease) -> read(request, lease), ByteBudget.Lease::close);
 	}
 
 	/**
 	 * Reads the whole body.
 	 * @param request the request
+	 * @param lease counts the bytes of the body until it is closed
 	 * @return the body, possibly empty, or a {@link FescueholdException} with code
-	 * BODY_TOO_LARGE or BAD_REQUEST
+	 * BODY_TOO_LARGE, BAD_REQUEST or HOST_MEMORY_FULL
 	 */
-	public Mono<byte[]> read(HttpServerRequest request) {
+	public Mono<byte[]> read(HttpServerRequest request, ByteBudget.Lease lease) {
 		long contentLength = contentLength(request);
 		if (contentLength > this.maxBytes) {
 			return Mono.error(new FescueholdException(ErrorCode.BODY_TOO_LARGE, contentLength, this.maxBytes));
 		}
+		BodyBuffer buffer = new BodyBuffer(lease);
+		if (contentLength > 0) {
+			buffer.tryExpect((int) contentLength);
+		}
 		return request.receive()
-			.reduceWith(ByteArrayOutputStream::new, (bytes, chunk) -> append(bytes, chunk, this.maxBytes))
-			.map(ByteArrayOutputStream::toByteArray)
+			.reduceWith(() -> buffer, this::append)
+			.map(this::toBytes)
 			.timeout(Duration.ofMillis(this.timeoutMs),
 					Mono.error(() -> new FescueholdException(ErrorCode.BAD_REQUEST, "The body",
 							"it did not arrive within " + this.timeoutMs + " ms",
@@ -68,15 +101,28 @@
 		}
 	}
 
-	private static ByteArrayOutputStream append(ByteArrayOutputStream bytes, ByteBuf chunk, int maxBytes) {
-		int size = bytes.size() + chunk.readableBytes();
-		if (size > maxBytes) {
-			throw new FescueholdException(ErrorCode.BODY_TOO_LARGE, "at least " + size, maxBytes);
+	private BodyBuffer append(BodyBuffer buffer, ByteBuf chunk) {
+		int size = buffer.sizeBytes() + chunk.readableBytes();
+		if (size > this.maxBytes) {
+			throw new FescueholdException(ErrorCode.BODY_TOO_LARGE, "at least " + size, this.maxBytes);
+		}
+		// A body that is not kept is still read, because the caller would not receive a
+		// refusal over a connection that is closed while the caller sends.
+		buffer.tryAppend(chunk);
+		return buffer;
+	}
+
+	private byte[] toBytes(BodyBuffer buffer) {
+		byte[] body = buffer.toBytes();
+		if (body == null) {
+			throw memoryFull();
 		}
-		byte[] part = new byte[chunk.readableBytes()];
-		chunk.readBytes(part);
-		bytes.writeBytes(part);
-		return bytes;
+		return body;
+	}
+
+	private FescueholdException memoryFull() {
+		return FescueholdException.of(ErrorCode.HOST_MEMORY_FULL, RunStatus.NO, MEMORY_RETRY_AFTER_MS,
+				this.budget.heldBytes(), this.budget.maxBytes());
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -50,6 +50,8 @@
 
 	static final int OBJECTIVE_MS = 300;
 
+	static final long MEMORY_BYTES = 24 << 20;
+
 	private final LoopResources loops = LoopResources.create("test-gateway", 1, true);
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -81,7 +83,7 @@
 		this.belief = new GatewayBelief(address, (submitted) -> config(),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions(address, 0, relayPort, "a", 60_000, 1_000,
-				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, BackendOptions.DEFAULT);
+				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT);
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(),
 				new SingleHostVersions(this.belief, recordTime, this.scheduler), reach, this.scheduler, this.loops,
 				this.metrics, new SplittableRandom(1));
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -402,7 +402,7 @@
 			this.reach = new ReachDirectory(this.id, this, this.scheduler, this.loops, this.belief::hosts,
 					this.belief.servers(), () -> 0, new SplittableRandom(number));
 			GatewayOptions options = new GatewayOptions(this.id, 0, VersionedFleet.this.relayPort, "a", 60_000, 1_000,
-					0.2, 1_000, 10_000, true, 1_000, BackendOptions.DEFAULT);
+					0.2, 1_000, 10_000, true, 1_000, TestGateway.MEMORY_BYTES, BackendOptions.DEFAULT);
 			this.server = new GatewayServer(options, this.belief, new TestProtocol(), this.directory, this.reach,
 					this.scheduler, this.loops, new MetricRegistry(), new SplittableRandom(number));
 			run(() -> {
