--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -259,8 +259,7 @@
 	/**
 	 * Handles the refusal of a host that was to pass the request on.
 	 * @param refusal the refusal
-	 * @return null if another host or server is to be tried, else the error for the
-	 * caller
+	 * @return null to try another host or server, else the error for the caller
 	 */
 	FescueholdException afterRelayRefusal(FescueholdException refusal) {
 		this.awaitingResponse = false;
@@ -385,20 +384,19 @@
 			return refusal;
 		}
 		String reason = String.valueOf(failure.getMessage());
-		if (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.WITHHELD) {
+		BackendFailure.Kind kind = (failure instanceof BackendFailure known) ? known.kind() : null;
+		if (kind == BackendFailure.Kind.WITHHELD) {
 			this.attemptCount--;
 			this.log.serverFailed(this.request, serverId(), reason, "nothing was sent, trying another server");
 			return null;
 		}
-		if (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.HOST_MEMORY_FULL) {
+		if (kind == BackendFailure.Kind.HOST_MEMORY_FULL) {
 			// Neither the server is to blame nor would another attempt need less memory.
-			this.awaitingResponse = false;
 			this.mayHaveRun = true;
 			return fail(reason, ErrorCode.SERVER_FAILED, 0);
 		}
-		boolean stalled = failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.STALLED;
-		boolean notSent = !this.awaitingResponse
-				|| (failure instanceof BackendFailure known && known.kind() == BackendFailure.Kind.NOT_SENT);
+		boolean stalled = kind == BackendFailure.Kind.STALLED;
+		boolean notSent = !this.awaitingResponse || kind == BackendFailure.Kind.NOT_SENT;
 		this.awaitingResponse = false;
 		if (stalled) {
 			this.dispatcher.recordTimeout(this.request, this.target);
