Stream records: a disk that was full at the start does not end them for good

Streams of a host whose process started while its disk was full could be refused later, because no record of them was durable and those of the last process counted as unreadable.

Cause: StreamRecordStore#open failed as a whole if the new file could not be begun, after the old ones had been read. Every later append then failed on the missing file without an answer, and each rotation as well.

Evidence: StreamRecordStoreTests#recordsAreDurableOnceAFullDiskHasRoom failed at the second open with "Input/output error".

Change: what was read is returned; the file is begun with the first append that can. A rotation that fails leaves the current file in use.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/StreamRecordStore.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/StreamRecordStore.java
@@ -82,7 +82,8 @@
 	/**
 	 * Reads the files of the last process and begins a new one.
 	 * @return what they contain
-	 * @throws IOException if the folder cannot be read or written
+	 * @throws IOException if the folder cannot be created or read; one that cannot be
+	 * written is tried again with each append
 	 */
 	public Content open() throws IOException {
 		Files.createDirectories(this.folder);
@@ -93,7 +94,14 @@
 			read(ByteBuffer.wrap(Files.readAllBytes(file(found))), records, served);
 		}
 		this.number = numbers.isEmpty() ? 0 : numbers.getLast();
-		beginFile();
+		try {
+			beginFile();
+		}
+		catch (IOException ex) {
+			logger.atWarning()
+				.log("No file of stream records can be begun in \"%s\" yet; it is tried again with the next records: %s",
+						this.folder, ex.getMessage());
+		}
 		return new Content(records, served, !numbers.isEmpty());
 	}
 
@@ -131,12 +139,24 @@
 		}
 	}
 
+	// The current file stays in use if no other one can be begun.
 	private void beginFile() throws IOException {
-		this.number++;
-		this.channel = FileChannel.open(file(this.number), StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+		FileChannel begun = FileChannel.open(file(this.number + 1), StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 				StandardOpenOption.TRUNCATE_EXISTING);
+		try {
+			this.disk.syncFolder(this.folder);
+		}
+		catch (IOException ex) {
+			begun.close();
+			throw ex;
+		}
+		FileChannel previous = this.channel;
+		this.channel = begun;
+		this.number++;
 		this.position = 0;
-		this.disk.syncFolder(this.folder);
+		if (previous != null) {
+			previous.close();
+		}
 	}
 
 	/**
@@ -149,7 +169,6 @@
 		return Mono.<Void>fromRunnable(() -> {
 			try {
 				long previous = this.number;
-				this.channel.close();
 				beginFile();
 				for (long found : fileNumbers()) {
 					if (found < previous) {
@@ -189,6 +208,9 @@
 			this.pending = new ArrayList<>();
 		}
 		try {
+			if (this.channel == null) {
+				beginFile();
+			}
 			ByteBuffer content = ByteBuffer.wrap(encode(writes));
 			ByteBuffer header = Batch.header(content);
 			int size = header.remaining() + content.remaining();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/StreamRecordStoreTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/storage/StreamRecordStoreTests.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -26,6 +27,8 @@
 
 	private static final StreamRecord SECOND = new StreamRecord("b", "s", "v2");
 
+	private static final Duration WAIT = Duration.ofSeconds(2);
+
 	@TempDir
 	private Path folder;
 
@@ -70,6 +73,29 @@
 		}
 	}
 
+	// A disk that was full while a process started or began a new file kept records from
+	// being durable for as long as the process ran, and hid those of the last process.
+	@Test
+	void recordsAreDurableOnceAFullDiskHasRoom() throws IOException {
+		LimitedDisk disk = new LimitedDisk(this.folder, 1 << 20);
+		try (StreamRecordStore store = new StreamRecordStore(this.folder, 10_000, disk)) {
+			store.open();
+			store.append(List.of(FIRST), Map.of()).block(WAIT);
+			disk.setFull(true, true);
+			assertThatThrownBy(() -> store.rotate(Map.of()).block(WAIT)).isNotNull();
+			disk.setFull(false, false);
+			store.append(List.of(SECOND), Map.of()).block(WAIT);
+			disk.setFull(true, true);
+		}
+		try (StreamRecordStore store = new StreamRecordStore(this.folder, 10_000, disk)) {
+			assertThat(store.open().records()).containsExactly(FIRST, SECOND);
+			assertThatThrownBy(() -> store.append(List.of(FIRST), Map.of()).block(WAIT)).isNotNull()
+				.hasMessageNotContaining("Timeout");
+			disk.setFull(false, false);
+			store.append(List.of(FIRST), Map.of()).block(WAIT);
+		}
+	}
+
 	private void truncateLast(int bytes) throws IOException {
 		try (Stream<Path> files = Files.list(this.folder);
 				FileChannel channel = FileChannel.open(files.findFirst().orElseThrow(), StandardOpenOption.WRITE)) {
