Limits of servers: hosts that start or drain count in the shares

Callers saw: nothing yet; related path of the fault of the retry budget. Each host may use a fraction of the limit that a server names. A quarter of it is shared equally, and was divided by the hosts in state READY only, so that the fractions of all hosts added up to more than one during a roll.

Change: all hosts of the list count, whatever their state.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/LoadFractions.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/LoadFractions.java
@@ -39,7 +39,7 @@
 	/**
 	 * Returns the fraction of the load on a service that this daemon carries.
 	 * @param service the service
-	 * @param daemons the number of daemons that serve callers
+	 * @param daemons the number of daemons, whatever their state
 	 * @return a number from 0 to 1
 	 */
 	public double fraction(String service, int daemons) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -12,7 +12,6 @@
 import io.fescuehold.core.limits.ServerIntake;
 import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
-import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
@@ -228,7 +227,10 @@
 	 * @return a number from 0 to 1
 	 */
 	public double loadFraction(String service) {
-		return this.loadFractions.fraction(service, serving());
+		// Hosts that start or drain carry load as well; the fractions of all hosts must
+		// not
+		// add up to more than the whole.
+		return this.loadFractions.fraction(service, this.hosts.size());
 	}
 
 	/**
@@ -279,12 +281,4 @@
 		return this.hosts;
 	}
 
-	/**
-	 * Returns the number of daemons that serve callers.
-	 * @return the number, at least 1
-	 */
-	public int serving() {
-		return Math.max(1, (int) this.hosts.stream().filter((host) -> host.state() == HostState.READY).count());
-	}
-
 }
