--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/storage/DiskStorage.java
@@ -80,6 +80,9 @@
 			deleteTemporaryFiles();
 			this.storeId = readOrCreateStoreId();
 			updateFull();
+			logger.atInfo()
+				.log("Store in \"%s\": segments of %d bytes, reserve of %d bytes, %d bytes free", options.folder(),
+						options.segmentBytes(), options.reserveBytes(), disk.usableBytes(options.folder()));
 		}
 		catch (IOException ex) {
 			close();
