--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -8,8 +8,8 @@
 import java.util.function.Supplier;
 
 import io.fescuehold.core.error.FescueholdException;
-import io.fescuehold.core.limits.ByteBudget;
 import io.fescuehold.runtime.http.BodyBuffer;
+import io.fescuehold.runtime.http.ByteBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -1,10 +1,10 @@
 package io.fescuehold.runtime.gateway;
 
-import io.fescuehold.core.limits.ByteBudget;
 import io.fescuehold.core.quarantine.RequestFeatures;
 import io.fescuehold.core.quarantine.RequestIdentity;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.TeamAccess;
+import io.fescuehold.runtime.http.ByteBudget;
 
 /**
  * An admitted request.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyBuffer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyBuffer.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.List;
 
-import io.fescuehold.core.limits.ByteBudget;
 import io.netty.buffer.ByteBuf;
 
 /**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
@@ -5,7 +5,6 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
-import io.fescuehold.core.limits.ByteBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import reactor.core.publisher.Mono;
--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ByteBudget.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ByteBudget.java
@@ -1,4 +1,4 @@
-package io.fescuehold.core.limits;
+package io.fescuehold.runtime.http;
 
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -8,7 +8,7 @@
  * each request alone does not keep many of them from exhausting the memory of the host.
  * <p>
  * A request that holds many bytes may only use a part of the budget, so that the usual
- * small requests go on while others press against it.
+ * small requests go on while others press against it. Thread-safe.
  */
 public final class ByteBudget {
 
