Body buffer: a body in small chunks costs no more than its bytes

Callers saw: nothing yet; found when the change was read again. A body or response of unknown length in chunks of one byte would have exhausted the heap long before the budget of bytes was used up.

Cause: each part of such a body was kept in an array of its own; the budget counted the bytes and not the arrays.

Evidence: BodyBufferTests#bodyInSmallPartsCostsNoMoreThanOneInLargeParts failed before: 40.8 MB were allocated for a body of 1 MB.

Change: parts are copied into blocks of 1 to 64 KiB, which are counted as a whole, also what is not used yet of the last one.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyBuffer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyBuffer.java
@@ -7,14 +7,23 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Collects a body and counts its bytes against the budget of the host. A body that the
- * host may not hold is discarded, whatever follows. Not thread-safe.
+ * Collects a body and counts its bytes against the budget of the host. The parts of a
+ * body of unknown length are copied into blocks, so that many small parts cost no more
+ * than a few large ones. A body that the host may not hold is discarded, whatever
+ * follows. Not thread-safe.
  */
 public final class BodyBuffer {
 
+	private static final int MIN_BLOCK_BYTES = 1 << 10;
+
+	private static final int MAX_BLOCK_BYTES = 64 << 10;
+
 	private final ByteBudget.Lease lease;
 
-	private final List<byte[]> chunks = new ArrayList<>();
+	private final List<byte[]> blocks = new ArrayList<>();
+
+	/** The bytes of the last block that are not used yet. */
+	private int freeBytes;
 
 	/** Holds the whole body if its length is known, else null. */
 	private byte[] whole;
@@ -62,13 +71,36 @@
 			part.readBytes(this.whole, this.sizeBytes - partBytes, partBytes);
 			return true;
 		}
-		if (this.whole != null || !tryReserve(partBytes)) {
+		fillLastBlock(part);
+		if (this.whole != null || !tryAddBlock(part)) {
 			discard();
 			return false;
 		}
-		byte[] chunk = new byte[partBytes];
-		part.readBytes(chunk);
-		this.chunks.add(chunk);
+		return true;
+	}
+
+	private void fillLastBlock(ByteBuf part) {
+		int filledBytes = Math.min(this.freeBytes, part.readableBytes());
+		if (filledBytes > 0) {
+			byte[] last = this.blocks.getLast();
+			part.readBytes(last, last.length - this.freeBytes, filledBytes);
+			this.freeBytes -= filledBytes;
+		}
+	}
+
+	private boolean tryAddBlock(ByteBuf part) {
+		int moreBytes = part.readableBytes();
+		if (moreBytes == 0) {
+			return true;
+		}
+		int blockBytes = Math.max(moreBytes, Math.clamp(this.reservedBytes, MIN_BLOCK_BYTES, MAX_BLOCK_BYTES));
+		if (!tryReserve(blockBytes)) {
+			return false;
+		}
+		byte[] block = new byte[blockBytes];
+		part.readBytes(block, 0, moreBytes);
+		this.blocks.add(block);
+		this.freeBytes = blockBytes - moreBytes;
 		return true;
 	}
 
@@ -92,20 +124,21 @@
 		if (this.whole != null) {
 			return (this.sizeBytes == this.whole.length) ? this.whole : Arrays.copyOf(this.whole, this.sizeBytes);
 		}
-		if (this.chunks.size() == 1) {
-			return this.chunks.getFirst();
+		if (this.blocks.size() == 1 && this.freeBytes == 0) {
+			return this.blocks.getFirst();
 		}
 		if (!this.lease.tryReserve(this.sizeBytes)) {
 			return null;
 		}
 		byte[] joined = new byte[this.sizeBytes];
 		int offset = 0;
-		for (byte[] chunk : this.chunks) {
-			System.arraycopy(chunk, 0, joined, offset, chunk.length);
-			offset += chunk.length;
+		for (byte[] block : this.blocks) {
+			int usedBytes = Math.min(block.length, this.sizeBytes - offset);
+			System.arraycopy(block, 0, joined, offset, usedBytes);
+			offset += usedBytes;
 		}
-		this.chunks.clear();
-		this.lease.release(this.sizeBytes);
+		discardBlocks();
+		this.reservedBytes = this.sizeBytes;
 		return joined;
 	}
 
@@ -114,8 +147,13 @@
 	 */
 	public void discard() {
 		this.discarded = true;
-		this.chunks.clear();
 		this.whole = null;
+		discardBlocks();
+	}
+
+	private void discardBlocks() {
+		this.blocks.clear();
+		this.freeBytes = 0;
 		this.lease.release(this.reservedBytes);
 		this.reservedBytes = 0;
 	}
