--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -227,9 +227,8 @@
 	 * @return a number from 0 to 1
 	 */
 	public double loadFraction(String service) {
-		// Hosts that start or drain carry load as well; the fractions of all hosts must
-		// not
-		// add up to more than the whole.
+		// Hosts that start or drain count too, so that all fractions add up to one at
+		// most.
 		return this.loadFractions.fraction(service, this.hosts.size());
 	}
 
