Observability: how each connection of a caller ends, and when a stop came to what

Callers saw requests end without a whole answer around SIGTERM. The logs told neither which connections were open when the process ended, nor whether a request had been read on them, nor how late after the signal the drain began, so that the hypotheses could not be told apart.

HttpListeners counts the ends of connections as gateway.connections.COMPLETE, PEER, INCOMPLETE, CUT and UNANSWERED; the last two are faults of the process. The lines of the drain, its end and the end of the daemon carry the counts, the connections still open and the bytes not yet written. No behaviour changes.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -304,13 +304,16 @@
 	 * Drains the daemon: closes each connection after its next response, waits until the
 	 * entry responses that name this daemon have expired, then refuses new requests,
 	 * waits until those in flight have ended, and answers those that have not.
+	 * @param signalledNs the time of the signal, as a value of {@link System#nanoTime()}
 	 * @return completes when the daemon may stop, at the latest shortly before the
 	 * process would be killed
 	 */
-	public Mono<Void> drain() {
+	public Mono<Void> drain(long signalledNs) {
 		return Mono.create((sink) -> this.scheduler.schedule(() -> {
 			long nowMs = this.clock.nowMs();
-			logger.atInfo().log("Draining with %d requests in flight", this.server.inFlight());
+			logger.atInfo()
+				.log("Draining with %d requests in flight, %d ms after the signal; %s", this.server.inFlight(),
+						TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNs), this.server.connections());
 			long latestMs = nowMs + this.settings.stopMs() - CLOSE_MS;
 			this.drain = new DrainSchedule(nowMs, this.settings.maxEntryValidMs(), HOST_LIST_LAG_MS,
 					latestMs - FINAL_ANSWERS_MS);
@@ -330,7 +333,9 @@
 			this.server.endRequests();
 		}
 		if (phase == DrainSchedule.Phase.STOPPABLE || nowMs >= latestMs) {
-			logger.atInfo().log("Drain finished, aborting %d requests in flight", this.server.inFlight());
+			logger.atInfo()
+				.log("Drain finished after %d ms, aborting %d requests in flight; %s", nowMs - this.drain.startedAtMs(),
+						this.server.inFlight(), this.server.connections());
 			sink.success();
 			return;
 		}
@@ -345,7 +350,7 @@
 		this.fleet.stop();
 		this.server.stop();
 		this.streams.stop();
-		logger.atInfo().log("Daemon %s has stopped", this.settings.hostId());
+		logger.atInfo().log("Daemon %s has stopped; %s", this.settings.hostId(), this.server.connections());
 	}
 
 	private Map<String, Object> dump() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -32,7 +31,8 @@
 import io.fescuehold.runtime.backend.BackendResponse;
 import io.fescuehold.runtime.http.BodyReader;
 import io.fescuehold.runtime.http.ByteBudget;
-import io.fescuehold.runtime.http.Problems;
+import io.fescuehold.runtime.http.ConnectionReport;
+import io.fescuehold.runtime.http.HttpListeners;
 import io.fescuehold.runtime.http.RequestHeadTimer;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -44,7 +44,6 @@
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
 import reactor.netty.channel.AbortedException;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
@@ -66,13 +65,6 @@
 
 	private static final long DRAINING_RETRY_AFTER_MS = 200;
 
-	private static final double MS_PER_S = 1_000;
-
-	/** Headers of one connection, and those that only hosts may set. */
-	private static final Set<String> NOT_RETURNED = Set.of("connection", "keep-alive", "transfer-encoding", "te",
-			"trailer", "upgrade", "proxy-connection", "content-length", RelayHop.RESPONSE_VERSION,
-			RelayHop.RESPONSE_SERVER, RelayHop.RESPONSE_REFUSAL);
-
 	private final GatewayOptions options;
 
 	private final GatewayBelief belief;
@@ -100,6 +92,8 @@
 
 	private final StreamVersions versions;
 
+	private final HttpListeners listeners;
+
 	private DisposableServer server;
 
 	private DisposableServer relayServer;
@@ -144,6 +138,7 @@
 		this.pools = new BackendPools(options.backend(), loops);
 		this.metrics = new GatewayMetrics(registry);
 		this.memory = new ByteBudget(options.memoryBytes());
+		this.listeners = new HttpListeners("gateway", registry);
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
@@ -161,7 +156,7 @@
 
 	private DisposableServer bind(int port,
 			BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
-		return HttpServer.create()
+		return this.listeners.bind(this.listeners.newServer()
 			.host(this.options.address())
 			.port(port)
 			.runOn(this.loops, false)
@@ -172,8 +167,7 @@
 				RequestHeadTimer.install(channel.pipeline(), this.belief.limits().headerTimeoutMs());
 				IdleTimeoutHandler.install(channel.pipeline(), () -> this.belief.limits().idleTimeoutMs());
 			})
-			.handle(handler)
-			.bindNow();
+			.handle(handler));
 	}
 
 	/**
@@ -235,6 +229,14 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Returns the state of the connections of callers and other hosts.
+	 * @return the report
+	 */
+	public ConnectionReport connections() {
+		return this.listeners.report();
+	}
+
 	/**
 	 * Returns the bytes that this host may hold for all requests.
 	 * @return the budget
@@ -276,7 +278,7 @@
 		catch (FescueholdException ex) {
 			this.inFlight--;
 			response.keepAlive(false);
-			return write(response, ex, hop);
+			return CallerResponses.refuse(response, ex, hop);
 		}
 		if (this.closing) {
 			response.keepAlive(false);
@@ -343,7 +345,7 @@
 			Runnable stop = exchange::stop;
 			this.open.add(stop);
 			return exchange.run().doFinally((signal) -> this.open.remove(stop)).flatMap((backendResponse) -> {
-				nameServer(request, exchange.serverId(), response);
+				CallerResponses.nameServer(request, exchange.serverId(), response);
 				return deliver(request, backendResponse, response);
 			});
 		}
@@ -358,7 +360,7 @@
 	private Mono<Void> deliver(GatewayRequest request, BackendResponse backendResponse, HttpServerResponse response) {
 		answered(request, backendResponse.status());
 		response.status(backendResponse.status());
-		addHeaders(response, backendResponse.headers());
+		CallerResponses.addHeaders(response, backendResponse.headers());
 		response.header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(backendResponse.body().length));
 		return response.sendObject(Unpooled.wrappedBuffer(backendResponse.body())).then();
 	}
@@ -367,14 +369,14 @@
 			Flux<StreamItem> items, HttpServerResponse response) {
 		return switch (first) {
 			case StreamItem.Complete complete -> {
-				nameServer(request, exchange.serverId(), response);
+				CallerResponses.nameServer(request, exchange.serverId(), response);
 				yield items.then(deliver(request, complete.response(), response));
 			}
 			case StreamItem.Head head -> {
 				this.metrics.firstEvent(request.route().name(), this.clockMs.getAsLong() - request.receivedAtMs());
 				response.status(head.status());
-				addHeaders(response, head.headers());
-				nameServer(request, exchange.serverId(), response);
+				CallerResponses.addHeaders(response, head.headers());
+				CallerResponses.nameServer(request, exchange.serverId(), response);
 				if (request.hop() != null && exchange.version() != null) {
 					response.header(RelayHop.RESPONSE_VERSION, exchange.version());
 				}
@@ -396,26 +398,12 @@
 		};
 	}
 
-	private static void nameServer(GatewayRequest request, String serverId, HttpServerResponse response) {
-		if (request.hop() != null) {
-			response.header(RelayHop.RESPONSE_SERVER, serverId);
-		}
-	}
-
 	private void answered(GatewayRequest request, int status) {
 		long tookMs = this.clockMs.getAsLong() - request.receivedAtMs();
 		this.metrics.answered(request.route().name(), status, tookMs);
 		this.log.answered(request, status, tookMs);
 	}
 
-	private static void addHeaders(HttpServerResponse response, Map<String, String> headers) {
-		headers.forEach((name, value) -> {
-			if (!NOT_RETURNED.contains(name.toLowerCase(Locale.ROOT))) {
-				response.header(name, value);
-			}
-		});
-	}
-
 	private Mono<Void> refuse(CallerHead head, Throwable error, long receivedAtMs, HttpServerResponse response,
 			RelayHop hop) {
 		if (error instanceof AbortedException || AbortedException.isConnectionReset(error)) {
@@ -439,21 +427,7 @@
 		if (closesConnection) {
 			response.keepAlive(false);
 		}
-		return write(response, refusal, hop);
-	}
-
-	private static Mono<Void> write(HttpServerResponse response, FescueholdException refusal, RelayHop hop) {
-		if (hop != null) {
-			response.header(RelayHop.RESPONSE_REFUSAL, RelayHop.encode(refusal));
-		}
-		byte[] body = Problems.json(refusal);
-		response.status(refusal.code().httpStatus())
-			.header(HttpHeaderNames.CONTENT_TYPE, Problems.MEDIA_TYPE)
-			.header(HttpHeaderNames.CONTENT_LENGTH, String.valueOf(body.length));
-		if (refusal.retryAfterMs() > 0) {
-			response.header(HttpHeaderNames.RETRY_AFTER, String.valueOf(refusal.retryAfterMs() / MS_PER_S));
-		}
-		return response.sendObject(Unpooled.wrappedBuffer(body)).then();
+		return CallerResponses.refuse(response, refusal, hop);
 	}
 
 	@Override
