Stop: a process ends when each connection is closed after the last response

Callers saw requests end without a byte of an answer, up to 403 ms after they were sent, on kept and new connections, at the end of a planned stop.

Cause: a stopping process ended at the first moment without a request in flight. Its event loop went on accepting connections and reading requests while the parts were stopped and the JVM ended; what it had read or accepted by then was reset. The class of fault: work is counted where it is decided, not where the peer can see its result, and new work is let in until the end.

Change: HttpListeners owns the listeners and connections of a purpose. At the signal each next response is its connection's last one; once no caller can hold the address any more, the ports are closed, connections without a request are closed a few at a time, and the process waits until none is left. After its last response a connection is closed in two steps, so that unread input does not reset it while the response is on its way. A request whose body has not arrived gets its refusal when the open requests are ended. The times of a stop count from the signal.

DrainTests passed the number of requests in flight; phase() now asks whether all connections have ended, which includes them.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/drain/DrainSchedule.java
@@ -44,15 +44,15 @@
 
 	/**
 	 * Returns the phase of the shutdown.
-	 * @param inFlight the number of requests in flight
+	 * @param drained whether no request is in flight and no connection is open
 	 * @param nowMs the time in milliseconds
 	 * @return the phase
 	 */
-	public Phase phase(int inFlight, long nowMs) {
+	public Phase phase(boolean drained, long nowMs) {
 		if (nowMs < this.lastAnswerExpiresAtMs) {
 			return Phase.ENTRY_REMOVED;
 		}
-		return (inFlight > 0) ? Phase.FINISHING : Phase.STOPPABLE;
+		return drained ? Phase.STOPPABLE : Phase.FINISHING;
 	}
 
 	/**
--- a/fescuehold-core/src/test/java/io/fescuehold/core/drain/DrainTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/drain/DrainTests.java
@@ -18,16 +18,16 @@
 		DrainSchedule drain = new DrainSchedule(1_000, 30_000, 10_000);
 		// An answer of a host with an outdated host list expires at 41,000 ms at the
 		// latest.
-		assertThat(drain.phase(0, 40_999)).isEqualTo(DrainSchedule.Phase.ENTRY_REMOVED);
-		assertThat(drain.phase(0, 40_999).acceptsRequests()).isTrue();
-		assertThat(drain.phase(0, 41_000)).isEqualTo(DrainSchedule.Phase.STOPPABLE);
+		assertThat(drain.phase(true, 40_999)).isEqualTo(DrainSchedule.Phase.ENTRY_REMOVED);
+		assertThat(drain.phase(true, 40_999).acceptsRequests()).isTrue();
+		assertThat(drain.phase(true, 41_000)).isEqualTo(DrainSchedule.Phase.STOPPABLE);
 	}
 
 	@Test
 	void requestInFlightIsNeverCut() {
 		DrainSchedule drain = new DrainSchedule(0, 30_000, 10_000);
-		assertThat(drain.phase(1, 40_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
-		assertThat(drain.phase(1, 4_000_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
+		assertThat(drain.phase(false, 40_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
+		assertThat(drain.phase(false, 4_000_000)).isEqualTo(DrainSchedule.Phase.FINISHING);
 	}
 
 	// A request that came late in the grace was cut without an answer, also one that may
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -13,6 +13,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.entry.NearestEntries;
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.freshness.SuspensionClock;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
@@ -34,6 +37,7 @@
 import io.fescuehold.runtime.gateway.GatewayServer;
 import io.fescuehold.runtime.gateway.RoutingCodec;
 import io.fescuehold.runtime.http.ByteBudget;
+import io.fescuehold.runtime.http.HttpListeners;
 import io.fescuehold.runtime.replica.AgreementTransport;
 import io.fescuehold.runtime.replica.MonotonicScheduler;
 import io.fescuehold.runtime.transport.PeerAddress;
@@ -41,6 +45,7 @@
 import io.fescuehold.runtime.transport.TransportOptions;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.resources.LoopResources;
@@ -75,7 +80,7 @@
 	/** The part of the heap that bodies and events may take. */
 	private static final int HEAP_FRACTION = 2;
 
-	private static final long DRAIN_CHECK_MS = 50;
+	private static final long DRAIN_CHECK_MS = 20;
 
 	private static final long POOL_CHECK_MS = 5_000;
 
@@ -115,8 +120,14 @@
 	/** Null if the host has no disk. */
 	private final EvidenceStore evidence;
 
+	/** The listeners of operators, of the platform and of the metrics. */
+	private final HttpListeners operatorListeners;
+
 	private final OperationsServer operations;
 
+	/** Ends the calls of operators that are open when this daemon stops. */
+	private final Sinks.Empty<Void> ending = Sinks.empty();
+
 	private volatile List<String> seeds;
 
 	private volatile DrainSchedule drain;
@@ -165,8 +176,9 @@
 				() -> this.seeds, this.belief.quarantine(), this.belief.requestLimits());
 		this.evidence = (settings.dataFolder() != null) ? new EvidenceStore(settings.dataFolder().resolve("quarantine"),
 				this.belief.quarantine(), this.scheduler, System::currentTimeMillis) : null;
+		this.operatorListeners = new HttpListeners("operators", this.metrics);
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
-				this::dump);
+				this.operatorListeners, this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
@@ -189,6 +201,15 @@
 		return this.server.memory();
 	}
 
+	/**
+	 * Returns the listeners of operators and of the platform, which this daemon drains
+	 * with its own.
+	 * @return the listeners
+	 */
+	public HttpListeners operatorListeners() {
+		return this.operatorListeners;
+	}
+
 	/**
 	 * Starts the daemon.
 	 */
@@ -272,7 +293,8 @@
 		return Mono.defer(() -> {
 			RoutingConfig config = this.codec.decode(submitted);
 			RoutingRules.check(config);
-			return this.fleet.submit(Documents.of(config.number(), submitted))
+			Mono<SubmissionOutcome> outcomeKnown = this.fleet.submit(Documents.of(config.number(), submitted));
+			return untilEnded(outcomeKnown, "the outcome of configuration " + config.number())
 				.doOnNext((outcome) -> logger.atInfo()
 					.log("Submission of configuration %d: %s; this host obeys configuration %d", config.number(),
 							outcome, this.belief.number()))
@@ -288,7 +310,15 @@
 	 * newest one cannot be determined
 	 */
 	public Mono<byte[]> readNewest() {
-		return this.fleet.readNewest().filter((document) -> document.number() > 0).map(Documents::submitted);
+		return untilEnded(this.fleet.readNewest(), "the newest configuration")
+			.filter((document) -> document.number() > 0)
+			.map(Documents::submitted);
+	}
+
+	private <T> Mono<T> untilEnded(Mono<T> call, String result) {
+		Mono<T> stopped = Mono.error(() -> FescueholdException.withMessage(ErrorCode.HOST_STOPPED, RunStatus.UNKNOWN, 0,
+				"This host stops before " + result + " is known; repeat the call at another host"));
+		return Mono.firstWithSignal(call, this.ending.asMono().then(stopped));
 	}
 
 	/**
@@ -302,22 +332,25 @@
 
 	/**
 	 * Drains the daemon: closes each connection after its next response, waits until the
-	 * entry responses that name this daemon have expired, then refuses new requests,
-	 * waits until those in flight have ended, and answers those that have not.
+	 * entry responses that name this daemon have expired, then closes the connections
+	 * without a request, waits until those in flight have ended, and answers those that
+	 * have not. Operators are served until the callers have gone.
 	 * @param signalledNs the time of the signal, as a value of {@link System#nanoTime()}
-	 * @return completes when the daemon may stop, at the latest shortly before the
+	 * @return completes when no connection is left, at the latest shortly before the
 	 * process would be killed
 	 */
 	public Mono<Void> drain(long signalledNs) {
 		return Mono.create((sink) -> this.scheduler.schedule(() -> {
 			long nowMs = this.clock.nowMs();
+			long lateMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNs);
 			logger.atInfo()
-				.log("Draining with %d requests in flight, %d ms after the signal; %s", this.server.inFlight(),
-						TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNs), this.server.connections());
-			long latestMs = nowMs + this.settings.stopMs() - CLOSE_MS;
+				.log("Draining with %d requests in flight, %d ms after the signal; %s", this.server.inFlight(), lateMs,
+						this.server.connections());
+			long latestMs = nowMs - lateMs + this.settings.stopMs() - CLOSE_MS;
 			this.drain = new DrainSchedule(nowMs, this.settings.maxEntryValidMs(), HOST_LIST_LAG_MS,
 					latestMs - FINAL_ANSWERS_MS);
 			this.server.drain(this.drain);
+			this.operatorListeners.closeAfterResponses();
 			this.fleet.yieldLeadership();
 			checkDrain(sink, latestMs);
 		}));
@@ -325,17 +358,24 @@
 
 	private void checkDrain(MonoSink<Void> sink, long latestMs) {
 		long nowMs = this.clock.nowMs();
-		DrainSchedule.Phase phase = this.drain.phase(this.server.inFlight(), nowMs);
+		boolean drained = this.server.isDrained();
+		DrainSchedule.Phase phase = this.drain.phase(drained, nowMs);
 		if (!phase.acceptsRequests()) {
-			this.server.refuseRequests();
+			this.server.drainConnections();
+		}
+		if (phase == DrainSchedule.Phase.STOPPABLE) {
+			this.operatorListeners.drain();
 		}
 		if (nowMs >= this.drain.endAtMs()) {
 			this.server.endRequests();
+			this.operatorListeners.drain();
+			this.ending.tryEmitEmpty();
 		}
-		if (phase == DrainSchedule.Phase.STOPPABLE || nowMs >= latestMs) {
+		if (drained && this.operatorListeners.isDrained() || nowMs >= latestMs) {
 			logger.atInfo()
-				.log("Drain finished after %d ms, aborting %d requests in flight; %s", nowMs - this.drain.startedAtMs(),
-						this.server.inFlight(), this.server.connections());
+				.log("Drain finished after %d ms, aborting %d requests in flight; callers and hosts: %s; operators: %s",
+						nowMs - this.drain.startedAtMs(), this.server.inFlight(), this.server.connections(),
+						this.operatorListeners.report());
 			sink.success();
 			return;
 		}
@@ -343,14 +383,17 @@
 	}
 
 	/**
-	 * Stops the daemon.
+	 * Stops the parts of the daemon and closes the connections that are left.
 	 */
 	public void stop() {
+		this.server.stop();
+		this.operatorListeners.closeNow();
 		this.gossip.stop();
 		this.fleet.stop();
-		this.server.stop();
 		this.streams.stop();
-		logger.atInfo().log("Daemon %s has stopped; %s", this.settings.hostId(), this.server.connections());
+		logger.atInfo()
+			.log("Daemon %s has stopped; callers and hosts: %s; operators: %s", this.settings.hostId(),
+					this.server.connections(), this.operatorListeners.report());
 	}
 
 	private Map<String, Object> dump() {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
@@ -8,8 +8,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.fescuehold.runtime.admin.MetricsText;
+import io.fescuehold.runtime.http.HttpListeners;
 import reactor.core.publisher.Mono;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
 
@@ -29,26 +29,28 @@
 
 	private final MetricRegistry metrics;
 
+	private final HttpListeners listeners;
+
 	private final Supplier<Map<String, Object>> dump;
 
-	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics,
+	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics, HttpListeners listeners,
 			Supplier<Map<String, Object>> dump) {
 		this.address = address;
 		this.port = port;
 		this.loops = loops;
 		this.metrics = metrics;
+		this.listeners = listeners;
 		this.dump = dump;
 	}
 
 	void start() {
-		HttpServer.create()
+		this.listeners.bind(this.listeners.newServer()
 			.host(this.address)
 			.port(this.port)
 			.runOn(this.loops, false)
 			.route((routes) -> routes
 				.get("/metrics", (request, response) -> respond(response, "text/plain", MetricsText.of(this.metrics)))
-				.get("/dump", (request, response) -> respond(response, "application/json", json())))
-			.bindNow();
+				.get("/dump", (request, response) -> respond(response, "application/json", json()))));
 	}
 
 	private String json() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -41,6 +41,7 @@
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
 import reactor.netty.channel.AbortedException;
@@ -103,8 +104,6 @@
 	/** What ends each open request when this host stops. */
 	private final Set<Runnable> open = new HashSet<>();
 
-	private boolean closing;
-
 	private boolean refusing;
 
 	/** Null unless this host is about to stop. */
@@ -191,7 +190,7 @@
 	 * daemon.
 	 */
 	public void closeConnections() {
-		this.closing = true;
+		this.listeners.closeAfterResponses();
 	}
 
 	/**
@@ -206,8 +205,8 @@
 
 	/**
 	 * Ends the open requests. Callers get an answer that says whether the request may
-	 * have run; a stream breaks off after its last event, so that it can be taken up at
-	 * another host.
+	 * have run, also to a request whose body has not arrived completely; a stream breaks
+	 * off after its last event, so that it can be taken up at another host.
 	 */
 	public void endRequests() {
 		refuseRequests();
@@ -221,6 +220,24 @@
 		this.refusing = true;
 	}
 
+	/**
+	 * Refuses new requests, stops listening and closes each connection that has no
+	 * request.
+	 */
+	public void drainConnections() {
+		refuseRequests();
+		this.listeners.drain();
+	}
+
+	/**
+	 * Returns whether all connections of callers and other hosts have ended after
+	 * {@link #drainConnections()}.
+	 * @return whether this server may be stopped without a loss
+	 */
+	public boolean isDrained() {
+		return this.inFlight == 0 && this.listeners.isDrained();
+	}
+
 	/**
 	 * Returns the number of requests in flight.
 	 * @return the number
@@ -260,10 +277,7 @@
 	 * Stops listening and closes all connections.
 	 */
 	public void stop() {
-		if (this.server != null) {
-			this.server.dispose();
-			this.relayServer.dispose();
-		}
+		this.listeners.closeNow();
 		this.pools.close();
 	}
 
@@ -280,14 +294,10 @@
 			response.keepAlive(false);
 			return CallerResponses.refuse(response, ex, hop);
 		}
-		if (this.closing) {
-			response.keepAlive(false);
-		}
 		BodyReader bodyReader = new BodyReader(this.belief.limits().maxBodyBytes(), bodyTimeoutMs(head), this.scheduler,
 				this.memory);
 		ByteBudget.Lease lease = this.memory.lease();
-		return bodyReader.read(http, lease)
-			.defaultIfEmpty(EMPTY_BODY)
+		return untilEnded(bodyReader.read(http, lease).defaultIfEmpty(EMPTY_BODY))
 			.flatMap((body) -> serve(head, body, lease, receivedAtMs, response, hop))
 			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response, hop))
 			.doOnCancel(() -> {
@@ -300,6 +310,17 @@
 			});
 	}
 
+	private Mono<byte[]> untilEnded(Mono<byte[]> body) {
+		Sinks.One<byte[]> end = Sinks.one();
+		Runnable stop = () -> end.tryEmitError(draining());
+		this.open.add(stop);
+		return Mono.firstWithSignal(body, end.asMono()).doFinally((signal) -> this.open.remove(stop));
+	}
+
+	private static FescueholdException draining() {
+		return FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS);
+	}
+
 	private static int bodyTimeoutMs(CallerHead head) {
 		return (head.deadlineMs() > 0) ? (int) Math.min(head.deadlineMs(), Integer.MAX_VALUE) : 60_000;
 	}
@@ -307,7 +328,7 @@
 	private Mono<Void> serve(CallerHead head, byte[] body, ByteBudget.Lease lease, long receivedAtMs,
 			HttpServerResponse response, RelayHop hop) {
 		if (this.refusing) {
-			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
+			return Mono.error(draining());
 		}
 		RouteTable table = this.belief.table();
 		GateDecision decision = this.gate.decide(table, this.belief.ageMs(), head.hostName(), head.path(),
@@ -319,8 +340,7 @@
 				double fraction = RendezvousHash.unit(RendezvousHash.hash(head.streamId()));
 				GatewayRequest request = new GatewayRequest(head, body, route, team, route.serviceFor(fraction),
 						receivedAtMs, receivedAtMs + limitMs(head, route), hop, lease);
-				yield endsInTime(request) ? forward(request, response)
-						: Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
+				yield endsInTime(request) ? forward(request, response) : Mono.error(draining());
 			}
 		};
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
@@ -1,6 +1,8 @@
 package io.fescuehold.runtime.http;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,16 +14,41 @@
 import reactor.netty.http.server.HttpServer;
 
 /**
- * HTTP listeners of one purpose, and the state of their connections. Counts how
- * connections end under {@code NAME.connections.}, where {@code UNANSWERED} and
- * {@code CUT} are faults of this process.
+ * HTTP listeners of one purpose with their connections, which stop without leaving a
+ * request that was read without its response:
+ * <ol>
+ * <li>{@link #closeAfterResponses()}: the next response on each connection is its last
+ * one;
+ * <li>{@link #drain()}: no connection is accepted any more, and each is closed as soon as
+ * it has no request;
+ * <li>{@link #isDrained()}: no connection is left;
+ * <li>{@link #closeNow()}: those that are left are closed as they are.
+ * </ol>
+ * A connection counts as open until the caller has closed its side, or for a bounded time
+ * after the last response, because a response that the process has written may still be
+ * lost: a connection that is closed with unread input is reset.
+ * <p>
+ * Counts how connections end under {@code NAME.connections.}, where {@code UNANSWERED}
+ * and {@code CUT} are faults of this process.
  */
 public final class HttpListeners {
 
+	/**
+	 * The idle connections that are closed in one pass. What has arrived on the others is
+	 * read between two passes.
+	 */
+	private static final int CLOSES_PER_PASS = 16;
+
 	private final Map<ConnectionEnd, Counter> ends = new EnumMap<>(ConnectionEnd.class);
 
 	private final Set<TrackedConnection> connections = ConcurrentHashMap.newKeySet();
 
+	private final List<DisposableServer> listeners = new ArrayList<>();
+
+	private volatile boolean closing;
+
+	private volatile boolean draining;
+
 	/**
 	 * Creates an object without listeners.
 	 * @param name the prefix of the metrics
@@ -45,12 +72,59 @@
 	}
 
 	/**
-	 * Binds a server.
+	 * Binds a server. If the drain has begun, the listener is closed at once.
 	 * @param server a server that {@link #newServer()} created
 	 * @return the bound server
 	 */
-	public DisposableServer bind(HttpServer server) {
-		return server.bindNow();
+	public synchronized DisposableServer bind(HttpServer server) {
+		DisposableServer bound = server.bindNow();
+		this.listeners.add(bound);
+		if (this.draining) {
+			bound.dispose();
+		}
+		return bound;
+	}
+
+	/**
+	 * Makes the next response on each connection its last one.
+	 */
+	public void closeAfterResponses() {
+		this.closing = true;
+	}
+
+	/**
+	 * Stops listening, closes the connections without a request, and the others after
+	 * their response.
+	 */
+	public synchronized void drain() {
+		if (this.draining) {
+			return;
+		}
+		this.closing = true;
+		this.draining = true;
+		this.listeners.forEach(DisposableServer::dispose);
+		int pass = 0;
+		for (TrackedConnection connection : this.connections) {
+			connection.closeWhenIdle(pass / CLOSES_PER_PASS);
+			pass++;
+		}
+	}
+
+	/**
+	 * Returns whether the drain is complete.
+	 * @return whether no port is bound and no connection is open
+	 */
+	public synchronized boolean isDrained() {
+		return this.draining && this.listeners.stream().allMatch(DisposableServer::isDisposed)
+				&& this.connections.isEmpty();
+	}
+
+	/**
+	 * Closes all listeners and connections, also those with open requests.
+	 */
+	public void closeNow() {
+		drain();
+		this.connections.forEach(TrackedConnection::closeNow);
 	}
 
 	/**
@@ -75,8 +149,19 @@
 		return new ConnectionReport(closed, this.connections.size(), unanswered, incomplete, unsentBytes);
 	}
 
+	boolean isClosing() {
+		return this.closing;
+	}
+
+	boolean isDraining() {
+		return this.draining;
+	}
+
 	void opened(TrackedConnection connection) {
 		this.connections.add(connection);
+		if (this.draining) {
+			connection.closeWhenIdle(0);
+		}
 	}
 
 	void closed(TrackedConnection connection, ConnectionEnd end) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -1,26 +1,47 @@
 package io.fescuehold.runtime.http;
 
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.util.ReferenceCountUtil;
 import reactor.netty.NettyPipeline;
 
 /**
  * One connection of a caller: what was read of its requests and written of their
- * responses. The counts are changed on the thread of the connection only.
+ * responses. The state is changed on the thread of the connection only.
+ * <p>
+ * After its last response the connection is closed in two steps: this process ends its
+ * side, then discards what still arrives until the caller has closed the other side, at
+ * most for {@value #LINGER_MS} ms.
  */
 final class TrackedConnection {
 
+	/** The time for a caller to close its side after the last response. */
+	private static final int LINGER_MS = 1_000;
+
+	/** The time for the first request of a connection during a drain. */
+	private static final int FIRST_REQUEST_MS = 1_000;
+
 	private final Channel channel;
 
 	private final HttpListeners listeners;
 
+	private final long openedNs = System.nanoTime();
+
 	private volatile boolean readingHead;
 
 	private volatile int headsRead;
@@ -32,8 +53,16 @@
 	/** The responses that the operating system has taken completely. */
 	private volatile int responsesSent;
 
+	/** Whether the newest response told the caller that it is the last one. */
+	private boolean lastResponse;
+
 	private boolean closedHere;
 
+	/** Whether this process has ended its side and waits for the caller. */
+	private boolean lingering;
+
+	private boolean abrupt;
+
 	private TrackedConnection(Channel channel, HttpListeners listeners) {
 		this.channel = channel;
 		this.listeners = listeners;
@@ -77,13 +106,68 @@
 	}
 
 	/**
-	 * Sees the bytes, and all attempts to close the connection.
+	 * Closes the connection if it has no request. If it has one, it is closed after the
+	 * response.
+	 * @param delayMs the time in milliseconds after which to do so
+	 */
+	void closeWhenIdle(long delayMs) {
+		this.channel.eventLoop().schedule(this::closeIfIdle, delayMs, TimeUnit.MILLISECONDS);
+	}
+
+	// The caller gets no response to what it sends at this moment, but it is not read.
+	private void closeIfIdle() {
+		if (this.lingering || endIfClosed() != ConnectionEnd.COMPLETE) {
+			return;
+		}
+		long newForMs = FIRST_REQUEST_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.openedNs);
+		if (this.headsRead == 0 && newForMs > 0) {
+			closeWhenIdle(newForMs);
+			return;
+		}
+		this.abrupt = true;
+		this.channel.close();
+	}
+
+	/**
+	 * Closes the connection, also if it has a request.
+	 */
+	void closeNow() {
+		this.channel.eventLoop().execute(() -> {
+			this.abrupt = true;
+			this.channel.close();
+		});
+	}
+
+	private void responseSent() {
+		this.responsesSent++;
+		if (this.lastResponse) {
+			this.channel.close();
+		}
+		else if (this.listeners.isDraining()) {
+			closeIfIdle();
+		}
+	}
+
+	// Without input the connection is closed by the caller's end, without a reset. TLS
+	// has a closing handshake of its own.
+	private boolean mayLinger() {
+		boolean responds = this.lastResponse || this.responsesBegun > this.responsesSent;
+		return responds && !this.abrupt && this.channel.isActive() && this.channel instanceof DuplexChannel
+				&& this.channel.pipeline().get(SslHandler.class) == null;
+	}
+
+	/**
+	 * Sees the bytes, and all attempts of this process to close the connection.
 	 */
 	private final class ByteHandler extends ChannelDuplexHandler {
 
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
+			if (connection.lingering) {
+				ReferenceCountUtil.release(message);
+				return;
+			}
 			if (connection.headsRead == connection.requestsRead) {
 				connection.readingHead = true;
 			}
@@ -92,8 +176,29 @@
 
 		@Override
 		public void close(ChannelHandlerContext ctx, ChannelPromise promise) throws Exception {
-			TrackedConnection.this.closedHere = true;
-			super.close(ctx, promise);
+			TrackedConnection connection = TrackedConnection.this;
+			connection.closedHere = true;
+			if (!connection.mayLinger()) {
+				super.close(ctx, promise);
+				return;
+			}
+			connection.channel.closeFuture().addListener((closed) -> promise.trySuccess());
+			if (!connection.lingering) {
+				connection.lingering = true;
+				linger(ctx);
+			}
+		}
+
+		private void linger(ChannelHandlerContext ctx) {
+			ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((flushed) -> {
+				if (flushed.isSuccess()) {
+					((DuplexChannel) ctx.channel()).shutdownOutput();
+				}
+			});
+			// Bytes may still arrive if the application had suspended reading.
+			ctx.channel().config().setAutoRead(true);
+			var timer = ctx.executor().schedule(() -> ctx.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+			ctx.channel().closeFuture().addListener((closed) -> timer.cancel(false));
 		}
 
 	}
@@ -121,6 +226,10 @@
 			TrackedConnection connection = TrackedConnection.this;
 			if (message instanceof HttpResponse response
 					&& response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+				if (connection.listeners.isClosing()) {
+					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				}
+				connection.lastResponse = !HttpUtil.isKeepAlive(response);
 				connection.responsesBegun++;
 			}
 			if (!(message instanceof LastHttpContent) || connection.responsesBegun == connection.responsesSent) {
@@ -129,7 +238,7 @@
 			}
 			super.write(ctx, message, promise.unvoid().addListener((written) -> {
 				if (written.isSuccess()) {
-					connection.responsesSent++;
+					connection.responseSent();
 				}
 			}));
 		}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/PlannedStopTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/PlannedStopTests.java
@@ -1,5 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -87,6 +89,46 @@
 		}
 	}
 
+	// A caller whose body had not arrived when the process ended got no answer.
+	@Test
+	void requestWithAnIncompleteBodyGetsAnAnswerBeforeTheStop() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(PlannedStopTests::answer);
+				TestGateway gateway = new TestGateway(server);
+				Socket caller = new Socket("127.0.0.1", gateway.server().port())) {
+			caller.setSoTimeout((int) UNTIL_END_MS);
+			caller.getOutputStream()
+				.write(("POST /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Key: key\r\nX-Request: r\r\n"
+						+ "Transfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+					.getBytes(StandardCharsets.US_ASCII));
+			while (gateway.server().inFlight() == 0) {
+				Thread.sleep(1);
+			}
+			gateway.endRequests();
+			String answer = new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(answer).startsWith("HTTP/1.1 503").contains("DRAINING").contains("\"run\":\"no\"");
+			gateway.awaitNothingInFlight();
+			assertThat(server.received()).isEmpty();
+		}
+	}
+
+	// A process that stopped left connections open on which it went on reading requests.
+	@Test
+	void noConnectionIsLeftWhenTheProcessMayEnd() throws Exception {
+		try (ScriptedServer server = new ScriptedServer(PlannedStopTests::answer);
+				TestGateway gateway = new TestGateway(server)) {
+			assertThat(send(gateway, "/lookup/x", 1_400).get().status()).isEqualTo(200);
+			assertThat(gateway.server().connections().open()).isEqualTo(1);
+			gateway.server().drainConnections();
+			long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(UNTIL_END_MS);
+			while (!gateway.server().isDrained()) {
+				assertThat(System.nanoTime()).isLessThan(untilNs);
+				Thread.sleep(1);
+			}
+			assertThat(gateway.server().connections().open()).isZero();
+			assertThat(gateway.server().connections().faults()).isZero();
+		}
+	}
+
 	// What the caller has of a stream must be usable to take it up elsewhere.
 	@Test
 	void openStreamEndsAfterAWholeEvent() throws Exception {
