--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 
@@ -82,6 +83,8 @@
 
 	private static final long DRAIN_CHECK_MS = 20;
 
+	private static final Duration TRANSPORT_START_TIMEOUT = Duration.ofSeconds(5);
+
 	private static final long POOL_CHECK_MS = 5_000;
 
 	private static final long EXPIRY_CHECK_MS = 5_000;
@@ -128,10 +131,15 @@
 	/** Ends the calls of operators that are open when this daemon stops. */
 	private final Sinks.Empty<Void> ending = Sinks.empty();
 
+	/** Held while the daemon starts or stops its parts. */
+	private final ReentrantLock lifecycle = new ReentrantLock();
+
 	private volatile List<String> seeds;
 
 	private volatile DrainSchedule drain;
 
+	private volatile boolean stopping;
+
 	/**
 	 * Creates a daemon without starting it.
 	 * @param settings the settings
@@ -211,27 +219,43 @@
 	}
 
 	/**
-	 * Starts the daemon.
+	 * Starts the daemon. If it is asked to stop meanwhile, the remaining parts do not
+	 * start.
 	 */
 	public void start() {
-		this.streams.start(this.settings.firstStart());
-		this.reach.start();
+		this.lifecycle.lock();
+		try {
+			List<Runnable> parts = List.of(() -> this.streams.start(this.settings.firstStart()), this.reach::start,
+					this::startEvidence, this.server::start, this.operations::start,
+					() -> this.transport.start().block(TRANSPORT_START_TIMEOUT), this.fleet::start, this.gossip::start,
+					this::startChecks);
+			for (Runnable part : parts) {
+				if (this.stopping) {
+					return;
+				}
+				part.run();
+			}
+		}
+		finally {
+			this.lifecycle.unlock();
+		}
+		logger.atInfo()
+			.log("Daemon %s in failure domain %s started, disk %s, seeds %s, first start %s", this.settings.hostId(),
+					this.settings.failureDomain(), this.settings.dataFolder(), this.settings.seeds(),
+					this.settings.firstStart());
+	}
+
+	private void startEvidence() {
 		if (this.evidence != null) {
 			this.evidence.start();
 		}
-		this.server.start();
-		this.operations.start();
-		this.transport.start().block(Duration.ofSeconds(5));
-		this.fleet.start();
-		this.gossip.start();
+	}
+
+	private void startChecks() {
 		this.scheduler.schedulePeriodically(this.server::closeUnusedPools, POOL_CHECK_MS, POOL_CHECK_MS,
 				TimeUnit.MILLISECONDS);
 		this.scheduler.schedulePeriodically(this.belief::expire, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS,
 				TimeUnit.MILLISECONDS);
-		logger.atInfo()
-			.log("Daemon %s in failure domain %s started, disk %s, seeds %s, first start %s", this.settings.hostId(),
-					this.settings.failureDomain(), this.settings.dataFolder(), this.settings.seeds(),
-					this.settings.firstStart());
 	}
 
 	private int requestsInFlight() {
@@ -330,6 +354,25 @@
 		this.scheduler.schedule(() -> this.fleet.setSeeds(seeds));
 	}
 
+	/**
+	 * Stops the daemon after a signal, also while it starts. Returns when the process may
+	 * end: shortly before it would be killed, or as soon as no connection of a caller or
+	 * operator is left.
+	 * @param signalledNs the time of the signal, as a value of {@link System#nanoTime()}
+	 */
+	public void shutDown(long signalledNs) {
+		this.stopping = true;
+		drain(signalledNs).block();
+		try {
+			if (this.lifecycle.tryLock(CLOSE_MS, TimeUnit.MILLISECONDS)) {
+				stop();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/**
 	 * Drains the daemon: closes each connection after its next response, waits until the
 	 * entry responses that name this daemon have expired, then closes the connections
