Timers of a connection: 100 (Continue) is not the end of a response

Cause: the timers for the next request's head and for idle connections took each message that ends a response for the final one; 100 (Continue) is written as a whole response.

Change: FinalResponse tells informational responses apart, in both timers and in the counts of a connection.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/IdleTimeoutHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/IdleTimeoutHandler.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
+import io.fescuehold.runtime.http.FinalResponse;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.LastHttpContent;
 import reactor.netty.NettyPipeline;
 
 /**
@@ -40,7 +40,7 @@
 
 	@Override
 	public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
-		if (message instanceof LastHttpContent) {
+		if (FinalResponse.ends(message)) {
 			cancelTimer();
 			this.timer = ctx.executor()
 				.schedule(() -> ctx.close(), this.idleTimeoutMs.getAsInt(), TimeUnit.MILLISECONDS);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import reactor.netty.NettyPipeline;
 
@@ -77,7 +76,7 @@
 
 		@Override
 		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
-			if (message instanceof LastHttpContent) {
+			if (FinalResponse.ends(message)) {
 				RequestHeadTimer.this.awaitingHead = true;
 			}
 			super.write(ctx, message, promise);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.ssl.SslHandler;
@@ -224,15 +223,14 @@
 		@Override
 		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
-			if (message instanceof HttpResponse response
-					&& response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+			if (FinalResponse.begins(message) && message instanceof HttpResponse response) {
 				if (connection.listeners.isClosing()) {
 					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 				}
 				connection.lastResponse = !HttpUtil.isKeepAlive(response);
 				connection.responsesBegun++;
 			}
-			if (!(message instanceof LastHttpContent) || connection.responsesBegun == connection.responsesSent) {
+			if (!FinalResponse.ends(message)) {
 				super.write(ctx, message, promise);
 				return;
 			}
