Stop: what waits in a socket is taken before the socket is closed

Callers saw a few new connections reset at the moment at which a stopping host closes its ports: 8 requests in four stops, up to 38 ms after they were sent, beside 25 callers that connect anew all the time.

Cause: closing a listener resets the connections that the operating system has accepted and the process has not; on a busy event loop they wait for the length of one pass. Closing an idle connection does the same to a request that has just arrived.

Change: the process accepts what waits and reads what has arrived directly before it closes the socket, on the same thread.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
@@ -80,11 +80,25 @@
 		DisposableServer bound = server.bindNow();
 		this.listeners.add(bound);
 		if (this.draining) {
-			bound.dispose();
+			close(bound);
 		}
 		return bound;
 	}
 
+	// Takes the connections that callers have opened already, because closing the
+	// listener would reset them.
+	private void close(DisposableServer listener) {
+		listener.channel().eventLoop().execute(() -> {
+			int known;
+			do {
+				known = this.connections.size();
+				PendingInput.read(listener.channel());
+			}
+			while (this.connections.size() > known);
+			listener.dispose();
+		});
+	}
+
 	/**
 	 * Makes the next response on each connection its last one.
 	 */
@@ -102,7 +116,7 @@
 		}
 		this.closing = true;
 		this.draining = true;
-		this.listeners.forEach(DisposableServer::dispose);
+		this.listeners.forEach(this::close);
 		int pass = 0;
 		for (TrackedConnection connection : this.connections) {
 			connection.closeWhenIdle(pass / CLOSES_PER_PASS);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -115,7 +115,7 @@
 
 	// The caller gets no response to what it sends at this moment, but it is not read.
 	private void closeIfIdle() {
-		if (this.lingering || endIfClosed() != ConnectionEnd.COMPLETE) {
+		if (!isIdle()) {
 			return;
 		}
 		long newForMs = FIRST_REQUEST_MS - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.openedNs);
@@ -123,8 +123,15 @@
 			closeWhenIdle(newForMs);
 			return;
 		}
-		this.abrupt = true;
-		this.channel.close();
+		PendingInput.read(this.channel);
+		if (isIdle()) {
+			this.abrupt = true;
+			this.channel.close();
+		}
+	}
+
+	private boolean isIdle() {
+		return !this.lingering && endIfClosed() == ConnectionEnd.COMPLETE;
 	}
 
 	/**
