Logs: the lines that wait are written before the process ends

Operators saw stops whose last line was missing, the one that tells how the connections of the process ended.

Evidence: in a play of stops under traffic three of four processes lacked the line "has stopped"; GatewayLoggingTests#waitingLinesAreWrittenWhenTheProcessEnds.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayLogging.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayLogging.java
@@ -9,6 +9,7 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
 import net.logstash.logback.encoder.LogstashEncoder;
+import org.slf4j.LoggerFactory;
 
 /**
  * Logback configuration of a gateway: JSON lines on standard output. Configured in code
@@ -24,6 +25,22 @@
 	/** About one second of output at the rate limit of the request log. */
 	private static final int QUEUE_CAPACITY_LINES = 2_048;
 
+	/** The time for the lines that wait when the process ends. */
+	private static final int MAX_FLUSH_MS = 300;
+
+	/**
+	 * Writes the lines that wait, before the process ends. Later lines are dropped.
+	 */
+	public static void stop() {
+		if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+			stop(context);
+		}
+	}
+
+	static void stop(LoggerContext context) {
+		context.stop();
+	}
+
 	@Override
 	public ExecutionStatus configure(LoggerContext context) {
 		if (System.getProperty(PROPERTY) == null) {
@@ -43,6 +60,7 @@
 		async.setQueueSize(QUEUE_CAPACITY_LINES);
 		// Drops lines instead of blocking when the reader of standard output is slow.
 		async.setNeverBlock(true);
+		async.setMaxFlushTime(MAX_FLUSH_MS);
 		async.addAppender(console);
 		async.start();
 		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
--- a/fescuehold-daemon/src/test/java/io/fescuehold/daemon/gateway/GatewayLoggingTests.java
+++ b/fescuehold-daemon/src/test/java/io/fescuehold/daemon/gateway/GatewayLoggingTests.java
@@ -1,11 +1,17 @@
 package io.fescuehold.daemon.gateway;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ServiceLoader;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.Configurator;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.slf4j.Logger;
@@ -18,6 +24,8 @@
  */
 class GatewayLoggingTests {
 
+	private static final int LINES = 100;
+
 	private final LoggerContext context = new LoggerContext();
 
 	@AfterEach
@@ -40,6 +48,29 @@
 		assertThat(this.context.getLogger("reactor.netty").getLevel()).isEqualTo(Level.WARN);
 	}
 
+	// A process that ended lost the lines that waited, among them the one that tells how
+	// its connections ended.
+	@Test
+	void waitingLinesAreWrittenWhenTheProcessEnds() {
+		System.setProperty(GatewayLogging.PROPERTY, "true");
+		SlowOutput output = new SlowOutput();
+		PrintStream standardOutput = System.out;
+		System.setOut(new PrintStream(output));
+		try {
+			this.context.setMDCAdapter(new LogbackMDCAdapter());
+			new GatewayLogging().configure(this.context);
+			Logger root = this.context.getLogger(Logger.ROOT_LOGGER_NAME);
+			for (int line = 0; line < LINES; line++) {
+				root.info("line {}", line);
+			}
+			GatewayLogging.stop(this.context);
+		}
+		finally {
+			System.setOut(standardOutput);
+		}
+		assertThat(output.toString(StandardCharsets.UTF_8).lines()).hasSize(LINES);
+	}
+
 	@Test
 	void configurationIsUnchangedWithoutTheProperty() {
 		Configurator.ExecutionStatus status = new GatewayLogging().configure(this.context);
@@ -52,4 +83,17 @@
 		assertThat(ServiceLoader.load(Configurator.class)).anyMatch(GatewayLogging.class::isInstance);
 	}
 
+	/**
+	 * Takes a millisecond for each write.
+	 */
+	private static final class SlowOutput extends ByteArrayOutputStream {
+
+		@Override
+		public synchronized void write(byte[] bytes, int offset, int length) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+			super.write(bytes, offset, length);
+		}
+
+	}
+
 }
