--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -364,9 +364,13 @@
 		this.stopping = true;
 		drain(signalledNs).block();
 		try {
-			if (this.lifecycle.tryLock(CLOSE_MS, TimeUnit.MILLISECONDS)) {
+			if (this.lifecycle.tryLock(CLOSE_MS / 2, TimeUnit.MILLISECONDS)) {
 				stop();
+				return;
 			}
+			logger.atWarning()
+				.log("Daemon %s ends while it starts; callers and hosts: %s", this.settings.hostId(),
+						this.server.connections());
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
