Router: a drain is complete when each connection is closed after the last response

Callers saw requests end without a byte of an answer at the end of a planned stop, on kept and new connections, as they did at the gateway.

Cause: RouterServer.drain() completed at the first moment without a request in flight. The port stayed bound and the connections open, no response said that it was the last one, and requests went on being read until the process had ended.

Change: HttpListeners owns the port and the connections. From the signal each next response is the last one of its connection. While requests are in flight, the port stays open, new ones are refused with DRAINING, and entry and health requests are answered, as before. Then the port and the connections without a request are closed, and the drain completes when none is left. stop() closes the connections, too. They are counted as router.connections.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/RouterRole.java
@@ -24,6 +24,7 @@
 import io.fescuehold.runtime.drain.KvMigrator;
 import io.fescuehold.runtime.fleet.FleetMessage;
 import io.fescuehold.runtime.fleet.HostDirectory;
+import io.fescuehold.runtime.http.ConnectionReport;
 import io.fescuehold.runtime.http.RouterOptions;
 import io.fescuehold.runtime.http.RouterPorts;
 import io.fescuehold.runtime.http.RouterServer;
@@ -142,12 +143,13 @@
 
 	/**
 	 * Removes this host from entry responses, waits until the last response that names it
-	 * has expired and then until no request is in flight.
+	 * has expired and then until no request is in flight and no connection is open.
 	 * @return completes when the router can stop without aborting a request
 	 */
 	Mono<Void> drain() {
 		return Mono.defer(() -> {
 			this.hosts.drainSelf();
+			this.server.closeConnections();
 			DrainSchedule schedule = new DrainSchedule(nowMs(), maxEntryValidMs(), DRAIN_NOTICE_MS);
 			return Mono.delay(Duration.ofMillis(schedule.lastAnswerExpiresAtMs() - nowMs()), this.scheduler)
 				.then(Mono.defer(this.server::drain));
@@ -164,6 +166,14 @@
 		this.loads.stop();
 	}
 
+	/**
+	 * Returns the state of the callers' connections.
+	 * @return the state
+	 */
+	ConnectionReport connections() {
+		return this.server.connections();
+	}
+
 	/**
 	 * Returns the sections of the state dump.
 	 * @return the sections
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
@@ -62,6 +63,8 @@
 
 	private static final long DRAINING_RETRY_AFTER_MS = 1_000;
 
+	private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+
 	private final RouterContext context;
 
 	private final ChatHandler chats;
@@ -74,6 +77,8 @@
 
 	private final String requestIdPrefix;
 
+	private final HttpListeners listeners;
+
 	private DisposableServer server;
 
 	private Disposable viewSubscription;
@@ -93,6 +98,7 @@
 		this.context = new RouterContext(options, ports, placement, new BackendPools(options.backend()),
 				new RouterMetrics(metrics), new RequestLog(), new PendingCancels(scheduler), this.inFlight, scheduler,
 				clockMs, RandomGeneratorFactory.of("SplittableRandom").create(seed));
+		this.listeners = new HttpListeners("router", metrics);
 		this.chats = new ChatHandler(this.context);
 		this.services = new ServiceHandler(this.context);
 		this.requestIdPrefix = ports.hostId() + "-" + Long.toString(clockMs.getAsLong(), ID_RADIX) + "-";
@@ -102,7 +108,7 @@
 	 * Binds the port and starts to accept connections.
 	 */
 	public void start() {
-		HttpServer http = HttpServer.create()
+		HttpServer http = this.listeners.newServer()
 			.host(this.context.options().address())
 			.port(this.context.options().port())
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -117,7 +123,7 @@
 			http = http.secure((spec) -> spec
 				.sslContext(Http11SslContextSpec.forServer(new File(tls.certificateFile()), new File(tls.keyFile()))));
 		}
-		this.server = http.bindNow();
+		this.server = this.listeners.bind(http);
 		this.viewSubscription = this.context.ports().views().changes().subscribe(this::closeUnusedPools);
 	}
 
@@ -246,21 +252,48 @@
 	}
 
 	/**
-	 * Refuses new requests with code DRAINING and waits for those in flight. Entry
-	 * requests are still answered.
-	 * @return completes once no request is in flight
+	 * Closes each connection after its next response, so that few are left when the drain
+	 * begins.
+	 */
+	public void closeConnections() {
+		this.listeners.closeAfterResponses();
+	}
+
+	/**
+	 * Refuses new requests with code DRAINING and waits for those in flight. Then stops
+	 * listening and waits until each connection is closed, after the response to what was
+	 * read on it. Entry requests are answered until the end.
+	 * @return completes once no request is in flight and no connection is open
 	 */
 	public Mono<Void> drain() {
-		return this.inFlight.drain();
+		closeConnections();
+		return this.inFlight.drain().then(Mono.fromRunnable(this.listeners::drain)).then(awaitDrained());
+	}
+
+	private Mono<Void> awaitDrained() {
+		return Flux.interval(Duration.ZERO, DRAIN_CHECK, this.context.scheduler())
+			.onBackpressureDrop()
+			.filter((tick) -> this.inFlight.size() == 0 && this.listeners.isDrained())
+			.next()
+			.then();
+	}
+
+	/**
+	 * Returns the state of the callers' connections.
+	 * @return the state
+	 */
+	public ConnectionReport connections() {
+		return this.listeners.report();
 	}
 
 	/**
-	 * Stops listening and closes all connections.
+	 * Stops listening and closes all connections, also those with open requests.
 	 */
 	public void stop() {
 		if (this.viewSubscription != null) {
 			this.viewSubscription.dispose();
 		}
+		this.listeners.closeNow();
 		if (this.server != null) {
 			this.server.disposeNow();
 		}
