Operators: a request that was read is answered before the process ends

Operators saw a submission end without an answer when the daemon that had read it stopped: the outcome was known, or was about to be, and nobody was told.

Cause: the drain waited for callers only. AdminServer.close() closed the port and said that it finished the requests in flight, but nothing waited for them.

Evidence: NodeDrainTests on the code before, one run: 2 s after the drain was complete, a submission that had been read had no byte of an answer.

Change: HttpListeners owns the port and the connections. From the signal each next response is the last one of its connection; operators are served while the router drains; then the port and the connections without a request are closed, and the drain completes when none is left. A line at the end of the drain tells how the connections of callers and operators have ended. They are counted as operators.connections.

MetricsPageTests compared the metrics of the router, the agreement and the transport with the operations page; it now compares those of the operators, too.

Node.drain() built a drain for each call and used the first one. None ran twice, since each began only when it was subscribed; there is now only one.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/AdminRole.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/AdminRole.java
@@ -17,7 +17,9 @@
 import io.fescuehold.runtime.admin.AdminToken;
 import io.fescuehold.runtime.control.ConfigFeed;
 import io.fescuehold.runtime.control.SharedStateClient;
+import io.fescuehold.runtime.http.ConnectionReport;
 import io.fescuehold.runtime.orders.OrderDispatcher;
+import reactor.core.publisher.Mono;
 
 /**
  * The server of the administration API, which runs in every daemon.
@@ -67,7 +69,31 @@
 	}
 
 	/**
-	 * Stops accepting requests.
+	 * Closes each connection after its next response.
+	 */
+	void closeConnections() {
+		this.server.closeConnections();
+	}
+
+	/**
+	 * Stops listening and answers what was read.
+	 * @return completes once no connection is open, or when the longest limit of a
+	 * request has passed
+	 */
+	Mono<Void> drain() {
+		return this.server.drain();
+	}
+
+	/**
+	 * Returns the state of the operators' connections.
+	 * @return the state
+	 */
+	ConnectionReport connections() {
+		return this.server.connections();
+	}
+
+	/**
+	 * Stops accepting requests and closes all connections.
 	 */
 	void stop() {
 		this.server.close();
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicReference;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.port.StateDump;
@@ -42,6 +42,8 @@
  */
 public final class Node {
 
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
 	private static final int TIMER_THREADS = 2;
 
 	private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
@@ -70,7 +72,8 @@
 
 	private final AdminRole admin;
 
-	private final AtomicReference<Mono<Void>> drain = new AtomicReference<>();
+	/** The only drain, which begins at the first subscription. */
+	private final Mono<Void> drain = Mono.defer(this::drainParts).cache();
 
 	private Runnable drainRequest = () -> {
 	};
@@ -198,13 +201,21 @@
 
 	/**
 	 * Drains the daemon: directs callers to other routers and completes the requests in
-	 * flight. Repeated calls do not start another drain.
-	 * @return completes when the daemon can stop
+	 * flight, then answers the requests of operators. Repeated calls do not start another
+	 * drain.
+	 * @return completes when no connection of a caller or operator is left
 	 */
 	public Mono<Void> drain() {
-		Mono<Void> started = (this.router != null) ? this.router.drain().cache() : Mono.empty();
-		this.drain.compareAndSet(null, started);
-		return this.drain.get();
+		return this.drain;
+	}
+
+	private Mono<Void> drainParts() {
+		this.admin.closeConnections();
+		Mono<Void> callersGone = (this.router != null) ? this.router.drain() : Mono.empty();
+		return callersGone.then(Mono.defer(this.admin::drain))
+			.doOnSuccess((nothing) -> logger.atInfo()
+				.log("Drain finished; callers: %s; operators: %s",
+						(this.router != null) ? this.router.connections() : "none", this.admin.connections()));
 	}
 
 	/**
--- a/fescuehold-it/src/test/java/io/fescuehold/it/MetricsPageTests.java
+++ b/fescuehold-it/src/test/java/io/fescuehold/it/MetricsPageTests.java
@@ -60,7 +60,7 @@
 	}
 
 	private static List<String> documented() throws IOException {
-		Matcher matcher = Pattern.compile("(?m)^\\| `((?:router|agreement|transport)\\.[^`]+)` ")
+		Matcher matcher = Pattern.compile("(?m)^\\| `((?:router|operators|agreement|transport)\\.[^`]+)` ")
 			.matcher(Files.readString(Path.of("..", "docs", "OPERATIONS.md")));
 		List<String> names = new ArrayList<>();
 		while (matcher.find()) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/admin/AdminServer.java
@@ -20,10 +20,13 @@
 import io.fescuehold.core.port.StateDump;
 import io.fescuehold.runtime.control.ConfigFeed;
 import io.fescuehold.runtime.control.SharedStateClient;
+import io.fescuehold.runtime.http.ConnectionReport;
+import io.fescuehold.runtime.http.HttpListeners;
 import io.fescuehold.runtime.orders.OrderDispatcher;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.DisposableServer;
@@ -52,6 +55,8 @@
 
 	private static final int CLOSE_TIMEOUT_MS = 2_000;
 
+	private static final Duration DRAIN_CHECK = Duration.ofMillis(20);
+
 	private static final int SHARE_SEGMENTS = 2;
 
 	private static final int SHARE_ACTION_SEGMENTS = 3;
@@ -69,6 +74,8 @@
 
 	private final OrderOperations orders;
 
+	private final HttpListeners listeners;
+
 	private volatile DisposableServer server;
 
 	/**
@@ -89,6 +96,7 @@
 		this.tokens = new TokenCheck(options.tokens());
 		this.operations = new AdminOperations(client, feed, shares, dumps, metrics, drain);
 		this.orders = new OrderOperations(orders);
+		this.listeners = new HttpListeners("operators", metrics);
 	}
 
 	/**
@@ -97,8 +105,8 @@
 	 * certificate cannot be read
 	 */
 	public Mono<Void> start() {
-		return Mono.defer(() -> {
-			HttpServer http = HttpServer.create()
+		return Mono.fromRunnable(() -> {
+			HttpServer http = this.listeners.newServer()
 				.host(this.options.address())
 				.port(this.options.port())
 				.idleTimeout(Duration.ofMillis(this.options.limits().idleMs()))
@@ -109,8 +117,8 @@
 					.forServer(this.options.tls().certificateFile().toFile(), this.options.tls().keyFile().toFile());
 				http = http.secure((spec) -> spec.sslContext(certificate));
 			}
-			return http.bind();
-		}).doOnNext((bound) -> this.server = bound).then();
+			this.server = this.listeners.bind(http);
+		});
 	}
 
 	/**
@@ -121,8 +129,46 @@
 		return this.server.port();
 	}
 
-	/** Stops accepting requests and finishes those in flight. */
+	/**
+	 * Closes each connection after its next response, so that few are left when the drain
+	 * begins.
+	 */
+	public void closeConnections() {
+		this.listeners.closeAfterResponses();
+	}
+
+	/**
+	 * Stops listening and waits until each connection is closed, after the response to
+	 * what was read on it. The limits of the requests bound the wait.
+	 * @return completes once no connection is open, or when the longest limit of a
+	 * request has passed
+	 */
+	public Mono<Void> drain() {
+		AdminOptions.Limits limits = this.options.limits();
+		Duration longest = Duration.ofMillis(Math.max(limits.requestMs(), limits.membershipMs()) + CLOSE_TIMEOUT_MS);
+		return Mono.defer(() -> {
+			this.listeners.drain();
+			return Flux.interval(Duration.ZERO, DRAIN_CHECK)
+				.onBackpressureDrop()
+				.filter((tick) -> this.listeners.isDrained())
+				.next()
+				.then();
+		}).timeout(longest, Mono.empty());
+	}
+
+	/**
+	 * Returns the state of the operators' connections.
+	 * @return the state
+	 */
+	public ConnectionReport connections() {
+		return this.listeners.report();
+	}
+
+	/**
+	 * Stops accepting requests and closes all connections, also those with open requests.
+	 */
 	public void close() {
+		this.listeners.closeNow();
 		if (this.server != null) {
 			this.server.disposeNow(Duration.ofMillis(CLOSE_TIMEOUT_MS));
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
@@ -59,6 +59,8 @@
 		for (ConnectionEnd end : ConnectionEnd.values()) {
 			this.ends.put(end, registry.counter(prefix + end.name()));
 		}
+		// A server that is created anew replaces the gauge of the one before it.
+		registry.remove(prefix + "open");
 		registry.register(prefix + "open", (Gauge<Integer>) this.connections::size);
 	}
 
