Daemon: a signal is handled before the first port is bound

SIGTERM to a daemon that was starting ended it without a drain: what callers, operators and other daemons had sent by then got no answer.

Cause: the handler was installed after Node.start(), so that a signal in between ended the process at once with what it had read.

Change: the handler is installed before the first port is bound. A daemon that is asked to stop while it starts leaves out its remaining parts, drains those that run and stops them. The start, the stop after a failed start and the stop after a signal exclude each other; parts are stopped once.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/Daemon.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/Daemon.java
@@ -30,21 +30,22 @@
 		Node node = new Node(settings);
 		CountDownLatch drained = new CountDownLatch(1);
 		node.onDrainRequest(() -> node.drain().doFinally((signal) -> drained.countDown()).subscribe());
+		// The daemon keeps serving requests until the shutdown hooks have returned. A
+		// signal may arrive as soon as a port is bound.
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+			node.shutDown();
+			logger.atInfo().log("Daemon %s has stopped", settings.hostId());
+		}, "drain"));
 		try {
-			node.start();
+			if (node.start()) {
+				logger.atInfo().log("Daemon %s is ready", settings.hostId());
+			}
 		}
 		catch (FescueholdException ex) {
 			logger.atSevere().withCause(ex).log("Daemon %s could not start: %s", settings.hostId(), ex.getMessage());
 			node.stop();
 			return ExitCode.REFUSED;
 		}
-		// The daemon keeps serving requests until the shutdown hooks have returned.
-		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-			node.drain().block();
-			node.stop();
-			logger.atInfo().log("Daemon %s has stopped", settings.hostId());
-		}, "drain"));
-		logger.atInfo().log("Daemon %s is ready", settings.hostId());
 		return await(drained);
 	}
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/wiring/Node.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.locks.ReentrantLock;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
@@ -75,6 +76,15 @@
 	/** The only drain, which begins at the first subscription. */
 	private final Mono<Void> drain = Mono.defer(this::drainParts).cache();
 
+	/** Held while the daemon starts or stops its parts. */
+	private final ReentrantLock lifecycle = new ReentrantLock();
+
+	private volatile boolean stopping;
+
+	private volatile boolean routerStarted;
+
+	private boolean stopped;
+
 	private Runnable drainRequest = () -> {
 	};
 
@@ -174,29 +184,50 @@
 	}
 
 	/**
-	 * Starts all components.
+	 * Starts all components. If the daemon is asked to stop meanwhile, the remaining ones
+	 * do not start.
+	 * @return whether all components run
 	 * @throws FescueholdException if a port is in use or the data folder is unusable
 	 */
-	public void start() {
+	public boolean start() {
+		List<Runnable> parts = List.of(() -> this.transport.start().block(START_TIMEOUT), this.hosts::start,
+				this::startHostList, this::startReplicas, this.feed::start, this::startRouter, this.admin::start);
+		this.lifecycle.lock();
 		try {
-			this.transport.start().block(START_TIMEOUT);
-			this.hosts.start();
-			if (this.hostList != null) {
-				this.hostList.start();
-			}
-			if (this.replicas != null) {
-				this.replicas.start().block(START_TIMEOUT);
+			for (Runnable part : parts) {
+				if (this.stopping) {
+					return false;
+				}
+				part.run();
 			}
-			this.feed.start();
-			if (this.router != null) {
-				this.router.start();
-			}
-			this.admin.start();
+			return true;
 		}
 		catch (reactor.netty.ChannelBindException ex) {
 			throw new FescueholdException(ErrorCode.BAD_SETTING, this.settings.hostId(), "/" + ex.localPort(),
 					"the port cannot be bound (" + ex.getMessage() + "); stop the other process or use another port");
 		}
+		finally {
+			this.lifecycle.unlock();
+		}
+	}
+
+	private void startHostList() {
+		if (this.hostList != null) {
+			this.hostList.start();
+		}
+	}
+
+	private void startReplicas() {
+		if (this.replicas != null) {
+			this.replicas.start().block(START_TIMEOUT);
+		}
+	}
+
+	private void startRouter() {
+		if (this.router != null) {
+			this.routerStarted = true;
+			this.router.start();
+		}
 	}
 
 	/**
@@ -211,18 +242,49 @@
 
 	private Mono<Void> drainParts() {
 		this.admin.closeConnections();
-		Mono<Void> callersGone = (this.router != null) ? this.router.drain() : Mono.empty();
+		Mono<Void> callersGone = this.routerStarted ? this.router.drain() : Mono.empty();
 		return callersGone.then(Mono.defer(this.admin::drain))
 			.doOnSuccess((nothing) -> logger.atInfo()
 				.log("Drain finished; callers: %s; operators: %s",
-						(this.router != null) ? this.router.connections() : "none", this.admin.connections()));
+						this.routerStarted ? this.router.connections() : "none", this.admin.connections()));
+	}
+
+	/**
+	 * Drains and stops the daemon after a signal, also while it starts. Returns when the
+	 * process may end.
+	 */
+	public void shutDown() {
+		this.stopping = true;
+		this.lifecycle.lock();
+		try {
+			if (!this.stopped) {
+				drain().block();
+			}
+		}
+		finally {
+			stop();
+			this.lifecycle.unlock();
+		}
 	}
 
 	/**
-	 * Stops all components and aborts the requests in flight. Call {@link #drain()} first
-	 * for a graceful stop.
+	 * Stops all components and aborts the requests in flight. Repeated calls have no
+	 * effect. Use {@link #shutDown()} for a graceful stop.
 	 */
 	public void stop() {
+		this.lifecycle.lock();
+		try {
+			if (!this.stopped) {
+				this.stopped = true;
+				stopParts();
+			}
+		}
+		finally {
+			this.lifecycle.unlock();
+		}
+	}
+
+	private void stopParts() {
 		this.admin.stop();
 		if (this.router != null) {
 			this.router.stop();
