Timers of a connection: a request that was read stops them until its response is sent

Callers saw connections closed with a request open: a second request that had been read behind the first one, and answers to callers that read slowly.

Cause: the timer of a request head was armed again by the end of any response, and the idle time-out began when the end of a response was queued.

Change: both count the open requests of their connection.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/IdleTimeoutHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/IdleTimeoutHandler.java
@@ -20,6 +20,9 @@
 
 	private final IntSupplier idleTimeoutMs;
 
+	/** The requests whose head was read and whose response is not sent. */
+	private int openRequests;
+
 	private Future<?> timer;
 
 	private IdleTimeoutHandler(IntSupplier idleTimeoutMs) {
@@ -33,6 +36,7 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 		if (message instanceof HttpRequest) {
+			this.openRequests++;
 			cancelTimer();
 		}
 		super.channelRead(ctx, message);
@@ -40,12 +44,19 @@
 
 	@Override
 	public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
-		if (FinalResponse.ends(message)) {
-			cancelTimer();
+		if (!FinalResponse.ends(message)) {
+			super.write(ctx, message, promise);
+			return;
+		}
+		super.write(ctx, message, promise.unvoid().addListener((sent) -> responseSent(ctx)));
+	}
+
+	private void responseSent(ChannelHandlerContext ctx) {
+		this.openRequests--;
+		if (this.openRequests == 0 && ctx.channel().isActive()) {
 			this.timer = ctx.executor()
 				.schedule(() -> ctx.close(), this.idleTimeoutMs.getAsInt(), TimeUnit.MILLISECONDS);
 		}
-		super.write(ctx, message, promise);
 	}
 
 	@Override
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RequestHeadTimer.java
@@ -19,7 +19,8 @@
 
 	private final int timeoutMs;
 
-	private boolean awaitingHead = true;
+	/** The requests whose head was read and whose response has not ended. */
+	private int openRequests;
 
 	private Future<?> timer;
 
@@ -40,7 +41,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
-		if (this.awaitingHead && this.timer == null) {
+		if (this.openRequests == 0 && this.timer == null) {
 			this.timer = ctx.executor().schedule(() -> ctx.close(), this.timeoutMs, TimeUnit.MILLISECONDS);
 		}
 		super.channelRead(ctx, message);
@@ -68,7 +69,7 @@
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 			if (message instanceof HttpRequest) {
-				RequestHeadTimer.this.awaitingHead = false;
+				RequestHeadTimer.this.openRequests++;
 				cancelTimer();
 			}
 			super.channelRead(ctx, message);
@@ -77,7 +78,7 @@
 		@Override
 		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
 			if (FinalResponse.ends(message)) {
-				RequestHeadTimer.this.awaitingHead = true;
+				RequestHeadTimer.this.openRequests--;
 			}
 			super.write(ctx, message, promise);
 		}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/ExpectContinueTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/ConnectionTimerTests.java
@@ -5,21 +5,25 @@
 
 import io.fescuehold.runtime.http.RequestHeadTimer;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import org.junit.jupiter.api.Test;
 import reactor.netty.NettyPipeline;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a connection that is closed without a response while its request is
- * served, because 100 (Continue) was taken for the end of the response (LOST).
+ * Guards against timers that close a connection while a request on it has no response, or
+ * while its response is not sent (LOST).
  */
-class ExpectContinueTests {
+class ConnectionTimerTests {
 
 	private static final int TIMEOUT_MS = 3_000;
 
@@ -50,6 +54,7 @@
 		channel.runScheduledPendingTasks();
 	}
 
+	// 100 (Continue) was taken for the end of the response.
 	@Test
 	void requestMayTakeLongerThanTheHeadOfTheNextOne() {
 		EmbeddedChannel channel = channel();
@@ -63,6 +68,7 @@
 		assertThat(channel.isOpen()).as("head of the next request is incomplete").isFalse();
 	}
 
+	// 100 (Continue) was taken for the end of the response.
 	@Test
 	void requestMayTakeLongerThanTheIdleTimeout() {
 		EmbeddedChannel channel = channel();
@@ -75,4 +81,48 @@
 		assertThat(channel.isOpen()).as("idle after the response").isFalse();
 	}
 
+	// The end of the first response started the timer of a head that had been read.
+	@Test
+	void requestBehindAnotherMayTakeLongerThanAHead() {
+		EmbeddedChannel channel = channel();
+		RequestHeadTimer.install(channel.pipeline(), TIMEOUT_MS);
+		write(channel, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n");
+		respond(channel);
+		write(channel, "body");
+		pass(channel, 2 * TIMEOUT_MS);
+		assertThat(channel.isOpen()).isTrue();
+	}
+
+	// The idle time-out began when the end of the response was queued, and cut slow
+	// readers.
+	@Test
+	void idleTimeoutBeginsWhenTheResponseIsSent() {
+		EmbeddedChannel channel = new EmbeddedChannel();
+		SlowReader reader = new SlowReader();
+		channel.pipeline().addLast(reader).addLast(NettyPipeline.HttpCodec, new HttpServerCodec());
+		IdleTimeoutHandler.install(channel.pipeline(), () -> TIMEOUT_MS);
+		write(channel, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+		respond(channel);
+		pass(channel, 2 * TIMEOUT_MS);
+		assertThat(channel.isOpen()).isTrue();
+		reader.written.setSuccess();
+		pass(channel, 2 * TIMEOUT_MS);
+		assertThat(channel.isOpen()).as("idle after the response").isFalse();
+	}
+
+	/**
+	 * Holds what is written until the test lets it go.
+	 */
+	private static final class SlowReader extends ChannelOutboundHandlerAdapter {
+
+		private ChannelPromise written;
+
+		@Override
+		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+			ReferenceCountUtil.release(message);
+			this.written = promise;
+		}
+
+	}
+
 }
