Stop: the drain waits for no thread and for every accepted connection

Cause: HttpListeners bound a port inside its monitor, while the thread that binds asked for the monitor; connections that had been accepted but not yet handed to their thread were not counted.

Change: ports are bound outside the monitor and counted meanwhile; accepted connections are known from the listener on.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
@@ -10,6 +10,9 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
@@ -28,8 +31,7 @@
  * after the last response, because a response that the process has written may still be
  * lost: a connection that is closed with unread input is reset.
  * <p>
- * Counts how connections end under {@code NAME.connections.}, where {@code UNANSWERED}
- * and {@code CUT} are faults of this process.
+ * Counts how connections end under {@code NAME.connections.}, see {@link ConnectionEnd}.
  */
 public final class HttpListeners {
 
@@ -43,8 +45,13 @@
 
 	private final Set<TrackedConnection> connections = ConcurrentHashMap.newKeySet();
 
+	/** Accepted connections that are not tracked yet. */
+	private final Set<Channel> accepted = ConcurrentHashMap.newKeySet();
+
 	private final List<DisposableServer> listeners = new ArrayList<>();
 
+	private int bindsUnderWay;
+
 	private volatile boolean closing;
 
 	private volatile boolean draining;
@@ -78,25 +85,42 @@
 	 * @param server a server that {@link #newServer()} created
 	 * @return the bound server
 	 */
-	public synchronized DisposableServer bind(HttpServer server) {
-		DisposableServer bound = server.bindNow();
-		this.listeners.add(bound);
-		if (this.draining) {
-			close(bound);
+	public DisposableServer bind(HttpServer server) {
+		synchronized (this) {
+			this.bindsUnderWay++;
+		}
+		DisposableServer bound = null;
+		try {
+			// Outside the monitor, because the thread that binds may wait for the
+			// monitor.
+			bound = server.bindNow();
+			bound.channel().pipeline().addFirst(new AcceptHandler());
+			return bound;
+		}
+		finally {
+			addListener(bound);
+		}
+	}
+
+	private synchronized void addListener(DisposableServer bound) {
+		this.bindsUnderWay--;
+		if (bound != null) {
+			this.listeners.add(bound);
+			if (this.draining) {
+				close(bound);
+			}
 		}
-		return bound;
 	}
 
 	// Takes the connections that callers have opened already, because closing the
 	// listener would reset them.
 	private void close(DisposableServer listener) {
 		listener.channel().eventLoop().execute(() -> {
-			int known;
-			do {
-				known = this.connections.size();
+			AcceptHandler acceptor = listener.channel().pipeline().get(AcceptHandler.class);
+			for (long known = -1; acceptor != null && acceptor.count > known;) {
+				known = acceptor.count;
 				PendingInput.read(listener.channel());
 			}
-			while (this.connections.size() > known);
 			listener.dispose();
 		});
 	}
@@ -119,10 +143,10 @@
 		this.closing = true;
 		this.draining = true;
 		this.listeners.forEach(this::close);
-		int pass = 0;
+		int index = 0;
 		for (TrackedConnection connection : this.connections) {
-			connection.closeWhenIdle(pass / CLOSES_PER_PASS);
-			pass++;
+			connection.closeWhenIdle(index / CLOSES_PER_PASS);
+			index++;
 		}
 	}
 
@@ -131,7 +155,8 @@
 	 * @return whether no port is bound and no connection is open
 	 */
 	public synchronized boolean isDrained() {
-		return this.draining && this.listeners.stream().allMatch(DisposableServer::isDisposed)
+		return this.draining && this.bindsUnderWay == 0
+				&& this.listeners.stream().allMatch(DisposableServer::isDisposed) && this.accepted.isEmpty()
 				&& this.connections.isEmpty();
 	}
 
@@ -173,8 +198,9 @@
 		return this.draining;
 	}
 
-	void opened(TrackedConnection connection) {
+	void opened(TrackedConnection connection, Channel channel) {
 		this.connections.add(connection);
+		this.accepted.remove(channel);
 		if (this.draining) {
 			connection.closeWhenIdle(0);
 		}
@@ -186,4 +212,24 @@
 		}
 	}
 
+	/**
+	 * Sees the connections that a listener accepts, before they are handed to the thread
+	 * that serves them.
+	 */
+	private final class AcceptHandler extends ChannelInboundHandlerAdapter {
+
+		private long count;
+
+		@Override
+		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+			if (message instanceof Channel channel) {
+				this.count++;
+				HttpListeners.this.accepted.add(channel);
+				channel.closeFuture().addListener((closed) -> HttpListeners.this.accepted.remove(channel));
+			}
+			super.channelRead(ctx, message);
+		}
+
+	}
+
 }
