Stop: no request is read that the connection cannot answer

Callers that send a request behind another one on the same connection lost the second one at a stop, after it had been passed on; an answer that had begun before the drain was reset if its request still arrived; an empty line or a part of a head held up the stop until the end of the grace.

Cause: the response that is the last one was chosen without regard to what had been read behind it, and what was read behind it was still handed on.

Evidence, all failing on: HttpListenersTests #requestThatWasReadBehindAnotherGetsItsResponse, #requestBehindALastResponseIsNotRun, #responseToAnUnfinishedRequestIsWholeIfItEndsDuringTheDrain and #bytesThatAreNoRequestDoNotHoldUpTheDrain.

Change: a response is the last one only if no other request was read; what arrives behind it is discarded; a connection whose request still arrives is closed in two steps; an empty line is no request, and the rest of a head has one second.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
@@ -35,6 +36,9 @@
 	/** The time for the first request of a connection during a drain. */
 	private static final int FIRST_REQUEST_MS = 1_000;
 
+	/** The time for the rest of a request head during a drain. */
+	private static final int HEAD_MS = 1_000;
+
 	private final Channel channel;
 
 	private final HttpListeners listeners;
@@ -72,7 +76,7 @@
 		channel.pipeline()
 			.addBefore(NettyPipeline.HttpCodec, "fescuehold.bytes", connection.new ByteHandler())
 			.addAfter(NettyPipeline.HttpCodec, "fescuehold.messages", connection.new MessageHandler());
-		listeners.opened(connection);
+		listeners.opened(connection, channel);
 		channel.closeFuture().addListener((closed) -> listeners.closed(connection, connection.end()));
 	}
 
@@ -113,8 +117,14 @@
 		this.channel.eventLoop().schedule(this::closeIfIdle, delayMs, TimeUnit.MILLISECONDS);
 	}
 
-	// The caller gets no response to what it sends at this moment, but it is not read.
+	// What arrived before is read, and answered if it is a request. What arrives later is
+	// not read.
 	private void closeIfIdle() {
+		if (this.readingHead && this.headsRead == this.responsesSent) {
+			int known = this.headsRead;
+			this.channel.eventLoop().schedule(() -> closeIfHeadIncomplete(known), HEAD_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
 		if (!isIdle()) {
 			return;
 		}
@@ -125,6 +135,16 @@
 		}
 		PendingInput.read(this.channel);
 		if (isIdle()) {
+			// The rest of a request that has its response already still arrives.
+			this.lastResponse = this.headsRead > this.requestsRead;
+			this.abrupt = !this.lastResponse;
+			this.channel.close();
+		}
+	}
+
+	private void closeIfHeadIncomplete(int knownHeads) {
+		PendingInput.read(this.channel);
+		if (this.readingHead && this.headsRead == knownHeads) {
 			this.abrupt = true;
 			this.channel.close();
 		}
@@ -150,7 +170,7 @@
 			this.channel.close();
 		}
 		else if (this.listeners.isDraining()) {
-			closeIfIdle();
+			closeWhenIdle(0);
 		}
 	}
 
@@ -170,16 +190,22 @@
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
-			if (connection.lingering) {
+			boolean behindLastResponse = connection.lastResponse && connection.headsRead == connection.requestsRead;
+			if (connection.lingering || behindLastResponse) {
 				ReferenceCountUtil.release(message);
 				return;
 			}
-			if (connection.headsRead == connection.requestsRead) {
+			if (connection.headsRead == connection.requestsRead && !isEmptyLine(message)) {
 				connection.readingHead = true;
 			}
 			super.channelRead(ctx, message);
 		}
 
+		// Some callers send an empty line after a body, which belongs to no request.
+		private static boolean isEmptyLine(Object message) {
+			return message instanceof ByteBuf bytes && bytes.forEachByte((octet) -> octet == '\r' || octet == '\n') < 0;
+		}
+
 		@Override
 		public void close(ChannelHandlerContext ctx, ChannelPromise promise) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
@@ -231,11 +257,12 @@
 		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
 			if (FinalResponse.begins(message) && message instanceof HttpResponse response) {
-				if (connection.listeners.isClosing()) {
+				connection.responsesBegun++;
+				boolean othersRead = connection.headsRead > connection.responsesBegun;
+				if (connection.listeners.isClosing() && !othersRead) {
 					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 				}
 				connection.lastResponse = !HttpUtil.isKeepAlive(response);
-				connection.responsesBegun++;
 			}
 			if (!FinalResponse.ends(message)) {
 				super.write(ctx, message, promise);
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/HttpListenersTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/HttpListenersTests.java
@@ -12,11 +12,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import com.codahale.metrics.MetricRegistry;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -43,6 +47,10 @@
 
 	private static final int CONNECTIONS = 60;
 
+	private static final int SLOW_MS = 150;
+
+	private static final long STALL_NS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	private static final String RESPONSE = "a".repeat(2_000);
 
 	private final LoopResources loops = LoopResources.create("test-listeners", 2, true);
@@ -75,6 +83,12 @@
 				.sendString(Mono.just(RESPONSE))
 				.then();
 		}
+		if (request.uri().equals("/slow")) {
+			return response.header("Content-Length", String.valueOf(2 * RESPONSE.length()))
+				.sendString(Flux.just(RESPONSE, RESPONSE).delayElements(Duration.ofMillis(SLOW_MS)),
+						StandardCharsets.US_ASCII)
+				.then();
+		}
 		return request.receive()
 			.aggregate()
 			.asString()
@@ -98,6 +112,14 @@
 		}
 	}
 
+	private void awaitHandled(String uri) throws InterruptedException {
+		long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+		while (!this.handled.contains(uri)) {
+			assertThat(System.nanoTime()).as("%s is not handled", uri).isLessThan(untilNs);
+			Thread.sleep(1);
+		}
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3 })
 	void requestThatWasReadGetsItsResponseWhenConnectionsAreDrained(long seed) throws Exception {
@@ -153,9 +175,7 @@
 			idle.send("/idle", "body");
 			assertThat(idle.readResponse()).isTrue();
 			busy.send("/busy", "body");
-			while (!this.handled.contains("/busy")) {
-				Thread.sleep(1);
-			}
+			awaitHandled("/busy");
 			this.listeners.drain();
 			assertThat(idle.isClosed()).isTrue();
 			assertThat(this.listeners.isDrained()).isFalse();
@@ -190,9 +210,7 @@
 		try (Caller caller = connect()) {
 			this.listeners.closeAfterResponses();
 			caller.send("/last", "body");
-			while (!this.handled.contains("/last")) {
-				Thread.sleep(1);
-			}
+			awaitHandled("/last");
 			this.listeners.drain();
 			Thread.sleep(100);
 			assertThat(this.listeners.isDrained()).isFalse();
@@ -201,14 +219,146 @@
 		awaitDrained();
 	}
 
+	// The second request was passed on, and its response had no connection left.
+	@Test
+	void requestThatWasReadBehindAnotherGetsItsResponse() throws Exception {
+		start(200);
+		try (Caller caller = connect()) {
+			caller.write("POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+					+ "POST /second HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+			awaitHandled("/first");
+			this.listeners.closeAfterResponses();
+			assertThat(caller.readResponse()).as("connection is kept").isTrue();
+			assertThat(caller.readResponse()).as("connection is kept").isFalse();
+			assertThat(this.handled).containsExactlyInAnyOrder("/first", "/second");
+		}
+	}
+
+	// A request behind the head of a last response was passed on and could not be
+	// answered.
+	@Test
+	void requestBehindALastResponseIsNotRun() throws Exception {
+		start(0);
+		try (Caller caller = connect()) {
+			this.listeners.closeAfterResponses();
+			caller.write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+			assertThat(caller.in().read()).isEqualTo('H');
+			caller.send("/behind", "body");
+			assertThat(new String(caller.in().readAllBytes(), StandardCharsets.US_ASCII)).endsWith(RESPONSE);
+		}
+		this.listeners.drain();
+		awaitDrained();
+		assertThat(this.handled).doesNotContain("/behind");
+		assertThat(this.listeners.report().faults()).isZero();
+	}
+
+	// A response that had begun before the drain was reset, because the rest of its
+	// request still arrived.
+	@Test
+	void responseToAnUnfinishedRequestIsWholeIfItEndsDuringTheDrain() throws Exception {
+		start(0);
+		try (Caller caller = connect()) {
+			caller.write("POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n");
+			assertThat(caller.in().read()).isEqualTo('H');
+			this.listeners.drain();
+			for (int part = 0; part < 60; part++) {
+				caller.write("b".repeat(10_000));
+				Thread.sleep(10);
+			}
+			String rest = new String(caller.in().readAllBytes(), StandardCharsets.US_ASCII);
+			assertThat(rest).endsWith(RESPONSE + RESPONSE);
+		}
+		awaitDrained();
+	}
+
+	// A signal during the start stopped the thread that the start waited for.
+	@Test
+	void drainMayBeCheckedWhileAPortIsBound() throws Exception {
+		CountDownLatch checked = new CountDownLatch(1);
+		DisposableServer bound = this.listeners
+			.bind(this.listeners.newServer().host("127.0.0.1").port(0).runOn(this.loops, false).doOnBind((config) -> {
+				this.loops.onServer(false).next().execute(() -> drainOnce(checked));
+				assertThat(awaits(checked)).as("the drain was checked").isTrue();
+			}).handle((request, response) -> Mono.empty()));
+		awaitDrained();
+		assertThat(bound.isDisposed()).isTrue();
+	}
+
+	private void drainOnce(CountDownLatch checked) {
+		this.listeners.drain();
+		if (!this.listeners.isDrained()) {
+			checked.countDown();
+		}
+	}
+
+	private static boolean awaits(CountDownLatch latch) {
+		try {
+			return latch.await(WAIT_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
+	// Connections that were accepted while their thread was busy were reset.
+	@Test
+	void connectionsThatWaitForTheirThreadAreServed() throws Exception {
+		start(0);
+		List<Caller> callers = new ArrayList<>();
+		this.loops.onServer(false).forEach((loop) -> loop.execute(() -> LockSupport.parkNanos(STALL_NS)));
+		for (int number = 0; number < CONNECTIONS; number++) {
+			Caller caller = connect();
+			caller.send("/" + number, "body");
+			callers.add(caller);
+		}
+		this.listeners.drain();
+		awaitDrainedWhile(() -> {
+			for (Caller caller : callers) {
+				assertThat(caller.readResponse()).as("connection is kept").isFalse();
+				caller.close();
+			}
+			return null;
+		});
+		assertThat(this.handled).hasSize(CONNECTIONS);
+	}
+
+	private void awaitDrainedWhile(Callable<Void> work) throws Exception {
+		CompletableFuture<Void> drained = CompletableFuture.runAsync(() -> {
+			try {
+				awaitDrained();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		work.call();
+		drained.get(WAIT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	// A stop lasted as long as a caller that had sent an empty line, or a part of a head,
+	// kept its connection.
+	@ParameterizedTest
+	@ValueSource(strings = { "\r\n", "POST /part" })
+	void bytesThatAreNoRequestDoNotHoldUpTheDrain(String bytes) throws Exception {
+		start(0);
+		try (Caller caller = connect()) {
+			caller.send("/whole", "body");
+			assertThat(caller.readResponse()).as("connection is kept").isTrue();
+			caller.write(bytes);
+			Thread.sleep(50);
+			this.listeners.drain();
+			awaitDrained();
+		}
+		assertThat(this.listeners.report().faults()).isZero();
+	}
+
 	@Test
 	void requestThatIsCutIsCountedAsAFault() throws Exception {
 		start(WAIT_MS);
 		try (Caller caller = connect()) {
 			caller.send("/never", "body");
-			while (!this.handled.contains("/never")) {
-				Thread.sleep(1);
-			}
+			awaitHandled("/never");
 			this.listeners.closeNow();
 			awaitDrained();
 		}
