Stop: an error in one step does not end the drain

From the review, read and not seen: an exception in a step of the drain left the shutdown hook waiting until the process was killed, one in a part that is stopped skipped the others and the last lines of the log. A refusal at a stop closed its connection above the queue of requests that were read behind it.

Change: the steps of the drain and of the stop go on after an error, the wait for the drain is bounded, and the connection decides when it is closed after a refusal with DRAINING.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -362,7 +362,7 @@
 	 */
 	public void shutDown(long signalledNs) {
 		this.stopping = true;
-		drain(signalledNs).block();
+		awaitDrained(signalledNs);
 		try {
 			if (this.lifecycle.tryLock(CLOSE_MS / 2, TimeUnit.MILLISECONDS)) {
 				stop();
@@ -377,6 +377,17 @@
 		}
 	}
 
+	private void awaitDrained(long signalledNs) {
+		long passedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - signalledNs);
+		long leftMs = Math.max(1, this.settings.stopMs() - CLOSE_MS + CLOSE_MS / 3 - passedMs);
+		try {
+			drain(signalledNs).block(Duration.ofMillis(leftMs));
+		}
+		catch (RuntimeException ex) {
+			logger.atSevere().withCause(ex).log("The drain has not ended within %d ms", leftMs);
+		}
+	}
+
 	/**
 	 * Drains the daemon: closes each connection after its next response, waits until the
 	 * entry responses that name this daemon have expired, then closes the connections
@@ -398,27 +409,20 @@
 					latestMs - FINAL_ANSWERS_MS);
 			this.server.drain(this.drain);
 			this.operatorListeners.closeAfterResponses();
-			this.fleet.yieldLeadership();
+			this.scheduler.schedule(this.fleet::yieldLeadership);
 			checkDrain(sink, latestMs);
 		}));
 	}
 
 	private void checkDrain(MonoSink<Void> sink, long latestMs) {
 		long nowMs = this.clock.nowMs();
-		boolean drained = this.server.isDrained();
-		DrainSchedule.Phase phase = this.drain.phase(drained, nowMs);
-		if (!phase.acceptsRequests()) {
-			this.server.drainConnections();
-		}
-		if (phase == DrainSchedule.Phase.STOPPABLE) {
-			this.operatorListeners.drain();
+		try {
+			advanceDrain(nowMs);
 		}
-		if (nowMs >= this.drain.endAtMs()) {
-			this.server.endRequests();
-			this.operatorListeners.drain();
-			this.ending.tryEmitEmpty();
+		catch (RuntimeException ex) {
+			logger.atSevere().withCause(ex).log("A step of the drain failed; the drain goes on");
 		}
-		if (drained && this.operatorListeners.isDrained() || nowMs >= latestMs) {
+		if (this.server.isDrained() && this.operatorListeners.isDrained() || nowMs >= latestMs) {
 			logger.atInfo()
 				.log("Drain finished after %d ms, aborting %d requests in flight; callers and hosts: %s; operators: %s",
 						nowMs - this.drain.startedAtMs(), this.server.inFlight(), this.server.connections(),
@@ -429,15 +433,35 @@
 		this.scheduler.schedule(() -> checkDrain(sink, latestMs), DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
 	}
 
+	private void advanceDrain(long nowMs) {
+		DrainSchedule.Phase phase = this.drain.phase(this.server.isDrained(), nowMs);
+		if (!phase.acceptsRequests()) {
+			this.server.drainConnections();
+		}
+		if (phase == DrainSchedule.Phase.STOPPABLE) {
+			this.operatorListeners.drain();
+		}
+		if (nowMs >= this.drain.endAtMs()) {
+			this.operatorListeners.drain();
+			this.ending.tryEmitEmpty();
+			this.server.endRequests();
+		}
+	}
+
 	/**
 	 * Stops the parts of the daemon and closes the connections that are left.
 	 */
 	public void stop() {
-		this.server.stop();
-		this.operatorListeners.closeNow();
-		this.gossip.stop();
-		this.fleet.stop();
-		this.streams.stop();
+		List<Runnable> parts = List.of(this.server::stop, this.operatorListeners::closeNow, this.gossip::stop,
+				this.fleet::stop, this.streams::stop);
+		for (Runnable part : parts) {
+			try {
+				part.run();
+			}
+			catch (RuntimeException ex) {
+				logger.atWarning().withCause(ex).log("A part of the daemon could not be stopped");
+			}
+		}
 		logger.atInfo()
 			.log("Daemon %s has stopped; callers and hosts: %s; operators: %s", this.settings.hostId(),
 					this.server.connections(), this.operatorListeners.report());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -214,9 +214,11 @@
 	}
 
 	/**
-	 * Refuses new requests with code DRAINING.
+	 * Refuses new requests with code DRAINING, and closes each connection after its next
+	 * response.
 	 */
 	public void refuseRequests() {
+		closeConnections();
 		this.refusing = true;
 	}
 
@@ -443,7 +445,7 @@
 		this.metrics.refused(refusal.code().name());
 		this.log.refused(head, refusal, this.clockMs.getAsLong() - receivedAtMs);
 		boolean closesConnection = refusal.code() == ErrorCode.BODY_TOO_LARGE || refusal.code() == ErrorCode.BAD_REQUEST
-				|| refusal.code() == ErrorCode.DRAINING || refusal.code() == ErrorCode.HOST_MEMORY_FULL;
+				|| refusal.code() == ErrorCode.HOST_MEMORY_FULL;
 		if (closesConnection) {
 			response.keepAlive(false);
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/RouterServer.java
@@ -167,7 +167,6 @@
 			return Mono.error(new FescueholdException(ErrorCode.NOT_FOUND, path));
 		}
 		if (this.inFlight.isDraining()) {
-			response.keepAlive(false);
 			return Mono.error(FescueholdException.of(ErrorCode.DRAINING, RunStatus.NO, DRAINING_RETRY_AFTER_MS));
 		}
 		return (chat) ? this.chats.handle(caller, request, response) : this.services.handle(caller, request, response);
