--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -45,6 +45,7 @@
 
 	private final long openedNs = System.nanoTime();
 
+	/** Whether a part of a request head was read. */
 	private volatile boolean readingHead;
 
 	private volatile int headsRead;
@@ -59,11 +60,13 @@
 	/** Whether the newest response told the caller that it is the last one. */
 	private boolean lastResponse;
 
+	/** Whether this process, not the caller, has closed the connection. */
 	private boolean closedHere;
 
 	/** Whether this process has ended its side and waits for the caller. */
 	private boolean lingering;
 
+	/** Whether the connection is closed without waiting for the caller. */
 	private boolean abrupt;
 
 	private TrackedConnection(Channel channel, HttpListeners listeners) {
@@ -174,8 +177,8 @@
 		}
 	}
 
-	// Without input the connection is closed by the caller's end, without a reset. TLS
-	// has a closing handshake of its own.
+	// A connection that is closed with unread input is reset, and what the caller has not
+	// read yet is lost. The output of a TLS connection cannot be closed by itself.
 	private boolean mayLinger() {
 		boolean responds = this.lastResponse || this.responsesBegun > this.responsesSent;
 		return responds && !this.abrupt && this.channel.isActive() && this.channel instanceof DuplexChannel
