--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
@@ -36,7 +36,7 @@
 			assertThat(server.received().getFirst().headers()).containsEntry("X-Chat-Id", "c1")
 				.containsKeys("X-Deadline-Ms", "X-Request-Id");
 			assertThat(server.received().getFirst().body()).contains("\"priority\":5");
-			assertThat(router.outstandingServerIds).isEmpty();
+			CallerDisconnectTests.await(router.outstandingServerIds::isEmpty);
 		}
 	}
 
