Interfaces of the parts that serve under load

Cause: evacuations, cold servers, uneven servers, admission and second copies are built side by side; they need the same words for what a request asks for, what a server says and what the operators allow. Change: records RequestDemand, ServerLoadReport, ColdStart and ServingPolicy; the load header, the cold time of the server list and the cold start of a service are decoded; a note says who decides what and in which order. Nothing reads the figures yet.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
@@ -12,9 +12,11 @@
  * @param slots the number of requests that it runs concurrently
  * @param leaving whether it is about to stop
  * @param version the version of its software, or null if unknown
+ * @param coldMs for how much longer it stays cold after a start, in milliseconds from the
+ * moment at which the list was read, or 0
  */
 public record BackendServer(String id, String service, String address, String failureDomain, int slots, boolean leaving,
-		String version) {
+		String version, long coldMs) {
 
 	/**
 	 * Checks the arguments.
@@ -24,6 +26,22 @@
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(address, "address");
 		Objects.requireNonNull(failureDomain, "failureDomain");
+		coldMs = Math.max(0, coldMs);
+	}
+
+	/**
+	 * Creates a server that is not cold.
+	 * @param id the id of the running instance
+	 * @param service the service that it runs
+	 * @param address the address as {@code ip:port}
+	 * @param failureDomain its failure domain
+	 * @param slots the number of requests that it runs concurrently
+	 * @param leaving whether it is about to stop
+	 * @param version the version of its software, or null if unknown
+	 */
+	public BackendServer(String id, String service, String address, String failureDomain, int slots, boolean leaving,
+			String version) {
+		this(id, service, address, failureDomain, slots, leaving, version, 0);
 	}
 
 	/**
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -198,7 +198,8 @@
 		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.relayPort(),
 				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
 				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.firstStart(),
-				settings.serverDrainMs() / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND);
+				settings.serverDrainMs() / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND,
+				settings.policy());
 	}
 
 	/**
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.limits.ServingPolicy;
 
 /**
  * Settings of a gateway daemon.
@@ -31,11 +32,12 @@
  * @param stopMs the time in milliseconds that the process has for a graceful stop
  * @param maxEntryValidMs the longest time in milliseconds for which a caller may use an
  * entry response
+ * @param policy the operators' bounds on where and how often requests are sent
  */
 public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int relayPort,
 		int operationsPort, List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs,
-		double retryRatio, double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs,
-		long maxEntryValidMs) {
+		double retryRatio, double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs, long maxEntryValidMs,
+		ServingPolicy policy) {
 
 	private static final int MAX_PORT = 65_535;
 
@@ -45,6 +47,7 @@
 	public GatewaySettings {
 		Objects.requireNonNull(hostId, "hostId");
 		Objects.requireNonNull(failureDomain, "failureDomain");
+		Objects.requireNonNull(policy, "policy");
 		seeds = List.copyOf(seeds);
 		checkPort("callerPort", callerPort);
 		checkPort("peerPort", peerPort);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
@@ -1,5 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
+import io.fescuehold.core.servers.ServerLoadReport;
+
 /**
  * Status line and headers of a backend server's response, as far as the gateway needs
  * them.
@@ -16,9 +18,10 @@
  * @param restMs the time in milliseconds for which the server wants no more requests from
  * this host, or null if it named none
  * @param leaving whether the server is about to stop
+ * @param load what the server says of its load, or null
  */
 public record AnswerHead(String requestId, boolean signed, boolean notRun, boolean otherInstance,
-		Double requestLimitPerS, Double rejectionsPerS, Long restMs, boolean leaving) {
+		Double requestLimitPerS, Double rejectionsPerS, Long restMs, boolean leaving, ServerLoadReport load) {
 
 	private static final int FIRST_STATUS_AFTER_SUCCESS = 300;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import io.fescuehold.core.limits.ServingPolicy;
 import io.fescuehold.runtime.backend.BackendOptions;
 
 /**
@@ -25,10 +26,11 @@
  * @param memoryBytes the bytes of bodies and events that the gateway may hold for all
  * requests
  * @param backend the options of connections to servers
+ * @param policy the operators' bounds on where and how often requests are sent
  */
 public record GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
 		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
-		long leavingUseMs, long memoryBytes, BackendOptions backend) {
+		long leavingUseMs, long memoryBytes, BackendOptions backend, ServingPolicy policy) {
 
 	/**
 	 * Checks the arguments.
@@ -37,6 +39,33 @@
 		Objects.requireNonNull(address, "address");
 		Objects.requireNonNull(failureDomain, "failureDomain");
 		Objects.requireNonNull(backend, "backend");
+		Objects.requireNonNull(policy, "policy");
+	}
+
+	/**
+	 * Creates options without bounds of the operators.
+	 * @param address the IP address on which the gateway listens for callers
+	 * @param port the port on which the gateway listens for callers
+	 * @param relayPort the port on which all daemons take requests that others pass on
+	 * @param failureDomain the failure domain of this daemon
+	 * @param keyAgeMs the age in milliseconds from which on requests with a key are
+	 * refused
+	 * @param absenceAgeMs the age in milliseconds from which on an unknown route is not
+	 * denied
+	 * @param retryRatio the retries that the fleet may send for each request
+	 * @param retryExtra the additional retries that the fleet may send
+	 * @param retryWindowMs the window in milliseconds of both retry limits
+	 * @param firstStart whether no process of the fleet has run before
+	 * @param leavingUseMs the time in milliseconds for which a leaving server continues
+	 * streams
+	 * @param memoryBytes the bytes that the gateway may hold for all requests
+	 * @param backend the options of connections to servers
+	 */
+	public GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
+			long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
+			long leavingUseMs, long memoryBytes, BackendOptions backend) {
+		this(address, port, relayPort, failureDomain, keyAgeMs, absenceAgeMs, retryRatio, retryExtra, retryWindowMs,
+				firstStart, leavingUseMs, memoryBytes, backend, ServingPolicy.NONE);
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -8,6 +9,7 @@
 
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.prompt.PromptShape;
+import io.fescuehold.core.servers.ServerLoadReport;
 import io.netty.handler.codec.http.HttpHeaders;
 
 /**
@@ -69,7 +71,15 @@
 				headers.containsKey("x-limit") ? Double.valueOf(headers.get("x-limit")) : null,
 				headers.containsKey("x-brittle") ? Double.valueOf(headers.get("x-brittle")) : null,
 				headers.containsKey("x-rest-ms") ? Long.valueOf(headers.get("x-rest-ms")) : null,
-				headers.containsKey("x-leaving"));
+				headers.containsKey("x-leaving"), load(headers.get("x-load")));
+	}
+
+	private static ServerLoadReport load(String text) {
+		if (text == null) {
+			return null;
+		}
+		int[] figures = Arrays.stream(text.split(",")).mapToInt(Integer::parseInt).toArray();
+		return new ServerLoadReport(figures[0], figures[1], figures[2], figures[3]);
 	}
 
 }
