Answers that are none: an invalid status line, and a body that ends while its request is sent

Cause: every status under 200 counted as informational, so that a status of 000 or 099 kept the caller waiting for its whole limit, while statuses of 600 and more, reasons with control characters and other versions were handed on. A response without a length was complete at any end of its connection; while an upload is still written, the write can take the socket's error, and the read that follows a reset sees an orderly end. Change: such a status line ends the attempt at once with a protocol failure of the server. A response without length and chunks that ends before its request was handed to the socket is lost. An orderly end after that still counts as complete, as the users' pages say of responses without a length.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -55,6 +55,7 @@
 			BiFunction<HttpClientResponse, ByteBufFlux, Publisher<T>> receiver) {
 		return Flux.defer(() -> {
 			AtomicBoolean sendStarted = new AtomicBoolean();
+			AtomicBoolean sent = new AtomicBoolean();
 			return Flux.defer(() -> clients.get()
 				.headers((headers) -> setHeaders(headers, request))
 				.request(HttpMethod.valueOf(request.method()))
@@ -65,10 +66,11 @@
 							(connection) -> kept.set(connection.channel().attr(USED).getAndSet(true) != null));
 					request.beforeSend().beforeSend(kept.get());
 					sendStarted.set(true);
-					return (request.body().length > 0)
+					Mono<Void> written = (request.body().length > 0)
 							? outbound.sendObject(Unpooled.wrappedBuffer(request.body())).then() : Mono.<Void>empty();
+					return written.doOnSuccess((done) -> sent.set(true));
 				}))
-				.response(receiver))
+				.response((head, content) -> receiver.apply(head, failIfEndedEarly(head, content, sent))))
 				.retryWhen(Retry.max(MAX_POOL_REPLACEMENTS)
 					.filter((ex) -> !sendStarted.get() && isPoolReplaced(ex))
 					.onRetryExhaustedThrow((spec, signal) -> signal.failure()))
@@ -198,6 +200,23 @@
 		return headers.containsKey("content-length") || headers.containsKey("transfer-encoding");
 	}
 
+	// A server that closes its connection while it is sent the request resets it, and the
+	// reset can be reported to the writer alone: the reader then sees an orderly end of a
+	// body that was cut. Without a length or chunks nothing else tells the two apart.
+	private static ByteBufFlux failIfEndedEarly(HttpClientResponse head, ByteBufFlux content, AtomicBoolean sent) {
+		if (isFramed(head.responseHeaders())) {
+			return content;
+		}
+		Mono<ByteBuf> check = Mono
+			.defer(() -> sent.get() ? Mono.empty() : Mono.error(new BackendFailure(BackendFailure.Kind.LOST,
+					"the response, which has neither a length nor chunks, ended before the request was sent", null)));
+		return ByteBufFlux.fromInbound(content.concatWith(check));
+	}
+
+	private static boolean isFramed(HttpHeaders headers) {
+		return headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+	}
+
 	private static void setHeaders(HttpHeaders headers, BackendRequest request) {
 		headers.remove(HttpHeaderNames.USER_AGENT);
 		request.headers().forEach(headers::set);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/IdleReadGuard.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/IdleReadGuard.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import reactor.netty.NettyPipeline;
@@ -18,7 +19,8 @@
  * duplicate response, or a fragment of one, is never taken for the response to the next
  * request. A fragment left in the decoder would otherwise be completed by the bytes that
  * follow the next request. Also closes a connection on which the server sends too many
- * informational responses.
+ * informational responses, or a status line that is none of HTTP/1: it must neither reach
+ * a caller nor count as informational, which would keep the caller waiting.
  */
 final class IdleReadGuard extends ChannelDuplexHandler {
 
@@ -27,6 +29,10 @@
 	/** Servers send one or two per response; without a limit there may be no end. */
 	private static final int MAX_INFORMATIONAL = 16;
 
+	private static final int FIRST_STATUS = 100;
+
+	private static final int LAST_STATUS = 599;
+
 	private boolean awaitingResponse;
 
 	private boolean informationalResponse;
@@ -63,6 +69,14 @@
 			return;
 		}
 		if (message instanceof HttpResponse response) {
+			if (!isValid(response)) {
+				this.awaitingResponse = false;
+				ReferenceCountUtil.release(message);
+				ctx.fireExceptionCaught(new BackendFailure(BackendFailure.Kind.PROTOCOL,
+						"the status line is invalid: status " + response.status().code(), null));
+				ctx.close();
+				return;
+			}
 			this.informationalResponse = response.status().code() < HttpResponseStatus.OK.code();
 			this.informationalCount += this.informationalResponse ? 1 : 0;
 		}
@@ -80,6 +94,14 @@
 		super.channelRead(ctx, message);
 	}
 
+	private static boolean isValid(HttpResponse response) {
+		HttpVersion version = response.protocolVersion();
+		int status = response.status().code();
+		return (version.equals(HttpVersion.HTTP_1_1) || version.equals(HttpVersion.HTTP_1_0)) && status >= FIRST_STATUS
+				&& status <= LAST_STATUS
+				&& response.status().reasonPhrase().chars().noneMatch((c) -> Character.isISOControl(c) && c != '\t');
+	}
+
 	/** Inspects the bytes before they are decoded. */
 	private final class UndecodedBytesHandler extends ChannelInboundHandlerAdapter {
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -73,11 +74,15 @@
 	}
 
 	TestGateway(int retryExtra, Duration recordTime, ScriptedServer... servers) {
-		this("127.0.0.1", 0, new SingleHostReach(null), retryExtra, recordTime, servers);
+		this("127.0.0.1", 0, new SingleHostReach(null), retryExtra, recordTime, ports(servers));
+	}
+
+	private static int[] ports(ScriptedServer... servers) {
+		return Arrays.stream(servers).mapToInt(ScriptedServer::port).toArray();
 	}
 
 	private TestGateway(String address, int relayPort, ServerReach reach, int retryExtra, Duration recordTime,
-			ScriptedServer... servers) {
+			int... ports) {
 		this.address = address;
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
 		this.belief = new GatewayBelief(address, (submitted) -> config(),
@@ -91,9 +96,8 @@
 		this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
 		this.belief.onHosts(List.of(new HostRecord(address, "a", 1, null, HostState.READY)));
 		List<BackendServer> list = new ArrayList<>();
-		for (int index = 0; index < servers.length; index++) {
-			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", SLOTS, false,
-					"v1"));
+		for (int index = 0; index < ports.length; index++) {
+			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + ports[index], "a", SLOTS, false, "v1"));
 		}
 		this.belief.onServers(new ServerList(1, list));
 		this.server.start();
@@ -106,7 +110,17 @@
 	 * @return the gateway
 	 */
 	static TestGateway cutOff(int relayPort, ScriptedServer... servers) {
-		return new TestGateway("127.0.0.2", relayPort, new SingleHostReach("127.0.0.1"), 100, Duration.ZERO, servers);
+		return new TestGateway("127.0.0.2", relayPort, new SingleHostReach("127.0.0.1"), 100, Duration.ZERO,
+				ports(servers));
+	}
+
+	/**
+	 * Starts a gateway with one server.
+	 * @param port the port of the server on the loopback address
+	 * @return the gateway
+	 */
+	static TestGateway withServerAt(int port) {
+		return new TestGateway("127.0.0.1", 0, new SingleHostReach(null), 100, Duration.ZERO, port);
 	}
 
 	static RoutingConfig config() {
