Streams: an event counts as forwarded once it has left the exchange

The position was advanced when an event was prepared; while the caller had no demand, the event waited in the operator, which drops it if the server's connection breaks. The next server then continued after an event that was never sent (ORDER). Change: the position advances when the event passes on. The first event of a continuation must follow the last forwarded one, as all later ones had to. Ruled out: a cut head that is completed by the next one; the lost events were complete in their chunk.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -245,11 +245,15 @@
 			return protocolFailure("the response that continues the stream has media type " + type);
 		}
 		EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-		this.contiguous = false;
+		// The caller may resume after any event, but a server must continue where this
+		// host
+		// asked it to.
+		this.contiguous = this.headSent && this.position > 0;
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
 			.doFinally((signal) -> hold(0))
-			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(status, headers), event));
+			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(status, headers), event))
+			.doOnNext(this::forwarded);
 		boolean framed = BackendExchange.isFramed(headers);
 		return events
 			.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(status, headers), splitter, framed)));
@@ -310,13 +314,20 @@
 			if (this.contiguous && event.position() != this.position + 1) {
 				return protocolFailure("event " + event.position() + " follows event " + this.position);
 			}
+		}
+		return Flux.just(new StreamItem.Event(event.bytes(), event.position()));
+	}
+
+	// An event that still waits for the caller is dropped if the server's connection
+	// breaks, and must then be asked for again.
+	private void forwarded(StreamItem item) {
+		if (item instanceof StreamItem.Event event && event.position() > 0) {
 			this.position = event.position();
 			this.contiguous = true;
 			this.progressed = true;
 			this.progressAtMs = this.dispatcher.nowMs();
 			this.attempts.eventReceived();
 		}
-		return Flux.just(new StreamItem.Event(event.bytes()));
 	}
 
 	// Emits the head only once, even if several servers contribute to the stream.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamItem.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamItem.java
@@ -22,8 +22,9 @@
 	 * A complete event.
 	 *
 	 * @param bytes the bytes as the server sent them
+	 * @param position the position in the stream, or 0 if the event has none
 	 */
-	record Event(byte[] bytes) implements StreamItem {
+	record Event(byte[] bytes, long position) implements StreamItem {
 	}
 
 	/**
