Second copies of requests that may be repeated, within the operators' limit

Cause: single answers take many times as long as others of their kind, and a slow attempt was only replaced after twice the latency objective. HedgePolicy stood in the core and was used by no request path. Change: HedgePolicy decides from histograms of the present times, the operators' ratio, the load of the service and the copies that won; the gateway races both copies of lookups and of resumable streams before their first event. Attempts shares its counts between the copies, and the watch over crashing requests is a class of its own (SurvivalWatch).

--- a/fescuehold-core/src/test/java/io/fescuehold/core/retry/RetryBudgetTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/retry/RetryBudgetTests.java
@@ -33,20 +33,4 @@
 		assertThat(budget.tryAcquire()).isTrue();
 	}
 
-	@Test
-	void hedgeWaitsForThePercentileAndSharesTheBudget() {
-		RetryBudget budget = new RetryBudget();
-		HedgePolicy hedges = new HedgePolicy(budget);
-		for (int sample = 0; sample < 1_000; sample++) {
-			hedges.recordLatency((sample % 100 < 94) ? 10 : 400);
-		}
-		assertThat(hedges.hedgeDelayMs()).isBetween(380L, 500L);
-		int hedged = 0;
-		while (hedges.tryHedge()) {
-			hedged++;
-		}
-		assertThat(hedged).isEqualTo(5);
-		assertThat(budget.tryAcquire()).isFalse();
-	}
-
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -1,8 +1,6 @@
 package io.fescuehold.runtime.gateway;
 
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
@@ -30,12 +28,6 @@
 	/** A full queue has usually drained after this time. */
 	private static final long REJECTED_RETRY_AFTER_MS = 150;
 
-	/**
-	 * A server that crashes on a request does so as it begins to answer; one that still
-	 * sends events after this time has survived that.
-	 */
-	private static final long SURVIVED_MS = 200;
-
 	/** Retry delay that callers are given when no server was reachable. */
 	private static final long UNREACHABLE_RETRY_AFTER_MS = 400;
 
@@ -47,9 +39,10 @@
 
 	private final GatewayRequest request;
 
-	private final Set<String> tried = new HashSet<>();
+	private final AttemptTally tally;
 
-	private int attemptCount;
+	/** The server of the first attempt if this is a second copy, or null. */
+	private Dispatcher.Target reserved;
 
 	private int unreachableCount;
 
@@ -57,22 +50,16 @@
 
 	private boolean awaitingResponse;
 
+	private long startedAtMs;
+
 	private long sentAtMs;
 
 	/** Whether late answers to other requests may arrive on the connection. */
 	private boolean keptConnection;
 
-	private boolean mayHaveRun;
-
 	private boolean retryReserved;
 
-	/** The number of events that the current server has sent. */
-	private int eventCount;
-
-	private long firstEventAtMs;
-
-	/** Whether the current server is known to have survived the start of its response. */
-	private boolean answered;
+	private final SurvivalWatch survival;
 
 	private final Withdrawal withdrawal;
 
@@ -84,15 +71,46 @@
 	private final StreamBinding binding = new StreamBinding();
 
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
+		this(dispatcher, log, request, new AttemptTally((request.hop() != null) ? request.hop().attempts() : 0));
+		if (request.hop() != null) {
+			this.binding.toVersion(request.hop().version());
+		}
+	}
+
+	private Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request, AttemptTally tally) {
 		this.dispatcher = dispatcher;
 		this.guard = dispatcher.quarantineGuard();
 		this.withdrawal = new Withdrawal(this.guard);
+		this.survival = new SurvivalWatch(this, this.guard, log);
 		this.log = log;
 		this.request = request;
-		if (request.hop() != null) {
-			this.attemptCount = request.hop().attempts();
-			this.binding.toVersion(request.hop().version());
+		this.tally = tally;
+	}
+
+	/**
+	 * Begins a second copy of the request, if it may have one now.
+	 * @return the attempts of the second copy, or null
+	 */
+	Attempts secondCopy() {
+		if (this.target == null || this.target.relay() || this.withdrawal.isByStop()) {
+			return null;
+		}
+		Dispatcher.Target second = this.dispatcher.hedging()
+			.reserve(this.request, this.target, this.tally, this.dispatcher);
+		if (second == null) {
+			return null;
 		}
+		Attempts copy = new Attempts(this.dispatcher, this.log, this.request, this.tally);
+		copy.reserved = second;
+		this.tally.copy(this.awaitingResponse);
+		return copy;
+	}
+
+	/**
+	 * Records how long the current server took to answer, or to send the first event.
+	 */
+	void recordAnswerTime() {
+		this.dispatcher.hedging().recordTime(this.request, this.target, this.dispatcher.nowMs() - this.startedAtMs);
 	}
 
 	/**
@@ -108,25 +126,31 @@
 			throw withdrawalError();
 		}
 		this.target = choose();
-		this.attemptCount++;
+		this.tally.add(1);
 		this.awaitingResponse = false;
-		this.eventCount = 0;
-		this.answered = false;
+		this.survival.renew();
 		this.withdrawal.renew();
-		this.tried.add(serverId());
+		this.tally.tried().add(serverId());
 		return this.target;
 	}
 
 	private Dispatcher.Target choose() {
-		Dispatcher.Target relay = this.dispatcher.relays().choose(this.request, this.tried, this.binding.current());
+		if (this.reserved != null) {
+			Dispatcher.Target second = this.reserved;
+			this.reserved = null;
+			return second;
+		}
+		Dispatcher.Target relay = this.dispatcher.relays()
+			.choose(this.request, this.tally.tried(), this.binding.current());
 		if (relay != null) {
 			return relay;
 		}
 		try {
-			return this.dispatcher.choose(this.request, this.attemptCount + 1, this.tried, this.binding.current());
+			return this.dispatcher.choose(this.request, this.tally.attempts() + 1, this.tally.tried(),
+					this.binding.current());
 		}
 		catch (FescueholdException refusal) {
-			throw this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
+			throw this.tally.mayHaveRun() ? runUnknown(refusal.getMessage()) : refusal;
 		}
 	}
 
@@ -160,6 +184,7 @@
 	 * Records that the current attempt starts.
 	 */
 	void started() {
+		this.startedAtMs = this.dispatcher.nowMs();
 		this.dispatcher.attemptStarted(this.target);
 		if (!this.target.relay()) {
 			this.guard.attemptStarted(this);
@@ -197,26 +222,15 @@
 	 */
 	FescueholdException withdrawalError() {
 		return this.withdrawal.error((this.target != null) ? serverId() : null,
-				this.awaitingResponse || this.mayHaveRun);
+				this.awaitingResponse || this.tally.mayHaveRun());
 	}
 
 	/**
 	 * Records that the current server has sent an event of the response.
 	 */
 	void eventReceived() {
-		long nowMs = this.dispatcher.nowMs();
-		if (this.eventCount++ == 0) {
-			this.firstEventAtMs = nowMs;
-		}
-		else if (!this.answered && nowMs - this.firstEventAtMs >= SURVIVED_MS) {
-			recordAnswered();
-		}
-	}
-
-	private void recordAnswered() {
-		if (!this.answered && !this.target.relay()) {
-			this.answered = true;
-			this.guard.answered(this, this.request);
+		if (this.survival.eventReceived(this.target, this.dispatcher.nowMs())) {
+			recordAnswerTime();
 		}
 	}
 
@@ -228,7 +242,7 @@
 	 */
 	BackendRequest prepare(long resumeAfter) {
 		if (this.target.relay()) {
-			RelayHop hop = new RelayHop(this.attemptCount - 1, this.binding.version());
+			RelayHop hop = new RelayHop(this.tally.attempts() - 1, this.binding.version());
 			return this.dispatcher.prepareRelay(this.request, hop, resumeAfter, this::sent);
 		}
 		return this.dispatcher.prepare(this.request, this.target, resumeAfter, this::sent);
@@ -264,19 +278,15 @@
 	FescueholdException afterRelayRefusal(FescueholdException refusal) {
 		this.awaitingResponse = false;
 		if (refusal.run() != RunStatus.NO) {
-			this.mayHaveRun = true;
+			this.tally.ran();
 			return refusal;
 		}
-		this.attemptCount--;
-		boolean elsewhere = switch (refusal.code()) {
-			case DRAINING, NO_SERVER, NO_ROUTE, UNKNOWN_KEY, ROUTING_STALE -> true;
-			default -> false;
-		};
-		if (elsewhere && ++this.unreachableCount < MAX_UNREACHABLE) {
+		this.tally.add(-1);
+		if (RelayRefusal.isOfHost(refusal) && ++this.unreachableCount < MAX_UNREACHABLE) {
 			this.dispatcher.relays().recordFailure(this.target);
 			return null;
 		}
-		return this.mayHaveRun ? runUnknown(refusal.getMessage()) : refusal;
+		return this.tally.mayHaveRun() ? runUnknown(refusal.getMessage()) : refusal;
 	}
 
 	private void sent(boolean overKeptConnection) {
@@ -286,6 +296,7 @@
 		}
 		this.keptConnection = overKeptConnection;
 		this.awaitingResponse = true;
+		this.tally.sent();
 		this.sentAtMs = this.dispatcher.nowMs();
 	}
 
@@ -315,7 +326,7 @@
 	 * @return whether the request is repeatable and has attempts left
 	 */
 	boolean hasRetryLeft() {
-		return this.request.route().isRepeatable() && this.attemptCount < this.request.route().maxAttempts();
+		return this.request.route().isRepeatable() && this.tally.attempts() < this.request.route().maxAttempts();
 	}
 
 	/**
@@ -327,8 +338,8 @@
 	 */
 	boolean reserveRetry() {
 		this.retryReserved = hasRetryLeft() && this.dispatcher.relays().mayGiveUp(this.request, this.target)
-				&& this.dispatcher.hasAlternative(this.request, this.tried, this.binding.current())
-				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
+				&& this.dispatcher.hasAlternative(this.request, this.tally.tried(), this.binding.current())
+				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts());
 		return this.retryReserved;
 	}
 
@@ -344,12 +355,13 @@
 		this.dispatcher.recordOutcome(this.request, this.target,
 				replaced ? ServerOutcome.REPLACED : ServerOutcome.REJECTED);
 		// A rejected attempt does not count towards the route's limit of attempts.
-		this.attemptCount--;
+		this.tally.add(-1);
 		FescueholdException resting = this.dispatcher.restRefusal(this.request, this.binding.current());
 		if (resting != null) {
-			return this.mayHaveRun ? runUnknown(resting.getMessage()) : resting;
+			return this.tally.mayHaveRun() ? runUnknown(resting.getMessage()) : resting;
 		}
-		if (this.rejectionCount <= MAX_REJECTIONS && this.dispatcher.tryAcquireRetry(this.request, this.attemptCount)) {
+		if (this.rejectionCount <= MAX_REJECTIONS
+				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts())) {
 			this.log.serverFailed(this.request, serverId(), "not run, status " + response.status(),
 					"trying another server");
 			return null;
@@ -365,7 +377,7 @@
 	 */
 	boolean retriesAfterError(BackendResponse response) {
 		this.awaitingResponse = false;
-		this.mayHaveRun = true;
+		this.tally.ran();
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.FAILED);
 		// A host that passes the request on has retried already.
 		boolean retries = !this.target.relay() && tryAcquireRetry();
@@ -386,13 +398,13 @@
 		String reason = String.valueOf(failure.getMessage());
 		BackendFailure.Kind kind = (failure instanceof BackendFailure known) ? known.kind() : null;
 		if (kind == BackendFailure.Kind.WITHHELD) {
-			this.attemptCount--;
+			this.tally.add(-1);
 			this.log.serverFailed(this.request, serverId(), reason, "nothing was sent, trying another server");
 			return null;
 		}
 		if (kind == BackendFailure.Kind.HOST_MEMORY_FULL) {
 			// Neither the server is to blame nor would another attempt need less memory.
-			this.mayHaveRun = true;
+			this.tally.ran();
 			return fail(reason, ErrorCode.SERVER_FAILED, 0);
 		}
 		boolean stalled = kind == BackendFailure.Kind.STALLED;
@@ -410,18 +422,16 @@
 				this.dispatcher.recordRefusedConnection(this.target);
 			}
 			this.unreachableCount++;
-			this.attemptCount--;
+			this.tally.add(-1);
 			if (this.unreachableCount < MAX_UNREACHABLE) {
 				this.log.serverFailed(this.request, serverId(), reason, "nothing was sent, trying another server");
 				return null;
 			}
 			return fail(reason, ErrorCode.NO_SERVER, UNREACHABLE_RETRY_AFTER_MS);
 		}
-		this.mayHaveRun = true;
+		this.tally.ran();
 		if (!stalled) {
-			this.log.connectionLost(this.request, serverId(), this.eventCount,
-					(this.eventCount > 0) ? this.dispatcher.nowMs() - this.firstEventAtMs : 0);
-			suspectUnlessAnswered();
+			this.survival.connectionLost(this.target, this.dispatcher.nowMs());
 		}
 		boolean retries = this.retryReserved || tryAcquireRetry();
 		this.retryReserved = false;
@@ -434,8 +444,8 @@
 
 	private boolean tryAcquireRetry() {
 		return this.request.route().isRepeatable()
-				&& this.dispatcher.hasCandidate(this.request, this.tried, this.binding.current())
-				&& this.dispatcher.tryAcquireRetry(this.request, this.attemptCount);
+				&& this.dispatcher.hasCandidate(this.request, this.tally.tried(), this.binding.current())
+				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts());
 	}
 
 	/**
@@ -449,8 +459,8 @@
 
 	private FescueholdException fail(String reason, ErrorCode code, long retryAfterMs) {
 		this.log.serverFailed(this.request, serverId(), reason,
-				this.mayHaveRun ? "giving up, the request may have run" : "giving up, the request has not run");
-		if (this.mayHaveRun) {
+				this.tally.mayHaveRun() ? "giving up, the request may have run" : "giving up, the request has not run");
+		if (this.tally.mayHaveRun()) {
 			return runUnknown(reason);
 		}
 		return FescueholdException.of(code, RunStatus.NO, retryAfterMs, this.request.service());
@@ -464,7 +474,7 @@
 		if (this.awaitingResponse) {
 			this.dispatcher.recordTimeout(this.request, this.target);
 		}
-		if (this.awaitingResponse || this.mayHaveRun) {
+		if (this.awaitingResponse || this.tally.mayHaveRun()) {
 			return FescueholdException.of(ErrorCode.DEADLINE_EXCEEDED, RunStatus.UNKNOWN, 0,
 					this.request.deadlineAtMs() - this.request.receivedAtMs());
 		}
@@ -479,18 +489,7 @@
 	 */
 	void served(boolean framed) {
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.SERVED);
-		if (framed) {
-			recordAnswered();
-		}
-		else {
-			suspectUnlessAnswered();
-		}
-	}
-
-	private void suspectUnlessAnswered() {
-		if (!this.answered && !this.target.relay()) {
-			this.guard.connectionLost(this.request, this.target.server());
-		}
+		this.survival.responseEnded(this.target, framed);
 	}
 
 	String serverId() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -38,24 +38,60 @@
 
 	private final GatewayRequest request;
 
+	private final GatewayLog log;
+
 	private final Attempts attempts;
 
+	/** The second copy of the request, or null. */
+	private CallExchange copy;
+
+	private boolean copyWon;
+
 	CallExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, GatewayRequest request) {
 		this.dispatcher = dispatcher;
 		this.scheduler = scheduler;
 		this.request = request;
+		this.log = log;
 		this.attempts = new Attempts(dispatcher, log, request);
 	}
 
+	private CallExchange(CallExchange first, Attempts attempts) {
+		this.dispatcher = first.dispatcher;
+		this.scheduler = first.scheduler;
+		this.request = first.request;
+		this.log = first.log;
+		this.attempts = attempts;
+	}
+
 	/**
 	 * Runs the request.
 	 * @return the server's response; errors with the error for the caller
 	 */
 	Mono<BackendResponse> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
-		return Mono.defer(this::attempt)
-			.timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this.attempts::deadlineExceeded),
-					this.scheduler);
+		return copies().timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this.attempts::deadlineExceeded),
+				this.scheduler);
+	}
+
+	private Mono<BackendResponse> copies() {
+		Mono<BackendResponse> first = Mono.defer(this::attempt);
+		Hedging hedging = this.dispatcher.hedging();
+		if (!hedging.appliesTo(this.request)) {
+			return first;
+		}
+		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
+			this.copyWon = secondWon;
+			hedging.recordOutcome(this.request, secondWon);
+		}).next();
+	}
+
+	private Flux<BackendResponse> secondCopy() {
+		Attempts second = this.attempts.secondCopy();
+		if (second == null) {
+			return Flux.empty();
+		}
+		this.copy = new CallExchange(this, second);
+		return Flux.defer(this.copy::attempt);
 	}
 
 	/**
@@ -63,6 +99,9 @@
 	 */
 	void stop() {
 		this.attempts.withdrawal().byStop();
+		if (this.copy != null) {
+			this.copy.stop();
+		}
 	}
 
 	/**
@@ -70,7 +109,7 @@
 	 * @return its instance id
 	 */
 	String serverId() {
-		return this.attempts.serverId();
+		return this.copyWon ? this.copy.serverId() : this.attempts.serverId();
 	}
 
 	private Mono<BackendResponse> attempt() {
@@ -124,6 +163,7 @@
 		if (response.status() >= 500) {
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
+		this.attempts.recordAnswerTime();
 		this.attempts.served(BackendExchange.isFramed(response.headers()));
 		return Mono.just(response);
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -14,6 +14,7 @@
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.prompt.EngineChoice;
 import io.fescuehold.core.prompt.EnginePlacement;
+import io.fescuehold.core.retry.HedgePolicy;
 import io.fescuehold.core.retry.RetryShare;
 import io.fescuehold.core.retry.WindowedRetryBudget;
 import io.fescuehold.core.servers.BackendServer;
@@ -52,6 +53,8 @@
 
 	private final EnginePlacement enginePlacement;
 
+	private final Hedging hedging;
+
 	private final QuarantineGuard quarantineGuard;
 
 	private final ServerReach reach;
@@ -75,6 +78,8 @@
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
+		this.hedging = new Hedging(new HedgePolicy(options.policy().hedgeRatio()), belief, this.candidates,
+				quarantineGuard, metrics, log);
 		this.reach = reach;
 		this.relays = new RelayTargets(reach, options.relayPort(), metrics, log);
 		this.metrics = metrics;
@@ -85,6 +90,10 @@
 		return this.quarantineGuard;
 	}
 
+	Hedging hedging() {
+		return this.hedging;
+	}
+
 	long nowMs() {
 		return this.clockMs.getAsLong();
 	}
@@ -116,15 +125,24 @@
 			throw this.candidates.refusal(request.service(), untried, binding, nowMs);
 		}
 		Target target = select(request, withinLimits, all, nowMs);
-		this.belief.requestLimits().consume(target.server().server().id());
+		consume(target.server());
 		if (attempt == 1) {
 			retryBudget().recordRequest(request.service(), nowMs);
+			this.hedging.recordRequest(request.service());
 		}
 		this.metrics.placed(target.reason());
 		this.log.placed(request, target, attempt);
 		return target;
 	}
 
+	/**
+	 * Counts a request that is sent to a server towards the server's limits.
+	 * @param server the server
+	 */
+	void consume(ServerState server) {
+		this.belief.requestLimits().consume(server.server().id());
+	}
+
 	private Target select(GatewayRequest request, List<ServerState> servers, List<ServerState> all, long nowMs) {
 		if (this.quarantineGuard.isSuspected(request)) {
 			return new Target(isolated(request, servers, nowMs), null, Target.SUSPECTED, false);
@@ -406,7 +424,8 @@
 	Map<String, Object> dump() {
 		Map<String, Object> budgets = new TreeMap<>();
 		retryBudget().services().forEach((service) -> budgets.put(service, this.budget.usage(service, nowMs())));
-		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets);
+		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets, "hedgeDelaysMs",
+				this.hedging.dump());
 	}
 
 	AnswerHead read(int status, Map<String, String> headers) {
@@ -426,6 +445,9 @@
 		/** The reason for a server that runs no other suspected request of this host. */
 		static final String SUSPECTED = "SUSPECTED";
 
+		/** The reason for the server of a second copy. */
+		static final String SECOND_COPY = "SECOND_COPY";
+
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -90,6 +90,14 @@
 		this.servedVersions = new ServedVersions(streamRetentionMs(), clockMs.getAsLong());
 	}
 
+	/**
+	 * Returns the time.
+	 * @return the time in milliseconds of the clock that all figures are measured with
+	 */
+	public long nowMs() {
+		return this.clockMs.getAsLong();
+	}
+
 	@Override
 	public void onDocument(RoutingDocument document) {
 		this.table = new RouteTable(this.codec.decode(Documents.submitted(document)));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -79,6 +79,16 @@
 		}
 	}
 
+	void hedged(GatewayRequest request, Dispatcher.Target first, ServerState second, long afterMs) {
+		if (tryAcquire(RESERVED_LINES)) {
+			logger.atInfo()
+				.log("request %s of route %s has no answer from server %s after %d ms; a second copy goes to server %s,"
+						+ " load %d, left %d ms", request.head().requestId(), request.route().name(),
+						first.server().server().id(), afterMs, second.server().id(), second.load(),
+						request.leftMs(this.clockMs.getAsLong()));
+		}
+	}
+
 	void relayed(GatewayRequest request, String hostId) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -67,6 +67,18 @@
 		this.registry.counter(PREFIX + "quarantined." + service).inc();
 	}
 
+	void hedgeStarted(String service) {
+		this.registry.counter(PREFIX + "hedges.started." + service).inc();
+	}
+
+	void hedgeEnded(String service, boolean secondWon) {
+		this.registry.counter(PREFIX + "hedges." + (secondWon ? "won." : "lost.") + service).inc();
+	}
+
+	void hedgeRefused(String reason) {
+		this.registry.counter(PREFIX + "hedges.refused." + reason).inc();
+	}
+
 	void brokenOff() {
 		this.registry.counter(PREFIX + "brokenOff").inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayRefusal.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayRefusal.java
@@ -20,4 +20,17 @@
 		return this.refusal;
 	}
 
+	/**
+	 * Returns whether a refusal has to do with the host and not with the request, so that
+	 * another host may pass the request on.
+	 * @param refusal the refusal of a host
+	 * @return whether another host may be tried
+	 */
+	static boolean isOfHost(FescueholdException refusal) {
+		return switch (refusal.code()) {
+			case DRAINING, NO_SERVER, NO_ROUTE, UNKNOWN_KEY, ROUTING_STALE -> true;
+			default -> false;
+		};
+	}
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -92,14 +92,24 @@
 	/** The bytes of the event that is not complete. */
 	private long heldBytes;
 
+	/** The second copy of the request, or null. */
+	private StreamExchange copy;
+
+	private boolean copyWon;
+
 	StreamExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, StreamVersions versions,
 			GatewayRequest request) {
+		this(dispatcher, scheduler, log, versions, request, new Attempts(dispatcher, log, request));
+	}
+
+	private StreamExchange(Dispatcher dispatcher, Scheduler scheduler, GatewayLog log, StreamVersions versions,
+			GatewayRequest request, Attempts attempts) {
 		this.dispatcher = dispatcher;
 		this.scheduler = scheduler;
 		this.log = log;
 		this.request = request;
 		this.versions = versions;
-		this.attempts = new Attempts(dispatcher, log, request);
+		this.attempts = attempts;
 		this.position = request.head().resumeAfter();
 	}
 
@@ -111,17 +121,39 @@
 	Flux<StreamItem> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
 		Flux<StreamItem> items = (this.request.head().takesUp() && !this.attempts.binding().isBound()) ? takeUp()
-				: Flux.defer(this::attempt);
+				: copies();
 		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this.attempts::deadlineExceeded,
 				this.scheduler);
 	}
 
+	// The race is decided by the first element, so that all events come from one copy.
+	private Flux<StreamItem> copies() {
+		Flux<StreamItem> first = Flux.defer(this::attempt);
+		Hedging hedging = this.dispatcher.hedging();
+		if (!hedging.appliesTo(this.request)) {
+			return first;
+		}
+		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
+			this.copyWon = secondWon;
+			hedging.recordOutcome(this.request, secondWon);
+		});
+	}
+
+	private Flux<StreamItem> secondCopy() {
+		Attempts second = this.attempts.secondCopy();
+		if (second == null) {
+			return Flux.empty();
+		}
+		this.copy = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, this.request, second);
+		return Flux.defer(this.copy::attempt);
+	}
+
 	/**
 	 * Returns the software version that began the stream.
 	 * @return the version, or null if it is unknown
 	 */
 	String version() {
-		return this.attempts.binding().version();
+		return this.copyWon ? this.copy.version() : this.attempts.binding().version();
 	}
 
 	/**
@@ -129,6 +161,9 @@
 	 */
 	void stop() {
 		this.attempts.withdrawal().byStop();
+		if (this.copy != null) {
+			this.copy.stop();
+		}
 	}
 
 	/**
@@ -136,7 +171,7 @@
 	 * @return its instance id
 	 */
 	String serverId() {
-		return this.attempts.serverId();
+		return this.copyWon ? this.copy.serverId() : this.attempts.serverId();
 	}
 
 	/**
@@ -144,7 +179,7 @@
 	 * @return the position, initially the one after which the caller resumes
 	 */
 	long position() {
-		return this.position;
+		return this.copyWon ? this.copy.position() : this.position;
 	}
 
 	private Flux<StreamItem> takeUp() {
--- /dev/null
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
@@ -0,0 +1,123 @@
+package io.fescuehold.runtime.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.fescuehold.runtime.http.ScriptedServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests second copies of requests that a server has taken and does not answer. Many
+ * requests that are answered at once come first, because without their times nothing is
+ * slow.
+ */
+@Timeout(60)
+class HedgedRequestTests {
+
+	private static final int ANSWERED_AT_ONCE = 60;
+
+	private final AtomicBoolean stalls = new AtomicBoolean();
+
+	private final AtomicInteger stalled = new AtomicInteger();
+
+	private final AtomicInteger closed = new AtomicInteger();
+
+	/** The first request that arrives after {@link #stalls} was set is not answered. */
+	private ScriptedServer server() {
+		return new ScriptedServer((request, connection) -> {
+			if (this.stalls.getAndSet(false)) {
+				this.stalled.incrementAndGet();
+				awaitClose(connection);
+			}
+			boolean stream = request.target().startsWith("/resumable");
+			String body = stream ? "id: 1\ndata: a\n\n" : "ok";
+			connection.send("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + request.headers().get("X-Request")
+					+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+		});
+	}
+
+	private void awaitClose(ScriptedServer.Connection connection) throws Exception {
+		connection.awaitEnd();
+		this.closed.incrementAndGet();
+		throw new IOException("the gateway has closed the connection");
+	}
+
+	private void warmUp(TestGateway gateway, String path) {
+		for (int request = 0; request < ANSWERED_AT_ONCE; request++) {
+			assertThat(gateway.send(path, "w" + request, "").status()).isEqualTo(200);
+		}
+		this.stalls.set(true);
+	}
+
+	private static long started(TestGateway gateway) {
+		return gateway.counter("gateway.hedges.started.service");
+	}
+
+	@Test
+	void lookupThatAServerDoesNotAnswerIsAnsweredByTheSecondCopyAndTheFirstIsCancelled() {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(0.1, one, two)) {
+			warmUp(gateway, "/lookup/x");
+			long copiesBefore = started(gateway);
+			TestGateway.Answer answer = gateway.send("/lookup/x", "slow", "");
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo("ok");
+			assertThat(this.stalled).hasValue(1);
+			assertThat(started(gateway)).isEqualTo(copiesBefore + 1);
+			assertThat(gateway.counter("gateway.hedges.won.service")).isPositive();
+			gateway.awaitNothingInFlight();
+			awaitClosed();
+		}
+	}
+
+	@Test
+	void streamWithoutAFirstEventIsAnsweredByTheSecondCopy() {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(0.1, one, two)) {
+			warmUp(gateway, "/resumable/x");
+			long copiesBefore = started(gateway);
+			TestGateway.Answer answer = gateway.send("/resumable/x", "slow", "");
+			assertThat(answer.body()).isEqualTo("id: 1\ndata: a\n\n");
+			assertThat(started(gateway)).isEqualTo(copiesBefore + 1);
+			awaitClosed();
+		}
+	}
+
+	@Test
+	void orderNeverHasASecondCopy() {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(1, one, two)) {
+			warmUp(gateway, "/order/x");
+			assertThat(gateway.send("/order/x", "slow", "").status()).isEqualTo(504);
+			assertThat(one.received().size() + two.received().size()).isEqualTo(ANSWERED_AT_ONCE + 1);
+			assertThat(started(gateway)).isZero();
+		}
+	}
+
+	@Test
+	void nothingIsCopiedWithoutALimit() {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(0, one, two)) {
+			warmUp(gateway, "/lookup/x");
+			assertThat(gateway.send("/lookup/x", "slow", "").status()).isEqualTo(200);
+			assertThat(started(gateway)).isZero();
+		}
+	}
+
+	private void awaitClosed() {
+		long untilNs = System.nanoTime() + 5_000_000_000L;
+		while (this.closed.get() < this.stalled.get()) {
+			assertThat(System.nanoTime()).as("the loser is still connected").isLessThan(untilNs);
+			Thread.onSpinWait();
+		}
+	}
+
+}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -12,6 +12,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.drain.DrainSchedule;
+import io.fescuehold.core.limits.ServingPolicy;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.ServerReach;
@@ -83,12 +84,18 @@
 
 	private TestGateway(String address, int relayPort, ServerReach reach, int retryExtra, Duration recordTime,
 			int... ports) {
+		this(address, relayPort, reach, retryExtra, recordTime, ServingPolicy.NONE, ports);
+	}
+
+	private TestGateway(String address, int relayPort, ServerReach reach, int retryExtra, Duration recordTime,
+			ServingPolicy policy, int... ports) {
 		this.address = address;
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
 		this.belief = new GatewayBelief(address, (submitted) -> config(),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions(address, 0, relayPort, "a", 60_000, 1_000,
-				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT);
+				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT,
+				policy);
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(),
 				new SingleHostVersions(this.belief, recordTime, this.scheduler), reach, this.scheduler, this.loops,
 				this.metrics, new SplittableRandom(1));
@@ -114,6 +121,17 @@
 				ports(servers));
 	}
 
+	/**
+	 * Starts a gateway that sends second copies.
+	 * @param ratio the second copies for each request
+	 * @param servers the servers
+	 * @return the gateway
+	 */
+	static TestGateway hedging(double ratio, ScriptedServer... servers) {
+		return new TestGateway("127.0.0.1", 0, new SingleHostReach(null), 100, Duration.ZERO,
+				new ServingPolicy(0, 0, 0, ratio), ports(servers));
+	}
+
 	/**
 	 * Starts a gateway with one server.
 	 * @param port the port of the server on the loopback address
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
@@ -247,6 +247,15 @@
 			this.socket.close();
 		}
 
+		/**
+		 * Waits until the other side closes the connection.
+		 */
+		public void awaitEnd() throws IOException {
+			while (this.socket.getInputStream().read() >= 0) {
+				Thread.onSpinWait();
+			}
+		}
+
 		public void hang() throws InterruptedException {
 			Thread.sleep(60_000);
 		}
