Operators order evacuations on the platform's API and with the command line

`evacuate DOMAIN [--end]` and its status go to the operations port. A flood of orders leaves one line a second (LogAllowance). A relayed refusal because of an evacuation is sent as OVERLOADED, which earlier builds know.

--- a/fescuehold-core/src/test/java/io/fescuehold/core/evacuation/EvacuationsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/evacuation/EvacuationsTests.java
@@ -45,6 +45,18 @@
 		assertThat(view.endedAtMs("b")).isEqualTo(300);
 	}
 
+	@Test
+	void floodOfOrdersLeavesALineASecond() {
+		LogAllowance allowance = new LogAllowance();
+		int logged = 0;
+		for (long nowMs = 0; nowMs < 10_000; nowMs += 10) {
+			logged += allowance.tryAcquire(nowMs) ? 1 : 0;
+		}
+		assertThat(logged).isBetween(10, 14);
+		assertThat(allowance.takeDropped()).isEqualTo(1_000 - logged);
+		assertThat(allowance.takeDropped()).isZero();
+	}
+
 	@Test
 	void slotsOfLeavingServersAndEvacuatedDomainsAreNotLeft() {
 		List<BackendServer> servers = List.of(new BackendServer("1", "s", "10.0.0.1:80", "a", 4, false, null),
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/CommandLine.java
@@ -49,6 +49,7 @@
 				new Entry("print the configuration in force", () -> new ReadCommand(tools.configurationPath())));
 		commands.put("diff", new Entry("print what differs between two configurations", () -> new DiffCommand(tools)));
 		commands.put("preview", new Entry("print what a configuration would change", () -> new PreviewCommand(tools)));
+		commands.put("evacuate", new Entry("begin or end the evacuation of a failure domain", EvacuateCommand::new));
 		commands.put("dump", new Entry("print the state of a daemon", () -> new ReadCommand("/dump")));
 		commands.put("metrics", new Entry("print the metrics of a daemon", () -> new ReadCommand("/metrics")));
 		return new CommandLine(commands, out, err);
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -128,6 +128,8 @@
 
 	private final OperationsServer operations;
 
+	private final EvacuationOrders evacuations;
+
 	/** Ends the calls of operators that are open when this daemon stops. */
 	private final Sinks.Empty<Void> ending = Sinks.empty();
 
@@ -185,8 +187,10 @@
 		this.evidence = (settings.dataFolder() != null) ? new EvidenceStore(settings.dataFolder().resolve("quarantine"),
 				this.belief.quarantine(), this.scheduler, System::currentTimeMillis) : null;
 		this.operatorListeners = new HttpListeners("operators", this.metrics);
+		this.evacuations = new EvacuationOrders(this.fleet, this.belief, this.scheduler, this.ending.asMono(),
+				this.metrics);
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
-				this.operatorListeners, this::dump);
+				this.operatorListeners, this::dump, this.evacuations);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
@@ -340,6 +344,14 @@
 			.map(Documents::submitted);
 	}
 
+	/**
+	 * Returns the part that takes orders to evacuate failure domains.
+	 * @return the orders
+	 */
+	public EvacuationOrders evacuations() {
+		return this.evacuations;
+	}
+
 	private <T> Mono<T> untilEnded(Mono<T> call, String result) {
 		Mono<T> stopped = Mono.error(() -> FescueholdException.withMessage(ErrorCode.HOST_STOPPED, RunStatus.UNKNOWN, 0,
 				"This host stops before " + result + " is known; repeat the call at another host"));
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvacuationsInForce.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/EvacuationsInForce.java
@@ -1,7 +1,10 @@
 package io.fescuehold.runtime.discovery;
 
+import java.util.function.LongSupplier;
+
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.evacuation.Evacuations;
+import io.fescuehold.core.evacuation.LogAllowance;
 
 /**
  * The evacuations of failure domains that this daemon obeys. Not thread-safe: confined to
@@ -13,14 +16,20 @@
 
 	private final FleetListener listener;
 
+	private final LongSupplier clockMs;
+
+	private final LogAllowance logAllowance = new LogAllowance();
+
 	private Evacuations current = Evacuations.NONE;
 
 	/**
 	 * Creates a view without evacuations.
 	 * @param listener the listener that puts evacuations in force
+	 * @param clockMs the clock in milliseconds
 	 */
-	EvacuationsInForce(FleetListener listener) {
+	EvacuationsInForce(FleetListener listener, LongSupplier clockMs) {
 		this.listener = listener;
+		this.clockMs = clockMs;
 	}
 
 	Evacuations current() {
@@ -41,9 +50,12 @@
 			return;
 		}
 		this.listener.onEvacuations(committed);
-		logger.atInfo()
-			.log("Evacuations %d from %s replace evacuations %d: failure domains %s, previously %s",
-					committed.revision(), source, this.current.revision(), committed.domains(), this.current.domains());
+		if (this.logAllowance.tryAcquire(this.clockMs.getAsLong())) {
+			logger.atInfo()
+				.log("Evacuations %d from %s replace evacuations %d: failure domains %s, previously %s; %d lines dropped",
+						committed.revision(), source, this.current.revision(), committed.domains(),
+						this.current.domains(), this.logAllowance.takeDropped());
+		}
 		this.current = committed;
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -130,7 +130,7 @@
 		this.scheduler = scheduler;
 		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
 		this.configuration = new ConfigurationInForce(listener, this.clockMs, this::onConfigurationTaken);
-		this.evacuations = new EvacuationsInForce(listener);
+		this.evacuations = new EvacuationsInForce(listener, this.clockMs);
 		this.listReader = new ServerListReader(listSource, options.timing(), scheduler, random, this::onListRead);
 		this.listener = listener;
 		this.ownState = ownState;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -72,6 +72,7 @@
 			case REQUEST_QUARANTINED -> ErrorCode.PROMPT_QUARANTINED;
 			case REQUEST_CRASHES_SERVERS -> ErrorCode.PROMPT_CRASHES_SERVERS;
 			case HOST_MEMORY_FULL -> ErrorCode.DRAINING;
+			case DOMAIN_EVACUATED -> ErrorCode.OVERLOADED;
 			default -> code;
 		};
 	}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetEvacuationTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/FleetEvacuationTests.java
@@ -83,7 +83,7 @@
 	// A replica that has no order answers as one of an earlier version does.
 	@Test
 	void answerWithoutEvacuationsChangesNothing() {
-		EvacuationsInForce inForce = new EvacuationsInForce(new RecordingListener());
+		EvacuationsInForce inForce = new EvacuationsInForce(new RecordingListener(), () -> 0);
 		Evacuations known = new Evacuations(3, Set.of("a"));
 		inForce.take(known, "the test");
 		inForce.take(null, "the test");
