--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
@@ -82,7 +82,7 @@
 	 * @param knownLeader the host id of the known leader, or null
 	 * @param nowMs the current time in milliseconds
 	 * @return the reply, which a replica delays while it knows neither a leader nor a
-	 * newer configuration
+	 * newer configuration or evacuations
 	 */
 	Mono<SyncMessage.News> handle(SyncMessage.Pull pull, String knownLeader, long nowMs) {
 		this.leaderHostId = knownLeader;
@@ -106,16 +106,20 @@
 			.create((sink) -> this.heldPulls.add(new HeldPull(pull, sink, nowMs + this.options.timing().holdMs())));
 	}
 
-	// Names the known leader and the candidates. Only hosts with a store can lead. A
-	// committed configuration spreads even if there is no leader.
+	// Names the known leader and the candidates. Only hosts with a store can lead.
+	// Committed configurations and evacuations spread even if there is no leader.
 	private SyncMessage.News redirect(SyncMessage.Pull pull) {
 		return new SyncMessage.News(isLeading() ? null : this.leaderHostId, false,
-				isOutdated(pull) ? this.configuration.document().encode() : null, null, this.hosts.revision(),
+				holdsOlderDocument(pull) ? this.configuration.document().encode() : null, null, this.hosts.revision(),
 				this.hosts.hosts().stream().filter(HostRecord::hasStore).toList(), Map.of(), Map.of(), null,
 				EvacuationsInForce.ifNewer(this.evacuations.current(), pull));
 	}
 
 	private boolean isOutdated(SyncMessage.Pull pull) {
+		return holdsOlderDocument(pull) || EvacuationsInForce.ifNewer(this.evacuations.current(), pull) != null;
+	}
+
+	private boolean holdsOlderDocument(SyncMessage.Pull pull) {
 		return pull.number() < this.configuration.number();
 	}
 
@@ -207,7 +211,8 @@
 	}
 
 	/**
-	 * Releases the held pulls of daemons that obey an older configuration than this one.
+	 * Releases the held pulls of daemons that obey an older configuration or older
+	 * evacuations than this one.
 	 */
 	void releaseOutdated() {
 		release((heldPull) -> isOutdated(heldPull.pull));
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.evacuation.EvacuationOrder;
 import io.fescuehold.core.evacuation.Evacuations;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
@@ -50,6 +51,9 @@
 
 	private boolean votersKnowTheDaemons = true;
 
+	/** What the voters tell, null as those of an earlier version do. */
+	private Evacuations evacuations;
+
 	@AfterEach
 	void stop() {
 		this.daemons.forEach((daemon) -> daemon.fleet.stop());
@@ -117,6 +121,32 @@
 		fleet.stop();
 	}
 
+	@Test
+	void committedEvacuationsSpreadWithoutALeader() {
+		startFleet(24);
+		loseLeader();
+		this.evacuations = new Evacuations(3, Set.of("b"));
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(2));
+		assertThat(this.daemons)
+			.allSatisfy((daemon) -> assertThat(daemon.evacuations).isEqualTo(new Evacuations(3, Set.of("b"))));
+	}
+
+	@Test
+	void leaderOfAnEarlierVersionKeepsWhatIsKnownAndAcknowledgesNoOrder() {
+		this.evacuations = new Evacuations(3, Set.of("b"));
+		startFleet(24);
+		this.evacuations = null;
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(1));
+		List<Evacuations> acknowledged = new ArrayList<>();
+		List<Throwable> errors = new ArrayList<>();
+		this.daemons.getFirst().fleet.evacuate(new EvacuationOrder("c", true))
+			.subscribe(acknowledged::add, errors::add);
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(2));
+		assertThat(acknowledged).isEmpty();
+		assertThat(errors).hasSize(1);
+		assertThat(this.daemons).allSatisfy((daemon) -> assertThat(daemon.evacuations.domains()).containsExactly("b"));
+	}
+
 	private void startFleet(int hosts) {
 		IntStream.rangeClosed(1, VOTERS).forEach(this::startVoter);
 		IntStream.rangeClosed(1, hosts - VOTERS).forEach((number) -> this.daemons.add(new Daemon("10.2.0." + number)));
@@ -161,7 +191,7 @@
 			this.daemons.forEach((daemon) -> hosts.add(daemon.record()));
 		}
 		return new SyncMessage.News(this.leader, leads, null, null, 1, hosts, Map.of(), Map.of(), leads ? 0L : null,
-				null);
+				this.evacuations);
 	}
 
 	/** A daemon without a disk. */
@@ -175,6 +205,8 @@
 
 		private long confirmedMs = -1;
 
+		private Evacuations evacuations = Evacuations.NONE;
+
 		Daemon(String hostId) {
 			this.hostId = hostId;
 			PeerTransport transport = LeaderlessFleetTests.this.network.transport(hostId);
@@ -201,7 +233,8 @@
 		}
 
 		@Override
-		public void onEvacuations(Evacuations evacuations) {
+		public void onEvacuations(Evacuations changed) {
+			this.evacuations = changed;
 		}
 
 		@Override
