--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/LeaderlessFleetTests.java
@@ -12,6 +12,8 @@
 import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.evacuation.EvacuationOrder;
+import io.fescuehold.core.evacuation.Evacuations;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.PeerTransport;
@@ -49,6 +51,9 @@
 
 	private boolean votersKnowTheDaemons = true;
 
+	/** What the voters tell, null as those of an earlier version do. */
+	private Evacuations evacuations;
+
 	@AfterEach
 	void stop() {
 		this.daemons.forEach((daemon) -> daemon.fleet.stop());
@@ -105,7 +110,7 @@
 		sender
 			.request(voter(2),
 					new SyncMessage.Pull(new HostRecord("10.3.0.2", "a", 1, null, HostState.READY), 0, 0, -1, Map.of(),
-							Map.of()),
+							Map.of(), null),
 					Duration.ofSeconds(1))
 			.subscribe((news) -> leaderHostIds.add(((SyncMessage.News) news).leaderHostId()));
 		this.scheduler.advanceTimeBy(Duration.ofMillis(5));
@@ -116,6 +121,28 @@
 		fleet.stop();
 	}
 
+	@Test
+	void committedEvacuationsSpreadWithoutALeader() {
+		startFleet(24);
+		loseLeader();
+		this.evacuations = new Evacuations(3, Set.of("b"));
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(2));
+		assertThat(this.daemons).extracting((daemon) -> daemon.evacuations.revision()).containsOnly(3L);
+	}
+
+	@Test
+	void leaderOfAnEarlierVersionKeepsWhatIsKnownAndAcknowledgesNoOrder() {
+		this.evacuations = new Evacuations(3, Set.of("b"));
+		startFleet(24);
+		this.evacuations = null;
+		List<Throwable> errors = new ArrayList<>();
+		this.daemons.getFirst().fleet.evacuate(new EvacuationOrder("c", true))
+			.subscribe((acknowledged) -> errors.clear(), errors::add);
+		this.scheduler.advanceTimeBy(Duration.ofSeconds(2));
+		assertThat(errors).hasSize(1);
+		assertThat(this.daemons).extracting((daemon) -> daemon.evacuations.revision()).containsOnly(3L);
+	}
+
 	private void startFleet(int hosts) {
 		IntStream.rangeClosed(1, VOTERS).forEach(this::startVoter);
 		IntStream.rangeClosed(1, hosts - VOTERS).forEach((number) -> this.daemons.add(new Daemon("10.2.0." + number)));
@@ -159,7 +186,8 @@
 		if (leads && this.votersKnowTheDaemons) {
 			this.daemons.forEach((daemon) -> hosts.add(daemon.record()));
 		}
-		return new SyncMessage.News(this.leader, leads, null, null, 1, hosts, Map.of(), Map.of(), leads ? 0L : null);
+		return new SyncMessage.News(this.leader, leads, null, null, 1, hosts, Map.of(), Map.of(), leads ? 0L : null,
+				this.evacuations);
 	}
 
 	/** A daemon without a disk. */
@@ -173,6 +201,8 @@
 
 		private long confirmedMs = -1;
 
+		private Evacuations evacuations = Evacuations.NONE;
+
 		Daemon(String hostId) {
 			this.hostId = hostId;
 			PeerTransport transport = LeaderlessFleetTests.this.network.transport(hostId);
@@ -198,6 +228,11 @@
 			this.firstConfirmedMs = (this.firstConfirmedMs < 0) ? askedAtMs : this.firstConfirmedMs;
 		}
 
+		@Override
+		public void onEvacuations(Evacuations changed) {
+			this.evacuations = changed;
+		}
+
 		@Override
 		public void onServers(ServerList list) {
 		}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/TestFleet.java
@@ -19,10 +19,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
+import io.fescuehold.core.evacuation.EvacuationOrder;
+import io.fescuehold.core.evacuation.Evacuations;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.PeerHandler;
@@ -177,14 +181,30 @@
 		return Documents.of(number, content.getBytes(StandardCharsets.UTF_8));
 	}
 
-	// Retries until there is an outcome, as an operator does.
 	SubmissionOutcome submit(int number, RoutingDocument document) {
-		SubmissionOutcome[] outcome = new SubmissionOutcome[1];
-		await("submission " + document.number(), () -> {
-			outcome[0] = host(number).fleet.submit(document).onErrorResume((error) -> Mono.empty()).block(LIMIT);
-			return outcome[0] != null;
+		return acknowledged("submission " + document.number(), () -> host(number).fleet.submit(document));
+	}
+
+	Evacuations evacuate(int number, String domain, boolean begins) {
+		return acknowledged("order for " + domain,
+				() -> host(number).fleet.evacuate(new EvacuationOrder(domain, begins)));
+	}
+
+	// Retries until there is an outcome, as an operator does.
+	private static <T> T acknowledged(String description, Supplier<Mono<T>> call) {
+		AtomicReference<T> outcome = new AtomicReference<>();
+		await(description, () -> {
+			outcome.set(call.get().onErrorResume((error) -> Mono.empty()).block(LIMIT));
+			return outcome.get() != null;
 		});
-		return outcome[0];
+		return outcome.get();
+	}
+
+	void awaitEvacuated(String... domains) {
+		await("evacuation of " + List.of(domains) + " everywhere",
+				() -> this.hosts.values()
+					.stream()
+					.allMatch((host) -> host.evacuations().domains().equals(Set.of(domains))));
 	}
 
 	void awaitInForce(long number) {
@@ -216,6 +236,10 @@
 
 		private volatile long documentNumber;
 
+		private volatile Evacuations evacuations = Evacuations.NONE;
+
+		private volatile Evacuations atFirstConfirmation;
+
 		private volatile ServerList servers = ServerList.EMPTY;
 
 		private volatile List<HostRecord> live = List.of();
@@ -283,6 +307,15 @@
 			return this.inForce;
 		}
 
+		Evacuations evacuations() {
+			return this.evacuations;
+		}
+
+		// Returns null until a leader has confirmed a configuration.
+		Evacuations evacuationsAtFirstConfirmation() {
+			return this.atFirstConfirmation;
+		}
+
 		ServerList servers() {
 			return this.servers;
 		}
@@ -327,6 +360,12 @@
 		@Override
 		public void onConfirmed(long askedAtMs) {
 			this.confirmedMs = askedAtMs;
+			this.atFirstConfirmation = (this.atFirstConfirmation != null) ? this.atFirstConfirmation : this.evacuations;
+		}
+
+		@Override
+		public void onEvacuations(Evacuations changed) {
+			this.evacuations = changed;
 		}
 
 		@Override
