The list of servers is not new at each read while a server is cold

Cause: the remaining cold time counts down, so that two reads of the list never equalled each other while a server was cold, and all hosts got the whole list at each read. Change: the list counts as changed if anything but the cold times differs, or if the end of a cold time has moved by more than 500 ms; otherwise the leader only refreshes the times that hosts get which still need the list.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/BackendServer.java
@@ -18,6 +18,18 @@
 public record BackendServer(String id, String service, String address, String failureDomain, int slots, boolean leaving,
 		String version, long coldMs) {
 
+	/**
+	 * The longest remaining cold time. Longer ones count as this one, and so do those
+	 * that cannot be read.
+	 */
+	public static final long MAX_COLD_MS = 60_000;
+
+	/**
+	 * A change of the end of a cold time that is not passed on to the daemons. They add
+	 * it to the end, so that none takes a server for warm too early.
+	 */
+	public static final long COLD_END_TOLERANCE_MS = 500;
+
 	/**
 	 * Checks the arguments.
 	 */
@@ -26,7 +38,7 @@
 		Objects.requireNonNull(service, "service");
 		Objects.requireNonNull(address, "address");
 		Objects.requireNonNull(failureDomain, "failureDomain");
-		coldMs = Math.max(0, coldMs);
+		coldMs = Math.clamp(coldMs, 0, MAX_COLD_MS);
 	}
 
 	/**
@@ -44,6 +56,16 @@
 		this(id, service, address, failureDomain, slots, leaving, version, 0);
 	}
 
+	/**
+	 * Returns this server with another cold time.
+	 * @param remainingMs the remaining cold time in milliseconds
+	 * @return the server
+	 */
+	public BackendServer withColdMs(long remainingMs) {
+		return new BackendServer(this.id, this.service, this.address, this.failureDomain, this.slots, this.leaving,
+				this.version, remainingMs);
+	}
+
 	/**
 	 * Returns the name of the software version.
 	 * @return the version, or an empty text if it is unknown
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -296,7 +296,7 @@
 	}
 
 	private void onListRead(List<BackendServer> read) {
-		if (!read.equals(this.servers.servers())) {
+		if (this.hub.isNew(read, this.clockMs.getAsLong())) {
 			applyServers(new ServerList(1 + this.random.nextLong(Long.MAX_VALUE - 1), read));
 		}
 	}
@@ -307,7 +307,7 @@
 		logger.atInfo()
 			.log("Server list %d has %d servers, %d of them leaving", list.revision(), list.servers().size(),
 					list.servers().stream().filter(BackendServer::leaving).count());
-		this.hub.setServers(list);
+		this.hub.setServers(list, this.clockMs.getAsLong());
 	}
 
 	private void pull() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
@@ -14,6 +14,8 @@
 import io.fescuehold.core.prompt.PartReportRelay;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.routes.SubmissionOutcome;
+import io.fescuehold.core.servers.AnnouncedServers;
+import io.fescuehold.core.servers.BackendServer;
 import io.fescuehold.core.servers.FleetLoad;
 import io.fescuehold.core.servers.ServerList;
 import reactor.core.publisher.Mono;
@@ -48,6 +50,8 @@
 
 	private ServerList servers = ServerList.EMPTY;
 
+	private final AnnouncedServers announcedServers = new AnnouncedServers();
+
 	/** The hosts that have not sent a pull since this daemon became the leader. */
 	private final Set<String> hostsWithoutPull = new HashSet<>();
 
@@ -66,11 +70,27 @@
 		this.partUpdates = new PartReportRelay(MAX_PART_UPDATES, options.timing().silenceMs());
 	}
 
-	void setServers(ServerList list) {
+	void setServers(ServerList list, long nowMs) {
 		this.servers = list;
+		this.announcedServers.announce(list.servers(), nowMs);
 		releaseUpdated();
 	}
 
+	/**
+	 * Returns whether a list that was read has to be passed on as a new one. If not, the
+	 * daemons that still need the current one get it with the cold times that were read.
+	 * @param read the servers
+	 * @param nowMs the time in milliseconds
+	 * @return whether it differs from the current list
+	 */
+	boolean isNew(List<BackendServer> read, long nowMs) {
+		if (this.announcedServers.differFrom(read, nowMs)) {
+			return true;
+		}
+		this.servers = new ServerList(this.servers.revision(), read);
+		return false;
+	}
+
 	/**
 	 * Handles a pull.
 	 * @param pull the pull
