--- a/fescuehold-core/src/main/java/io/fescuehold/core/retry/RetryShare.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/retry/RetryShare.java
@@ -1,12 +1,9 @@
 package io.fescuehold.core.retry;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 
 import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.membership.RecentHosts;
 
 /**
  * The part of a fleet-wide number of repeats that one host may use. Each host uses an
@@ -28,9 +25,7 @@
 
 	private final long entitledFromMs;
 
-	private final Map<String, Long> leftAtMs = new HashMap<>();
-
-	private List<HostRecord> hosts = List.of();
+	private final RecentHosts hosts;
 
 	/**
 	 * Creates the share of a process.
@@ -41,6 +36,7 @@
 	 */
 	public RetryShare(long windowMs, boolean firstStart, long startedAtMs) {
 		this.windowMs = windowMs;
+		this.hosts = new RecentHosts(2 * windowMs);
 		this.entitledFromMs = firstStart ? startedAtMs : startedAtMs + windowMs;
 	}
 
@@ -52,27 +48,11 @@
 	 * @return a number from 0 to 1
 	 */
 	public double fraction(List<HostRecord> listed, long listAgeMs, long nowMs) {
-		observe(listed, nowMs);
+		this.hosts.observe(listed, nowMs);
 		if (nowMs < this.entitledFromMs || listAgeMs > this.windowMs || listed.isEmpty()) {
 			return 0;
 		}
-		return 1.0 / (listed.size() + this.leftAtMs.size());
-	}
-
-	private void observe(List<HostRecord> listed, long nowMs) {
-		this.leftAtMs.values().removeIf((leftMs) -> nowMs - leftMs > 2 * this.windowMs);
-		if (listed == this.hosts) {
-			return;
-		}
-		Set<String> present = new HashSet<>();
-		listed.forEach((host) -> present.add(host.hostId()));
-		for (HostRecord host : this.hosts) {
-			if (!present.contains(host.hostId())) {
-				this.leftAtMs.put(host.hostId(), nowMs);
-			}
-		}
-		this.leftAtMs.keySet().removeAll(present);
-		this.hosts = listed;
+		return 1.0 / this.hosts.ids().size();
 	}
 
 }
