Hosts keep to their share of the requests to cold servers

Cause: placement sends the most requests to the server with the fewest in flight, which is the one that has just returned, and all hosts do so in the same second. Change: a cold server takes a request only within the share of this host, counted when it is placed and again when it is sent; a request that waited for a connection meanwhile goes to another server. While warm servers have free slots, a cold model server only gets prompts whose parts it is to hold. If no server takes a request, it is refused at once as not run, with a time to return at the rate that cold servers allow. The part is off where a service names no rate or the settings no bound.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -191,6 +191,7 @@
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
 		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> memory().heldBytes());
+		this.metrics.register("gateway.coldServers", (Gauge<Integer>) this.belief::coldServerCount);
 		this.metrics.register("gateway.inFlight", (Gauge<Integer>) this.server::inFlight);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -280,9 +280,9 @@
 	}
 
 	private void sent(boolean overKeptConnection) {
-		if (!this.dispatcher.maySend(this.target)) {
-			throw new BackendFailure(BackendFailure.Kind.WITHHELD, "it rests or leaves since the request was placed",
-					null);
+		String withheldReason = this.dispatcher.trySend(this.target);
+		if (withheldReason != null) {
+			throw new BackendFailure(BackendFailure.Kind.WITHHELD, withheldReason, null);
 		}
 		this.keptConnection = overKeptConnection;
 		this.awaitingResponse = true;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -42,6 +42,8 @@
 
 	private final ServerCandidates candidates;
 
+	private final ColdLimits coldLimits;
+
 	private final LongSupplier clockMs;
 
 	private final WindowedRetryBudget budget;
@@ -71,7 +73,8 @@
 		this.clockMs = clockMs;
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
 		this.retryShare = new RetryShare(options.retryWindowMs(), options.firstStart(), nowMs());
-		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics);
+		this.coldLimits = new ColdLimits(belief, options.policy(), metrics);
+		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics, this.coldLimits);
 		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
 		this.enginePlacement = new EnginePlacement(belief.holders());
 		this.quarantineGuard = quarantineGuard;
@@ -115,8 +118,9 @@
 		if (withinLimits.isEmpty()) {
 			throw this.candidates.refusal(request.service(), untried, binding, nowMs);
 		}
-		Target target = select(request, withinLimits, all, nowMs);
+		Target target = select(request, this.coldLimits.preferred(request, withinLimits, untried, nowMs), all, nowMs);
 		this.belief.requestLimits().consume(target.server().server().id());
+		this.coldLimits.placed(target.server(), nowMs);
 		if (attempt == 1) {
 			retryBudget().recordRequest(request.service(), nowMs);
 		}
@@ -161,13 +165,21 @@
 	}
 
 	/**
-	 * Returns whether a request may still go to its target. It may have waited for a
-	 * connection since the target was chosen.
+	 * Counts a request that is about to be sent, unless its target no longer takes it. It
+	 * may have waited for a connection since the target was chosen.
 	 * @param target the server, or a host that passes the request on
-	 * @return whether the target still takes it
+	 * @return null if it may be sent, else the reason why not
 	 */
-	boolean maySend(Target target) {
-		return target.relay() || this.candidates.maySend(target.server(), nowMs());
+	String trySend(Target target) {
+		long nowMs = nowMs();
+		if (target.relay()) {
+			return null;
+		}
+		if (!this.candidates.maySend(target.server(), nowMs)) {
+			return "it rests or leaves since the request was placed";
+		}
+		return this.coldLimits.trySend(target.server(), nowMs) ? null
+				: "it is cold and gets no more requests of this host now";
 	}
 
 	/**
@@ -225,6 +237,7 @@
 		if (server.isVersionCertain(nowMs())) {
 			this.reach.isReachedByOthers(server.server()).filter((reached) -> !reached).subscribe((gone) -> {
 				server.connectionRefused();
+				this.belief.coldServers().processEnded(server.server().id());
 				this.belief.intake().forget(server.server().id());
 			});
 		}
@@ -237,6 +250,7 @@
 	void recordResponse(Target target) {
 		if (!target.relay()) {
 			target.server().responded(nowMs());
+			this.belief.coldServers().responded(target.server().server().id(), nowMs());
 			this.reach.responded(target.server().server());
 		}
 	}
@@ -343,6 +357,7 @@
 		if (outcome == ServerOutcome.UNREACHABLE) {
 			// The cache of a process that no longer listens is lost.
 			this.belief.holders().forget(target.server().server().id());
+			this.belief.coldServers().unreachable(target.server().server().id(), nowMs());
 		}
 		if (outcome != ServerOutcome.SERVED) {
 			this.metrics.failed(request.service(), outcome.name());
@@ -406,7 +421,8 @@
 	Map<String, Object> dump() {
 		Map<String, Object> budgets = new TreeMap<>();
 		retryBudget().services().forEach((service) -> budgets.put(service, this.budget.usage(service, nowMs())));
-		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets);
+		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets, "coldShares",
+				this.coldLimits.dump(nowMs()));
 	}
 
 	AnswerHead read(int status, Map<String, String> headers) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -9,14 +10,18 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.freshness.ConfigFreshness;
+import io.fescuehold.core.limits.ColdServers;
+import io.fescuehold.core.limits.ColdShares;
 import io.fescuehold.core.limits.ServerIntake;
 import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
+import io.fescuehold.core.routes.ColdStart;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteTable;
+import io.fescuehold.core.routes.RoutedService;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.servers.LoadFractions;
 import io.fescuehold.core.servers.ServerList;
@@ -48,6 +53,9 @@
 	 */
 	private static final int TAKE_UP_LIMITS = 2;
 
+	/** Longer than the window over which the requests to cold servers are limited. */
+	private static final long COLD_WINDOWS_MS = 10_000;
+
 	/** The limit of streams while no configuration is known. */
 	private static final long DEFAULT_STREAM_LIMIT_MS = 60_000;
 
@@ -67,6 +75,12 @@
 
 	private final ServerIntake intake = new ServerIntake();
 
+	private final ColdServers coldServers = new ColdServers();
+
+	private final ColdShares coldShares;
+
+	private final ColdServerMonitor coldMonitor = new ColdServerMonitor();
+
 	private final LoadFractions loadFractions = new LoadFractions();
 
 	private final ServedVersions servedVersions;
@@ -85,6 +99,7 @@
 	public GatewayBelief(String hostId, RoutingCodec codec, LongSupplier clockMs, RandomGenerator random) {
 		this.requestLimits = new ServerRequestLimits(random);
 		this.quarantine = new RequestQuarantine(hostId);
+		this.coldShares = new ColdShares(hostId);
 		this.codec = codec;
 		this.clockMs = clockMs;
 		this.servedVersions = new ServedVersions(streamRetentionMs(), clockMs.getAsLong());
@@ -100,17 +115,22 @@
 	@Override
 	public void onConfirmed(long askedAtMs) {
 		this.freshness.confirm(askedAtMs);
+		this.coldShares.observe(this.hosts, this.clockMs.getAsLong());
+		updateColdMonitor();
 	}
 
 	@Override
 	public void onServers(ServerList list) {
 		this.servers.update(list, this.clockMs.getAsLong());
 		this.servedVersions.observe(list.servers(), this.clockMs.getAsLong());
+		this.coldServers.onList(list.servers(), this.clockMs.getAsLong());
+		updateColdMonitor();
 	}
 
 	@Override
 	public void onHosts(List<HostRecord> live) {
 		this.hosts = List.copyOf(live);
+		this.coldShares.observe(this.hosts, this.clockMs.getAsLong());
 	}
 
 	@Override
@@ -129,11 +149,29 @@
 		this.quarantine.expire(nowMs);
 		this.requestLimits.expire(nowMs);
 		this.intake.expire(nowMs);
+		this.coldShares.expire(nowMs - COLD_WINDOWS_MS);
+		updateColdMonitor();
 		if (this.requestLimits.isEmpty()) {
 			this.loadFractions.clear();
 		}
 	}
 
+	private void updateColdMonitor() {
+		if (this.table == null
+				|| this.table.config().services().stream().noneMatch((service) -> service.coldStart().isLimited())) {
+			return;
+		}
+		Set<String> cold = new HashSet<>();
+		for (ServerState server : this.servers.all()) {
+			ColdStart coldStart = coldStart(server.server().service());
+			if (coldStart.isLimited()
+					&& this.coldServers.isCold(server.server(), coldStart, this.clockMs.getAsLong())) {
+				cold.add(server.server().id());
+			}
+		}
+		this.coldMonitor.update(cold);
+	}
+
 	private void recordLoadFractions() {
 		Map<String, Integer> own = new HashMap<>();
 		Map<String, Integer> all = new HashMap<>();
@@ -190,6 +228,41 @@
 		return this.requestLimits;
 	}
 
+	/**
+	 * Returns which servers are cold.
+	 * @return the servers as far as this daemon knows
+	 */
+	public ColdServers coldServers() {
+		return this.coldServers;
+	}
+
+	/**
+	 * Returns the share of this daemon of the requests to cold servers.
+	 * @return the shares
+	 */
+	public ColdShares coldShares() {
+		return this.coldShares;
+	}
+
+	/**
+	 * Returns the number of cold servers. May be called by any thread.
+	 * @return the number of servers that were lately seen to be cold
+	 */
+	public int coldServerCount() {
+		return this.coldMonitor.count();
+	}
+
+	/**
+	 * Returns how the servers of a service behave after a start.
+	 * @param service the service
+	 * @return the behaviour that the configuration names, or that of servers that are
+	 * never cold
+	 */
+	public ColdStart coldStart(String service) {
+		RoutedService named = (this.table != null) ? this.table.service(service) : null;
+		return (named != null) ? named.coldStart() : ColdStart.NONE;
+	}
+
 	/**
 	 * Returns which servers leave or rest.
 	 * @return what the servers said to this daemon
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -59,6 +59,10 @@
 		this.registry.counter(PREFIX + "limited." + service).inc();
 	}
 
+	void coldHeld(String service) {
+		this.registry.counter(PREFIX + "coldHeld." + service).inc();
+	}
+
 	void resting(String service) {
 		this.registry.counter(PREFIX + "resting." + service).inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
@@ -34,13 +34,16 @@
 
 	private final GatewayMetrics metrics;
 
+	private final ColdLimits coldLimits;
+
 	/** When the next refused caller of each service is asked to return. */
 	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
 
-	ServerCandidates(GatewayBelief belief, long leavingUseMs, GatewayMetrics metrics) {
+	ServerCandidates(GatewayBelief belief, long leavingUseMs, GatewayMetrics metrics, ColdLimits coldLimits) {
 		this.belief = belief;
 		this.leavingUseMs = leavingUseMs;
 		this.metrics = metrics;
+		this.coldLimits = coldLimits;
 	}
 
 	/**
@@ -88,11 +91,12 @@
 	 * @return some or all of the servers
 	 */
 	List<ServerState> withinLimits(String service, List<ServerState> servers, long nowMs) {
+		List<ServerState> withRoom = this.coldLimits.withRoom(service, servers, nowMs);
 		if (this.belief.requestLimits().isEmpty()) {
-			return servers;
+			return withRoom;
 		}
 		double loadFraction = this.belief.loadFraction(service);
-		return servers.stream()
+		return withRoom.stream()
 			.filter((server) -> this.belief.requestLimits().hasRoom(server, loadFraction, nowMs))
 			.filter((server) -> this.belief.requestLimits().isAllowed(server.server().id(), loadFraction, nowMs))
 			.toList();
@@ -173,8 +177,11 @@
 			.map((server) -> server.server().id())
 			.filter((serverId) -> this.belief.requestLimits().isLimited(serverId, nowMs))
 			.toList();
-		long waitMs = limited.isEmpty() ? MIN_LIMIT_RETRY_AFTER_MS
-				: this.belief.requestLimits().meanWaitMs(limited, this.belief.loadFraction(service), nowMs);
+		long coldWaitMs = this.coldLimits.meanWaitMs(service, servers, nowMs);
+		long waitMs = (coldWaitMs >= 0) ? coldWaitMs : MIN_LIMIT_RETRY_AFTER_MS;
+		if (!limited.isEmpty()) {
+			waitMs = this.belief.requestLimits().meanWaitMs(limited, this.belief.loadFraction(service), nowMs);
+		}
 		return returnLater(service, nowMs, waitMs, nowMs);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -8,14 +8,17 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.drain.DrainSchedule;
+import io.fescuehold.core.limits.ServingPolicy;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.ServerReach;
 import io.fescuehold.core.port.StreamVersions;
 import io.fescuehold.core.routes.CallerLimits;
+import io.fescuehold.core.routes.ColdStart;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.RouteKind;
 import io.fescuehold.core.routes.RoutedService;
@@ -64,6 +67,8 @@
 
 	private final String address;
 
+	private final List<BackendServer> list = new ArrayList<>();
+
 	TestGateway(ScriptedServer... servers) {
 		this(100, servers);
 	}
@@ -73,29 +78,29 @@
 	}
 
 	TestGateway(int retryExtra, Duration recordTime, ScriptedServer... servers) {
-		this("127.0.0.1", 0, new SingleHostReach(null), retryExtra, recordTime, servers);
+		this("127.0.0.1", 0, new SingleHostReach(null), retryExtra, recordTime, ColdStart.NONE, servers);
 	}
 
 	private TestGateway(String address, int relayPort, ServerReach reach, int retryExtra, Duration recordTime,
-			ScriptedServer... servers) {
+			ColdStart coldStart, ScriptedServer... servers) {
 		this.address = address;
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
-		this.belief = new GatewayBelief(address, (submitted) -> config(),
+		this.belief = new GatewayBelief(address, (submitted) -> config(coldStart),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions(address, 0, relayPort, "a", 60_000, 1_000,
-				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT);
+				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT,
+				new ServingPolicy(1.5, 5, 0, 0));
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(),
 				new SingleHostVersions(this.belief, recordTime, this.scheduler), reach, this.scheduler, this.loops,
 				this.metrics, new SplittableRandom(1));
 		this.belief.onDocument(Documents.of(1, "{}".getBytes(StandardCharsets.UTF_8)));
 		this.belief.onConfirmed(this.scheduler.now(TimeUnit.MILLISECONDS));
 		this.belief.onHosts(List.of(new HostRecord(address, "a", 1, null, HostState.READY)));
-		List<BackendServer> list = new ArrayList<>();
 		for (int index = 0; index < servers.length; index++) {
-			list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", SLOTS, false,
-					"v1"));
+			this.list.add(new BackendServer("i-" + index, "service", "127.0.0.1:" + servers[index].port(), "a", SLOTS,
+					false, "v1"));
 		}
-		this.belief.onServers(new ServerList(1, list));
+		this.belief.onServers(new ServerList(1, this.list));
 		this.server.start();
 	}
 
@@ -106,14 +111,50 @@
 	 * @return the gateway
 	 */
 	static TestGateway cutOff(int relayPort, ScriptedServer... servers) {
-		return new TestGateway("127.0.0.2", relayPort, new SingleHostReach("127.0.0.1"), 100, Duration.ZERO, servers);
+		return new TestGateway("127.0.0.2", relayPort, new SingleHostReach("127.0.0.1"), 100, Duration.ZERO,
+				ColdStart.NONE, servers);
+	}
+
+	/**
+	 * Starts a gateway in front of servers that limit their requests while they are cold.
+	 * @param coldStart how the servers behave after a start
+	 * @param servers the servers
+	 * @return the gateway
+	 */
+	static TestGateway withColdStart(ColdStart coldStart, ScriptedServer... servers) {
+		return new TestGateway("127.0.0.1", 0, new SingleHostReach(null), 100, Duration.ZERO, coldStart, servers);
+	}
+
+	/**
+	 * Applies a list in which the first servers are cold.
+	 * @param count the number of cold servers
+	 */
+	void setCold(int count) {
+		Mono.fromRunnable(() -> this.belief.onServers(new ServerList(2,
+				IntStream.range(0, this.list.size())
+					.mapToObj(
+							(index) -> this.list.get(index).withColdMs((index < count) ? BackendServer.MAX_COLD_MS : 0))
+					.toList())))
+			.subscribeOn(this.scheduler)
+			.block();
+	}
+
+	/**
+	 * Records that the leader confirmed the configuration and the list of hosts.
+	 */
+	void confirm() {
+		Mono.fromRunnable(() -> this.belief.onConfirmed(nowMs())).subscribeOn(this.scheduler).block();
 	}
 
 	static RoutingConfig config() {
+		return config(ColdStart.NONE);
+	}
+
+	private static RoutingConfig config(ColdStart coldStart) {
 		return new RoutingConfig(1, List.of(route("lookup", RouteKind.IDEMPOTENT, false, 2),
 				route("order", RouteKind.NON_IDEMPOTENT, false, 1), route("resumable", RouteKind.STREAMING, true, 2),
 				route("once", RouteKind.STREAMING, false, 1), patientRoute()),
-				List.of(new RoutedService("service", "/", 10, null)), CallerLimits.DEFAULT,
+				List.of(new RoutedService("service", "/", 10, null, coldStart)), CallerLimits.DEFAULT,
 				List.of(new TeamAccess("team", List.of("key"), 0)));
 	}
 
