--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ColdLimits.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ColdLimits.java
@@ -140,7 +140,6 @@
 		if (cold == 0) {
 			return -1;
 		}
-		this.metrics.coldHeld(service);
 		return this.belief.coldShares().meanWaitMs(cold, budget);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
@@ -178,7 +178,11 @@
 			.filter((serverId) -> this.belief.requestLimits().isLimited(serverId, nowMs))
 			.toList();
 		long coldWaitMs = this.coldLimits.meanWaitMs(service, servers, nowMs);
-		long waitMs = (coldWaitMs >= 0) ? coldWaitMs : MIN_LIMIT_RETRY_AFTER_MS;
+		long waitMs = MIN_LIMIT_RETRY_AFTER_MS;
+		if (coldWaitMs >= 0) {
+			this.metrics.coldHeld(service);
+			waitMs = coldWaitMs;
+		}
 		if (!limited.isEmpty()) {
 			waitMs = this.belief.requestLimits().meanWaitMs(limited, this.belief.loadFraction(service), nowMs);
 		}
