--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Hedging.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Hedging.java
@@ -27,17 +27,20 @@
 
 	private final ServerCandidates candidates;
 
+	private final ColdLimits coldLimits;
+
 	private final QuarantineGuard guard;
 
 	private final GatewayMetrics metrics;
 
 	private final GatewayLog log;
 
-	Hedging(HedgePolicy policy, GatewayBelief belief, ServerCandidates candidates, QuarantineGuard guard,
-			GatewayMetrics metrics, GatewayLog log) {
+	Hedging(HedgePolicy policy, GatewayBelief belief, ServerCandidates candidates, ColdLimits coldLimits,
+			QuarantineGuard guard, GatewayMetrics metrics, GatewayLog log) {
 		this.policy = policy;
 		this.belief = belief;
 		this.candidates = candidates;
+		this.coldLimits = coldLimits;
 		this.guard = guard;
 		this.metrics = metrics;
 		this.log = log;
@@ -127,7 +130,7 @@
 		List<ServerState> open = this.candidates.withinLimits(request.service(),
 				this.candidates.of(request.service(), tally.tried(), new VersionBinding.Unbound(), nowMs), nowMs);
 		return open.stream()
-			.filter((server) -> server.health().isUsable(nowMs) && server.server().coldMs() == 0
+			.filter((server) -> server.health().isUsable(nowMs) && !this.coldLimits.isCold(server, nowMs)
 					&& server.load() < MAX_SERVER_LOAD_RATIO * server.server().slots())
 			.filter((server) -> !request.route().isStreaming() || isSameVersion(server, first.server(), nowMs))
 			.filter((server) -> subject == null || this.belief.holders().holds(subject, server.server().id(), nowMs))
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/EvacuatedServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/EvacuatedServerTests.java
@@ -10,6 +10,8 @@
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.evacuation.EvacuationOrder;
 import io.fescuehold.core.evacuation.Evacuations;
+import io.fescuehold.core.limits.ServingPolicy;
+import io.fescuehold.core.routes.ColdStart;
 import io.fescuehold.core.routes.EvacuationCommand;
 import io.fescuehold.core.routes.RoutingDocument;
 import io.fescuehold.core.routes.RoutingState;
@@ -88,6 +90,20 @@
 		}
 	}
 
+	// The servers may have become cold shortly before, and the list shows it late.
+	@Test
+	void serversOfADomainThatIsGivenBackCountAsCold() {
+		ColdStart coldStart = new ColdStart(3_000, 17);
+		GatewayBelief belief = new GatewayBelief("10.0.0.9", (submitted) -> TestGateway.config(), () -> 0,
+				new SplittableRandom(1));
+		belief.onServers(new ServerList(1, List.of(new BackendServer("1", "s", "10.0.0.1:80", "a", 4, false, "v1"),
+				new BackendServer("2", "s", "10.0.0.2:80", "b", 4, false, "v1"))));
+		belief.onEvacuations(new Evacuations(1, Set.of("a")));
+		belief.onEvacuations(new Evacuations(2, Set.of()));
+		assertThat(belief.coldServers().isCold(belief.servers().find("1").server(), coldStart, 2_999)).isTrue();
+		assertThat(belief.coldServers().isCold(belief.servers().find("2").server(), coldStart, 0)).isFalse();
+	}
+
 	// A request may wait for a connection while the order arrives. Its prompt may still
 	// be copied from a server of the domain.
 	@Test
@@ -96,7 +112,9 @@
 				new SplittableRandom(1));
 		belief.onServers(new ServerList(1, List.of(new BackendServer("1", "s", "10.0.0.1:80", "a", 4, false, "v1"),
 				new BackendServer("2", "s", "10.0.0.2:80", "b", 4, true, "v1"))));
-		ServerCandidates candidates = new ServerCandidates(belief, 1_000, new GatewayMetrics(new MetricRegistry()));
+		GatewayMetrics metrics = new GatewayMetrics(new MetricRegistry());
+		ServerCandidates candidates = new ServerCandidates(belief, 1_000, metrics,
+				new ColdLimits(belief, ServingPolicy.NONE, metrics));
 		ServerState server = belief.servers().find("1");
 		assertThat(candidates.maySend(server, 0)).isTrue();
 		belief.onEvacuations(new Evacuations(1, Set.of("a", "b")));
