--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PromptPart.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PromptPart.java
@@ -15,6 +15,7 @@
 	 */
 	public PromptPart {
 		Objects.requireNonNull(id, "id");
+		tokens = Math.max(0, tokens);
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PromptShape.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/PromptShape.java
@@ -7,14 +7,26 @@
  *
  * @param parts the parts in order; the last one belongs to this request or its session
  * @param maxOutputTokens the maximum number of tokens to generate
+ * @param lengthHint the caller's estimate of the number of tokens to generate, or 0 if it
+ * gives none
  */
-public record PromptShape(List<PromptPart> parts, int maxOutputTokens) {
+public record PromptShape(List<PromptPart> parts, int maxOutputTokens, int lengthHint) {
 
 	/**
 	 * Copies the list.
 	 */
 	public PromptShape {
 		parts = List.copyOf(parts);
+		lengthHint = Math.max(0, lengthHint);
+	}
+
+	/**
+	 * Creates a shape without an estimate of the caller.
+	 * @param parts the parts in order
+	 * @param maxOutputTokens the maximum number of tokens to generate
+	 */
+	public PromptShape(List<PromptPart> parts, int maxOutputTokens) {
+		this(parts, maxOutputTokens, 0);
 	}
 
 	/**
@@ -43,7 +55,7 @@
 	 * @return the length in tokens
 	 */
 	public int promptTokens() {
-		return this.parts.stream().mapToInt(PromptPart::tokens).sum();
+		return (int) Math.min(Integer.MAX_VALUE, this.parts.stream().mapToLong(PromptPart::tokens).sum());
 	}
 
 }
