Servers that are slow, for a moment or for good, get less of the load

Cause: all servers of a service counted as equally fast. A report under 100 ms old replaces the sum of requests, with own requests since added, so that none counts twice. LeastLoadedSelector weighs the load by the speed. Without report and times the decision is as before.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
@@ -5,9 +5,9 @@
 
 /**
  * Chooses a server of a plain service: the one with the least load for its slots, where a
- * server that fails requests counts as more loaded. Among equally loaded servers, those
- * in the daemon's own failure domain are preferred. Remaining ties are broken at random,
- * so that daemons with the same view do not all choose the same server.
+ * server that fails requests or is slow counts as more loaded. Among equally loaded
+ * servers, those in the daemon's own failure domain are preferred. Remaining ties are
+ * broken at random, so that daemons with the same view do not all choose the same server.
  */
 public final class LeastLoadedSelector {
 
@@ -53,8 +53,8 @@
 	private double cost(ServerState candidate, long nowMs) {
 		double penaltyRequests = candidate.server().failureDomain().equals(this.failureDomain) ? 0
 				: REMOTE_DOMAIN_PENALTY_REQUESTS;
-		double load = (candidate.load() + 1 + penaltyRequests) / Math.max(1, candidate.server().slots());
-		return load * (1 + FAILURE_FACTOR * candidate.health().failureRate(nowMs));
+		double load = (candidate.load(nowMs) + 1 + penaltyRequests) / Math.max(1, candidate.server().slots());
+		return load * candidate.speed().factor(nowMs) * (1 + FAILURE_FACTOR * candidate.health().failureRate(nowMs));
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerState.java
@@ -2,15 +2,27 @@
 
 /**
  * The state of a server as known to this daemon: its entry in the server list, its
- * outstanding requests and its health. Confined to one thread.
+ * outstanding requests, its health and its speed. Confined to one thread.
  */
 public final class ServerState {
 
 	/** The time within which the lists of all hosts show a started process. */
 	public static final long LIST_DELAY_MS = 3_000;
 
+	/** While a report is younger, it tells more than the samples of the other daemons. */
+	static final long FRESH_REPORT_MS = 100;
+
 	private final ServerHealth health = new ServerHealth();
 
+	private ServerSpeed speed = new ServerSpeed();
+
+	private ServerLoadReport report;
+
+	private long reportedMs;
+
+	/** Own requests sent since the report, less those that have ended since. */
+	private int ownChange;
+
 	private BackendServer server;
 
 	private int ownRequests;
@@ -56,6 +68,8 @@
 	 * next one may have the same id and another version.
 	 */
 	public void connectionRefused() {
+		this.speed = new ServerSpeed();
+		this.report = null;
 		this.refusedConnections = true;
 	}
 
@@ -95,11 +109,59 @@
 		return this.health;
 	}
 
+	/**
+	 * Returns how long work takes at the server.
+	 * @return the speed
+	 */
+	public ServerSpeed speed() {
+		return this.speed;
+	}
+
+	/**
+	 * Records what the server said of its load.
+	 * @param report the report
+	 * @param endedRequests the requests of this daemon that the report counts and that
+	 * have ended
+	 * @param nowMs the time in milliseconds
+	 */
+	public void recordReport(ServerLoadReport report, int endedRequests, long nowMs) {
+		this.speed.recordReport(report, nowMs);
+		this.report = report;
+		this.reportedMs = nowMs;
+		this.ownChange = -endedRequests;
+	}
+
+	/**
+	 * Returns the number of requests that wait at the server.
+	 * @param nowMs the time in milliseconds
+	 * @return the number by a fresh report, 0 without one
+	 */
+	public int waiting(long nowMs) {
+		return isReportFresh(nowMs) ? this.report.waiting() : 0;
+	}
+
+	/**
+	 * Returns the number of requests at the server by the freshest source. A fresh report
+	 * contains the requests of all daemons, so that nothing is added to it but the
+	 * changes of this daemon since.
+	 * @param nowMs the time in milliseconds
+	 * @return the number
+	 */
+	public int load(long nowMs) {
+		return isReportFresh(nowMs)
+				? Math.max(this.ownRequests, this.report.running() + this.report.waiting() + this.ownChange) : load();
+	}
+
+	private boolean isReportFresh(long nowMs) {
+		return this.report != null && nowMs - this.reportedMs < FRESH_REPORT_MS;
+	}
+
 	/**
 	 * Counts a request that is sent to the server.
 	 */
 	public void begin() {
 		this.ownRequests++;
+		this.ownChange++;
 	}
 
 	/**
@@ -107,6 +169,7 @@
 	 */
 	public void end() {
 		this.ownRequests--;
+		this.ownChange--;
 	}
 
 	/**
