Hosts tell each other the memory of engines and learn from answers

Cause: the reports of servers were decoded and read by nobody, and each host knew only its own part of an engine's memory.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/Fleet.java
@@ -359,7 +359,7 @@
 	private SyncMessage.Pull createPull(String target, long heldNumber) {
 		Map<String, Set<String>> partsRead = target.equals(knownLeader()) ? this.listener.takePartsRead() : Map.of();
 		return new SyncMessage.Pull(ownRecord(), heldNumber, this.servers.revision(), this.hostsRevision,
-				this.listener.ownRequests(), partsRead);
+				this.listener.ownRequests(), partsRead, this.listener.ownMemory());
 	}
 
 	private HostRecord ownRecord() {
@@ -390,6 +390,7 @@
 			this.hostsRevision = news.hostsRevision();
 		}
 		this.listener.onOtherRequests(news.otherRequests());
+		this.listener.onOtherMemory(news.otherMemory());
 		this.listener.onPartsRead(news.otherPartsRead());
 		schedulePull(obeyed ? Math.max(0, MIN_PULL_INTERVAL_MS - (nowMs - askedAtMs)) : this.options.timing().holdMs());
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetHub.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Predicate;
 
@@ -32,6 +33,12 @@
 	/** Repeats lost announcements before a daemon has found the leader by searching. */
 	private static final long ANNOUNCE_INTERVAL_MS = 300;
 
+	/**
+	 * Servers with less memory in use have room whatever their engine, and are left out
+	 * of replies.
+	 */
+	private static final int MIN_REPORTED_UNITS = 32;
+
 	private final FleetOptions options;
 
 	private final RoutingReplica replica;
@@ -42,6 +49,8 @@
 
 	private final FleetLoad load;
 
+	private final FleetLoad memory;
+
 	private final PartReportRelay partUpdates;
 
 	private final List<HeldPull> heldPulls = new ArrayList<>();
@@ -63,6 +72,7 @@
 		this.hosts = hosts;
 		this.configuration = configuration;
 		this.load = new FleetLoad(options.timing().silenceMs());
+		this.memory = new FleetLoad(options.timing().silenceMs());
 		this.partUpdates = new PartReportRelay(MAX_PART_UPDATES, options.timing().silenceMs());
 	}
 
@@ -89,6 +99,7 @@
 				.then(Mono.fromSupplier(() -> redirect(pull)));
 		}
 		this.load.put(pull.sender().hostId(), pull.requests(), nowMs);
+		this.memory.put(pull.sender().hostId(), Objects.requireNonNullElse(pull.memory(), Map.of()), nowMs);
 		this.partUpdates.put(pull.sender().hostId(), pull.partsRead(), nowMs);
 		Mono<Void> ready = hasUpdates(pull) ? Mono.empty() : hold(pull, nowMs);
 		return ready.then(this.replica.readBarrier())
@@ -120,7 +131,13 @@
 				hasNewServers(pull) ? this.servers : null, this.hosts.revision(),
 				(this.hosts.revision() != pull.hostsRevision()) ? this.hosts.hosts() : null,
 				this.load.totalExcluding(pull.sender().hostId(), nowMs), this.partUpdates.take(pull.sender().hostId()),
-				document.number());
+				document.number(), otherMemory(pull.sender().hostId(), nowMs));
+	}
+
+	private Map<String, Integer> otherMemory(String hostId, long nowMs) {
+		Map<String, Integer> units = this.memory.totalExcluding(hostId, nowMs);
+		units.values().removeIf((total) -> total < MIN_REPORTED_UNITS);
+		return units;
 	}
 
 	Mono<SubmissionOutcome> submit(RoutingDocument submission) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetListener.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/FleetListener.java
@@ -49,6 +49,22 @@
 	 */
 	Map<String, Integer> ownRequests();
 
+	/**
+	 * Called with the memory that requests in flight from the other daemons take.
+	 * @param units the memory by server id, without small values, or null if the leader
+	 * does not know it
+	 */
+	default void onOtherMemory(Map<String, Integer> units) {
+	}
+
+	/**
+	 * Returns the memory that requests in flight from this daemon take.
+	 * @return the memory by server id, empty if there is none
+	 */
+	default Map<String, Integer> ownMemory() {
+		return Map.of();
+	}
+
 	/**
 	 * Called with the prompt parts that servers have read for the other daemons.
 	 * @param partsByServer the ids of the parts by server id
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -25,15 +25,22 @@
 	 * @param requests the number of the sender's requests in flight, by server
 	 * @param partsRead the prompt parts that servers have read for the sender since its
 	 * last pull, by server
+	 * @param memory the memory that the sender's requests in flight take at engines, in
+	 * units by server, or null from a daemon of an earlier version
 	 */
 	record Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
-			Map<String, Set<String>> partsRead) implements SyncMessage {
+			Map<String, Set<String>> partsRead, Map<String, Integer> memory) implements SyncMessage {
 
 		// A daemon of an earlier version sends no parts.
 		public Pull {
 			partsRead = Objects.requireNonNullElse(partsRead, Map.of());
 		}
 
+		Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
+				Map<String, Set<String>> partsRead) {
+			this(sender, number, serversRevision, hostsRevision, requests, partsRead, null);
+		}
+
 	}
 
 	/**
@@ -55,16 +62,26 @@
 	 * since the last pull of the sender, by server
 	 * @param number the number of the newest configuration, or null if the replying
 	 * daemon is not the leader or runs an earlier version
+	 * @param otherMemory the memory that requests in flight from all other daemons take
+	 * at engines, in units by server, without small values; null if the replying daemon
+	 * is not the leader or runs an earlier version
 	 */
 	record News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
 			List<HostRecord> hosts, Map<String, Integer> otherRequests, Map<String, Set<String>> otherPartsRead,
-			Long number) implements SyncMessage {
+			Long number, Map<String, Integer> otherMemory) implements SyncMessage {
 
 		// A daemon of an earlier version sends no parts.
 		public News {
 			otherPartsRead = Objects.requireNonNullElse(otherPartsRead, Map.of());
 		}
 
+		News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
+				List<HostRecord> hosts, Map<String, Integer> otherRequests, Map<String, Set<String>> otherPartsRead,
+				Long number) {
+			this(leaderHostId, current, document, servers, hostsRevision, hosts, otherRequests, otherPartsRead, number,
+					null);
+		}
+
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -76,6 +76,7 @@
 	private Mono<BackendResponse> attempt() {
 		Dispatcher.Target target = this.attempts.next();
 		this.attempts.started();
+		long startedAtMs = this.dispatcher.nowMs();
 		Mono<BackendResponse> exchange = BackendExchange
 			.sendAndCollect(this.dispatcher.client(target), this.attempts.prepare(-1), MAX_RESPONSE_BYTES,
 					this.request.memory())
@@ -94,8 +95,8 @@
 			exchange = exchange.timeout(slow, Mono.error(() -> new BackendFailure(BackendFailure.Kind.STALLED,
 					"no response within " + slowMs + " ms", null)));
 		}
-		return exchange.map((response) -> new Outcome(response, null))
-			.onErrorResume((failure) -> Mono.just(new Outcome(null, failure)))
+		return exchange.map((response) -> new Outcome(response, null, target, this.dispatcher.nowMs() - startedAtMs))
+			.onErrorResume((failure) -> Mono.just(new Outcome(null, failure, target, 0)))
 			.flatMap(this::evaluate);
 	}
 
@@ -125,6 +126,7 @@
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
 		this.attempts.served(BackendExchange.isFramed(response.headers()));
+		this.dispatcher.placement().recordAnswer(this.request, outcome.target, outcome.tookMs, this.dispatcher.nowMs());
 		return Mono.just(response);
 	}
 
@@ -132,7 +134,7 @@
 		return (refusal != null) ? Mono.error(refusal) : this.attempts.beforeRetry().then(Mono.defer(this::attempt));
 	}
 
-	private record Outcome(BackendResponse response, Throwable failure) {
+	private record Outcome(BackendResponse response, Throwable failure, Dispatcher.Target target, long tookMs) {
 
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -12,12 +12,9 @@
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.ServerReach;
-import io.fescuehold.core.prompt.EngineChoice;
-import io.fescuehold.core.prompt.EnginePlacement;
 import io.fescuehold.core.retry.RetryShare;
 import io.fescuehold.core.retry.WindowedRetryBudget;
 import io.fescuehold.core.servers.BackendServer;
-import io.fescuehold.core.servers.LeastLoadedSelector;
 import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.runtime.backend.BackendPool;
@@ -48,9 +45,7 @@
 
 	private final RetryShare retryShare;
 
-	private final LeastLoadedSelector leastLoadedSelector;
-
-	private final EnginePlacement enginePlacement;
+	private final RequestPlacement placement;
 
 	private final QuarantineGuard quarantineGuard;
 
@@ -72,8 +67,7 @@
 		this.budget = new WindowedRetryBudget(options.retryRatio(), options.retryExtra(), options.retryWindowMs());
 		this.retryShare = new RetryShare(options.retryWindowMs(), options.firstStart(), nowMs());
 		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics);
-		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
-		this.enginePlacement = new EnginePlacement(belief.holders());
+		this.placement = new RequestPlacement(options.failureDomain(), belief, random);
 		this.quarantineGuard = quarantineGuard;
 		this.reach = reach;
 		this.relays = new RelayTargets(reach, options.relayPort(), metrics, log);
@@ -121,7 +115,7 @@
 			retryBudget().recordRequest(request.service(), nowMs);
 		}
 		this.metrics.placed(target.reason());
-		this.log.placed(request, target, attempt);
+		this.log.placed(request, target, attempt, () -> this.placement.describe(target, nowMs));
 		return target;
 	}
 
@@ -129,12 +123,7 @@
 		if (this.quarantineGuard.isSuspected(request)) {
 			return new Target(isolated(request, servers, nowMs), null, Target.SUSPECTED, false);
 		}
-		if (request.head().prompt() != null) {
-			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), servers,
-					this.candidates.copySources(all, nowMs), nowMs);
-			return new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false);
-		}
-		return new Target(this.leastLoadedSelector.select(servers, nowMs), null, "LEAST_COST", false);
+		return this.placement.select(request, servers, this.candidates.copySources(all, nowMs), nowMs);
 	}
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
@@ -311,10 +300,20 @@
 
 	void attemptStarted(Target target) {
 		target.server().begin();
+		this.placement.started(target);
 	}
 
 	void attemptEnded(Target target) {
 		target.server().end();
+		this.placement.ended(target);
+	}
+
+	/**
+	 * Returns what places requests and learns from their times.
+	 * @return the placement
+	 */
+	RequestPlacement placement() {
+		return this.placement;
 	}
 
 	/**
@@ -370,6 +369,10 @@
 		if (head.restMs() != null && this.belief.intake().recordRest(server.id(), head.restMs(), nowMs)) {
 			this.log.rests(server, head.restMs());
 		}
+		if (head.load() != null) {
+			// A plain response is read after its request, which the report counts, ended.
+			target.server().recordReport(head.load(), (target.work() == null) ? 1 : 0, nowMs);
+		}
 		recordLimit(server, head, target.server().load(), sentAtMs);
 	}
 
@@ -420,12 +423,17 @@
 	 * @param copyFrom a server to copy prompt parts from, or null
 	 * @param reason why the server was chosen
 	 * @param relay whether it is another host that passes the request on
+	 * @param work what the request takes at a model engine, or null
 	 */
-	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
+	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay, RequestPlacement.Work work) {
 
 		/** The reason for a server that runs no other suspected request of this host. */
 		static final String SUSPECTED = "SUSPECTED";
 
+		Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
+			this(server, copyFrom, reason, relay, null);
+		}
+
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -12,6 +12,7 @@
 import io.fescuehold.core.limits.ServerIntake;
 import io.fescuehold.core.limits.ServerRequestLimits;
 import io.fescuehold.core.membership.HostRecord;
+import io.fescuehold.core.prompt.MemoryInUse;
 import io.fescuehold.core.prompt.PartHolders;
 import io.fescuehold.core.quarantine.RequestQuarantine;
 import io.fescuehold.core.routes.CallerLimits;
@@ -61,6 +62,8 @@
 
 	private final PartHolders holders = new PartHolders(MAX_TRACKED_PARTS, PART_RETENTION_MS);
 
+	private final MemoryInUse memoryInUse = new MemoryInUse();
+
 	private final RequestQuarantine quarantine;
 
 	private final ServerRequestLimits requestLimits;
@@ -156,6 +159,24 @@
 		return requests;
 	}
 
+	@Override
+	public void onOtherMemory(Map<String, Integer> units) {
+		this.memoryInUse.setOtherUnits(units);
+	}
+
+	@Override
+	public Map<String, Integer> ownMemory() {
+		return this.memoryInUse.ownUnits();
+	}
+
+	/**
+	 * Returns the memory of engines that requests in flight take.
+	 * @return the memory by server
+	 */
+	public MemoryInUse memoryInUse() {
+		return this.memoryInUse;
+	}
+
 	@Override
 	public void onPartsRead(Map<String, Set<String>> partsByServer) {
 		this.holders.recordReportedParts(partsByServer, this.clockMs.getAsLong());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.FescueholdException;
@@ -66,16 +67,17 @@
 		}
 	}
 
-	void placed(GatewayRequest request, Dispatcher.Target target, int attempt) {
+	void placed(GatewayRequest request, Dispatcher.Target target, int attempt, Supplier<String> inputs) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
 				.log("request %s attempt %d of route %s to server %s of version %s, load %d, reason %s, copy from %s,"
-						+ " left %d ms, list %d%s", request.head().requestId(), attempt, request.route().name(),
+						+ " left %d ms, list %d%s%s", request.head().requestId(), attempt, request.route().name(),
 						target.server().server().id(), target.server().server().version(), target.server().load(),
 						target.reason(), (target.copyFrom() != null) ? target.copyFrom().server().id() : "none",
 						request.leftMs(this.clockMs.getAsLong()), this.belief.servers().revision(),
 						request.head().takesUp() ? ", takes up the stream of " + request.head().resumes()
-								+ " after event " + request.head().resumeAfter() : "");
+								+ " after event " + request.head().resumeAfter() : "",
+						inputs.get());
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -4,6 +4,7 @@
 import io.fescuehold.core.quarantine.RequestIdentity;
 import io.fescuehold.core.routes.Route;
 import io.fescuehold.core.routes.TeamAccess;
+import io.fescuehold.core.servers.RequestDemand;
 import io.fescuehold.runtime.http.ByteBudget;
 
 /**
@@ -46,6 +47,17 @@
 		return Math.clamp((long) teamPriority * ROUTE_PRIORITIES + routePriority, 0, LEAST_URGENT);
 	}
 
+	/**
+	 * Returns what the request asks of a server.
+	 * @param readTokens the tokens of the prompt
+	 * @param writeTokens the expected tokens of the response
+	 * @return the demand
+	 */
+	RequestDemand demand(int readTokens, int writeTokens) {
+		return new RequestDemand(readTokens, writeTokens, urgency(), (this.team != null) ? this.team.name() : "",
+				this.route.objectiveMs(), this.deadlineAtMs);
+	}
+
 	long leftMs(long nowMs) {
 		return this.deadlineAtMs - nowMs;
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -459,10 +459,10 @@
 
 	private Map<String, Object> dump(ServerState state) {
 		long nowMs = this.clockMs.getAsLong();
-		return Map.of("server", state.server(), "load", state.load(), "own", state.ownRequests(), "failureRate",
-				state.health().failureRate(nowMs), "usable", state.health().isUsable(nowMs), "resting",
-				this.belief.intake().isResting(state.server().id(), nowMs), "leavingMs",
-				this.belief.intake().leavingMs(state, nowMs));
+		return Map.of("speed", this.dispatcher.placement().dump(state, nowMs), "server", state.server(), "load",
+				state.load(), "own", state.ownRequests(), "failureRate", state.health().failureRate(nowMs), "usable",
+				state.health().isUsable(nowMs), "resting", this.belief.intake().isResting(state.server().id(), nowMs),
+				"leavingMs", this.belief.intake().leavingMs(state, nowMs));
 	}
 
 	@Override
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -89,6 +89,8 @@
 
 	private long progressAtMs;
 
+	private long attemptAtMs;
+
 	/** The bytes of the event that is not complete. */
 	private long heldBytes;
 
@@ -175,6 +177,7 @@
 	private Flux<StreamItem> attempt() {
 		Dispatcher.Target target = this.attempts.next();
 		this.attempts.started();
+		this.attemptAtMs = this.dispatcher.nowMs();
 		Flux<StreamItem> items = BackendExchange
 			.send(this.dispatcher.client(target), this.attempts.prepare(this.headSent ? this.position : -1),
 					(head, content) -> receive(target, head, content))
@@ -296,6 +299,10 @@
 		if (this.headSent) {
 			return emitEvent(event);
 		}
+		if (!this.request.head().takesUp()) {
+			long nowMs = this.dispatcher.nowMs();
+			this.dispatcher.placement().recordFirstEvent(target, nowMs - this.attemptAtMs, nowMs);
+		}
 		// The attempt may fail while the record is made. Nothing has been sent then, so
 		// that the next one begins with this event.
 		return recordVersion()
@@ -337,6 +344,9 @@
 			return protocolFailure("the stream ends in the middle of an event");
 		}
 		this.attempts.served(framed);
+		if (!this.request.head().takesUp()) {
+			this.dispatcher.placement().recordLength(this.request, target, this.position);
+		}
 		return emitHead(target, head);
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/SyncMessageTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/discovery/SyncMessageTests.java
@@ -1,9 +1,12 @@
 package io.fescuehold.runtime.discovery;
 
+import java.io.IOException;
 import java.util.Map;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
+import io.fescuehold.runtime.transport.MessagePack;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -21,4 +24,24 @@
 			.isEmpty();
 	}
 
+	// A daemon of the earlier version neither sends nor reads the memory of engines.
+	@Test
+	void memoryOfEnginesIsUnknownBesideAnEarlierVersion() throws IOException {
+		ObjectMapper mapper = MessagePack.mapper();
+		HostRecord sender = new HostRecord("10.0.0.1", "a", 1, null, HostState.READY);
+		SyncMessage.Pull pull = new SyncMessage.Pull(sender, 1, 2, 3, Map.of("s", 4), Map.of(), Map.of("s", 9));
+		SyncMessage.News news = new SyncMessage.News("10.0.0.1", true, null, null, 1, null, Map.of("s", 4), Map.of(),
+				5L, Map.of("s", 40));
+		assertThat(mapper.readValue(mapper.writeValueAsBytes(pull), SyncMessage.Pull.class)).isEqualTo(pull);
+		assertThat(mapper.readValue(mapper.writeValueAsBytes(news), SyncMessage.News.class)).isEqualTo(news);
+		assertThat(mapper.readValue(mapper.writeValueAsBytes(news), EarlierNews.class).otherRequests())
+			.isEqualTo(Map.of("s", 4));
+		byte[] earlier = mapper.writeValueAsBytes(new EarlierNews("10.0.0.1", true, Map.of("s", 4), 5L));
+		assertThat(mapper.readValue(earlier, SyncMessage.News.class).otherMemory()).isNull();
+	}
+
+	record EarlierNews(String leaderHostId, boolean current, Map<String, Integer> otherRequests, Long number) {
+
+	}
+
 }
