Prompts leave a slow home only where they may miss their objective

Cause: a saving of 5 % of the objective moved prompts that were far from late, so that their parts were read at two servers. Change: the home is left only if the first event would take more than half of the objective there; sources of copies are no longer looked up for plain requests; counters gateway.copies and gateway.unreadTokens by service.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
@@ -13,9 +13,10 @@
  * so that all daemons agree on a home server for each part without communication, with
  * bounded load. A prompt whose home is above the bound, or has no memory left for it,
  * goes to the next server of its hash order. It also leaves a home that is known to be
- * slow, if another server sends the first event sooner by a time that the caller notices,
- * reading the shared parts again included. A server that lacks shared parts is asked to
- * copy them from one that holds them where reading them again takes noticeably longer.
+ * slow, if it may miss its objective there and another server sends the first event
+ * sooner by a time that the caller notices, reading the shared parts again included. A
+ * server that lacks shared parts is asked to copy them from one that holds them where
+ * reading them again takes noticeably longer.
  */
 public final class EnginePlacement {
 
@@ -157,9 +158,9 @@
 			.min(Comparator.comparingDouble((ServerState server) -> this.estimate.costMs(request, server, nowMs))
 				.thenComparingDouble((server) -> score(partHash, server)))
 			.orElse(null);
-		boolean noticed = best != null && best != nearest
-				&& nearestMs - this.estimate.costMs(request, best, nowMs) > FirstEventEstimate.unnoticedMs(request);
-		return noticed ? best : null;
+		boolean leaves = best != null && best != nearest
+				&& FirstEventEstimate.isWorthLeaving(request, nearestMs, this.estimate.costMs(request, best, nowMs));
+		return leaves ? best : null;
 	}
 
 	// If no server is known to hold the parts, they are copied from the first other
--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/FirstEventEstimate.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/FirstEventEstimate.java
@@ -23,6 +23,11 @@
 	/** The part of its objective that a caller does not notice. */
 	private static final double UNNOTICED_PART = 0.05;
 
+	/**
+	 * Above this part of the objective chance may make the first event late.
+	 */
+	private static final double RISKED_PART = 0.5;
+
 	private final PartHolders holders;
 
 	private final WorkTimes times;
@@ -86,10 +91,23 @@
 	 * @param request the request
 	 * @return the time in milliseconds
 	 */
-	static double unnoticedMs(EngineRequest request) {
+	private static double unnoticedMs(EngineRequest request) {
 		return request.demand().objectiveMs() * UNNOTICED_PART;
 	}
 
+	/**
+	 * Returns whether another server is so much faster that the request should leave the
+	 * first one and its parts.
+	 * @param request the request
+	 * @param firstMs the cost at the first server in milliseconds
+	 * @param otherMs the cost at the other server in milliseconds
+	 * @return whether the request may miss its objective at the first server and gains a
+	 * time that the caller notices; false if a cost is not known
+	 */
+	static boolean isWorthLeaving(EngineRequest request, double firstMs, double otherMs) {
+		return firstMs > request.demand().objectiveMs() * RISKED_PART && firstMs - otherMs > unnoticedMs(request);
+	}
+
 	/**
 	 * Returns whether a server should copy shared parts that it lacks rather than read
 	 * them again.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -115,6 +115,9 @@
 			retryBudget().recordRequest(request.service(), nowMs);
 		}
 		this.metrics.placed(target.reason());
+		if (target.work() != null) {
+			this.metrics.promptPlaced(request.service(), target.work().unreadTokens(), target.copyFrom() != null);
+		}
 		this.log.placed(request, target, attempt, () -> this.placement.describe(target, nowMs));
 		return target;
 	}
@@ -123,7 +126,9 @@
 		if (this.quarantineGuard.isSuspected(request)) {
 			return new Target(isolated(request, servers, nowMs), null, Target.SUSPECTED, false);
 		}
-		return this.placement.select(request, servers, this.candidates.copySources(all, nowMs), nowMs);
+		boolean engine = request.head().prompt() != null;
+		return this.placement.select(request, servers, engine ? this.candidates.copySources(all, nowMs) : List.of(),
+				nowMs);
 	}
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -55,6 +55,13 @@
 		this.registry.counter(PREFIX + "placements." + reason).inc();
 	}
 
+	void promptPlaced(String service, int unreadTokens, boolean copies) {
+		this.registry.counter(PREFIX + "unreadTokens." + service).inc(unreadTokens);
+		if (copies) {
+			this.registry.counter(PREFIX + "copies." + service).inc();
+		}
+	}
+
 	void limited(String service) {
 		this.registry.counter(PREFIX + "limited." + service).inc();
 	}
