Differences between servers that chance explains are not learned

Cause: with the report of the server taken out, UnevenServerTests still passed: times of some milliseconds, by chance unequal, had made one of two equal servers seem slow, and less load kept it so. Change: a difference counts only beyond two standard errors of the mean of the ratios, which replaces the mean of their logarithms, and times under 10 ms teach nothing. Result: ServerSpeedTests (6) pass, with times that vary by chance among them; UnevenServerTests (1) passes and, with the report taken out, fails.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
@@ -23,8 +23,19 @@
 	/** Learned differences below this fraction are no reason to choose another server. */
 	static final double TOLERATED_DIFFERENCE = 0.1;
 
+	/** In shorter times the delays of this daemon weigh more than the server's work. */
+	static final double MIN_EXPECTED_MS = 10;
+
+	/** A mean that chance moves this many standard errors away from 1 is rare. */
+	private static final double SIGNIFICANT_ERRORS = 2;
+
 	private static final double SMOOTHING_FACTOR = 0.15;
 
+	/**
+	 * The number of equally weighted times whose mean varies as much as the smoothed one.
+	 */
+	private static final double SMOOTHED_TIMES = 2 / SMOOTHING_FACTOR - 1;
+
 	/** Limits the weight of one time, for instance of a request that stalled. */
 	private static final double MAX_FACTOR = 4;
 
@@ -32,7 +43,9 @@
 
 	private long momentMs = Long.MIN_VALUE / 2;
 
-	private double learnedLog;
+	private double learnedRatio = 1;
+
+	private double learnedVariance;
 
 	private long learnedMs;
 
@@ -57,13 +70,15 @@
 	 * @param nowMs the time in milliseconds
 	 */
 	public void recordTime(double timeMs, double expectedMs, long nowMs) {
-		if (!(timeMs > 0) || !(expectedMs > 0)) {
+		if (!(timeMs > 0) || !(expectedMs >= MIN_EXPECTED_MS)) {
 			return;
 		}
-		double ratio = Math.clamp(timeMs / expectedMs / momentFactor(nowMs), 1 / MAX_FACTOR, MAX_FACTOR);
+		double ratio = Math.min(timeMs / expectedMs / momentFactor(nowMs), MAX_FACTOR);
 		this.timeCount++;
 		double weight = Math.max(SMOOTHING_FACTOR, 1.0 / this.timeCount);
-		this.learnedLog = (1 - weight) * decayedLog(nowMs) + weight * Math.log(ratio);
+		double difference = ratio - decayedRatio(nowMs);
+		this.learnedRatio = decayedRatio(nowMs) + weight * difference;
+		this.learnedVariance = (1 - weight) * (this.learnedVariance + weight * difference * difference);
 		this.learnedMs = nowMs;
 	}
 
@@ -93,11 +108,16 @@
 	 * Returns how long work usually takes at the server.
 	 * @param nowMs the time in milliseconds
 	 * @return the multiple of the usual time of its service, exactly 1 while too few
-	 * times are known or the difference is small
+	 * times are known or the difference is small or may be due to chance
 	 */
 	public double learnedFactor(long nowMs) {
-		double factor = Math.exp(decayedLog(nowMs));
-		return (this.timeCount < MIN_TIMES || Math.abs(factor - 1) < TOLERATED_DIFFERENCE) ? 1 : factor;
+		if (this.timeCount < MIN_TIMES) {
+			return 1;
+		}
+		double factor = decayedRatio(nowMs);
+		double error = Math.sqrt(this.learnedVariance / Math.min(this.timeCount, SMOOTHED_TIMES));
+		return (Math.abs(factor - 1) < Math.max(TOLERATED_DIFFERENCE, SIGNIFICANT_ERRORS * error)) ? 1
+				: Math.max(factor, 1 / MAX_FACTOR);
 	}
 
 	/**
@@ -117,8 +137,9 @@
 		return this.timeCount;
 	}
 
-	private double decayedLog(long nowMs) {
-		return this.learnedLog * Math.pow(0.5, Math.max(0, nowMs - this.learnedMs) / (double) LEARNED_HALF_LIFE_MS);
+	private double decayedRatio(long nowMs) {
+		double weight = Math.pow(0.5, Math.max(0, nowMs - this.learnedMs) / (double) LEARNED_HALF_LIFE_MS);
+		return 1 + (this.learnedRatio - 1) * weight;
 	}
 
 }
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
@@ -44,6 +44,12 @@
 			this.speed.recordTime(300, 100, 0);
 		}
 		assertThat(this.speed.factor(0)).isEqualTo(1);
+		ServerSpeed varying = new ServerSpeed();
+		for (int request = 0; request < 40; request++) {
+			varying.recordTime((request % 4 == 0) ? 300 : 50, 100, 0);
+			varying.recordTime(9, 3, 0);
+		}
+		assertThat(varying.factor(0)).isEqualTo(1);
 		this.speed.recordTime(Double.NaN, 100, 0);
 		this.speed.recordTime(300, Double.NaN, 0);
 		assertThat(this.speed.timeCount()).isEqualTo(ServerSpeed.MIN_TIMES - 1);
