Copies are asked for where reading again delays any caller

Reading also delays the requests that run at the server, which the bound left out. Change: the delay of others counts and 2 % of the objective are noticed.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/FirstEventEstimate.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/FirstEventEstimate.java
@@ -21,7 +21,7 @@
 	private static final double DELAY_OF_OTHERS = 0.1;
 
 	/** The part of its objective that a caller does not notice. */
-	private static final double UNNOTICED_PART = 0.05;
+	private static final double UNNOTICED_PART = 0.02;
 
 	/**
 	 * Above this part of the objective chance may make the first event late.
@@ -110,11 +110,11 @@
 
 	/**
 	 * Returns whether a server should copy shared parts that it lacks rather than read
-	 * them again.
+	 * them again, which also delays the requests that run there.
 	 * @param request the request
 	 * @param server the server
 	 * @param nowMs the time in milliseconds
-	 * @return whether the caller would notice the difference, or a time is not known
+	 * @return whether callers would notice the difference, or a time is not known
 	 */
 	boolean isCopyNoticed(EngineRequest request, ServerState server, long nowMs) {
 		double msPerToken = this.times.msPerToken(request.service());
@@ -122,7 +122,8 @@
 		if (Double.isNaN(msPerToken) || Double.isNaN(copyMsPerToken)) {
 			return true;
 		}
-		double savedMsPerToken = msPerToken * server.speed().factor(nowMs) - copyMsPerToken;
+		double readMsPerToken = msPerToken * server.speed().factor(nowMs) * (1 + server.load(nowMs) * DELAY_OF_OTHERS);
+		double savedMsPerToken = readMsPerToken - copyMsPerToken;
 		return missingSharedTokens(request.prompt(), server, nowMs) * savedMsPerToken > unnoticedMs(request);
 	}
 
