--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
@@ -105,10 +105,11 @@
 	}
 
 	/**
-	 * Returns how long work usually takes at the server.
+	 * Returns how long work usually takes at the server. A server is never taken for
+	 * fast, because most times are below the mean: a few long ones make up for them.
 	 * @param nowMs the time in milliseconds
 	 * @return the multiple of the usual time of its service, exactly 1 while too few
-	 * times are known or the difference is small or may be due to chance
+	 * times are known or the server is not slower by more than chance explains
 	 */
 	public double learnedFactor(long nowMs) {
 		if (this.timeCount < MIN_TIMES) {
@@ -116,8 +117,7 @@
 		}
 		double factor = decayedRatio(nowMs);
 		double error = Math.sqrt(this.learnedVariance / Math.min(this.timeCount, SMOOTHED_TIMES));
-		return (Math.abs(factor - 1) < Math.max(TOLERATED_DIFFERENCE, SIGNIFICANT_ERRORS * error)) ? 1
-				: Math.max(factor, 1 / MAX_FACTOR);
+		return (factor - 1 > Math.max(TOLERATED_DIFFERENCE, SIGNIFICANT_ERRORS * error)) ? factor : 1;
 	}
 
 	/**
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
@@ -50,6 +50,10 @@
 			varying.recordTime(9, 3, 0);
 		}
 		assertThat(varying.factor(0)).isEqualTo(1);
+		for (int request = 0; request < 40; request++) {
+			varying.recordTime(75 + request % 3, 100, 0);
+		}
+		assertThat(varying.factor(0)).as("most times are below the mean").isEqualTo(1);
 		this.speed.recordTime(Double.NaN, 100, 0);
 		this.speed.recordTime(300, Double.NaN, 0);
 		assertThat(this.speed.timeCount()).isEqualTo(ServerSpeed.MIN_TIMES - 1);
