Merge: servers that are uneven, and the memory of engines

The pulls now carry the revision of the evacuations and the memory of engines. Tests of the parts (HedgedRequestTests, UnevenServerTests, SyncMessageTests, GatewayCallTests, GatewayStreamTests, FleetEvacuationTests, ColdServerLoadTests, PlatformHeadersTests, PlatformRoutingTests and eight classes of the core) pass on the merge.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/discovery/SyncMessage.java
@@ -28,15 +28,23 @@
 	 * last pull, by server
 	 * @param evacuationsRevision the revision of the evacuations that the sender obeys,
 	 * or null if it runs an earlier version
+	 * @param memory the memory that the sender's requests in flight take at engines, in
+	 * units by server, or null from a daemon of an earlier version
 	 */
 	record Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
-			Map<String, Set<String>> partsRead, Long evacuationsRevision) implements SyncMessage {
+			Map<String, Set<String>> partsRead, Long evacuationsRevision,
+			Map<String, Integer> memory) implements SyncMessage {
 
 		// A daemon of an earlier version sends no parts.
 		public Pull {
 			partsRead = Objects.requireNonNullElse(partsRead, Map.of());
 		}
 
+		Pull(HostRecord sender, long number, long serversRevision, long hostsRevision, Map<String, Integer> requests,
+				Map<String, Set<String>> partsRead, Long evacuationsRevision) {
+			this(sender, number, serversRevision, hostsRevision, requests, partsRead, evacuationsRevision, null);
+		}
+
 	}
 
 	/**
@@ -61,16 +69,26 @@
 	 * @param evacuations the evacuations of failure domains, or null if the sender of the
 	 * pull holds them or the replying daemon runs an earlier version; from a daemon that
 	 * is not the leader, those that it obeys if they are newer
+	 * @param otherMemory the memory that requests in flight from all other daemons take
+	 * at engines, in units by server, without small values; null if the replying daemon
+	 * is not the leader or runs an earlier version
 	 */
 	record News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
 			List<HostRecord> hosts, Map<String, Integer> otherRequests, Map<String, Set<String>> otherPartsRead,
-			Long number, Evacuations evacuations) implements SyncMessage {
+			Long number, Evacuations evacuations, Map<String, Integer> otherMemory) implements SyncMessage {
 
 		// A daemon of an earlier version sends no parts.
 		public News {
 			otherPartsRead = Objects.requireNonNullElse(otherPartsRead, Map.of());
 		}
 
+		News(String leaderHostId, boolean current, byte[] document, ServerList servers, long hostsRevision,
+				List<HostRecord> hosts, Map<String, Integer> otherRequests, Map<String, Set<String>> otherPartsRead,
+				Long number, Evacuations evacuations) {
+			this(leaderHostId, current, document, servers, hostsRevision, hosts, otherRequests, otherPartsRead, number,
+					evacuations, null);
+		}
+
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -12,13 +12,10 @@
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.placement.RendezvousHash;
 import io.fescuehold.core.port.ServerReach;
-import io.fescuehold.core.prompt.EngineChoice;
-import io.fescuehold.core.prompt.EnginePlacement;
 import io.fescuehold.core.retry.HedgePolicy;
 import io.fescuehold.core.retry.RetryShare;
 import io.fescuehold.core.retry.WindowedRetryBudget;
 import io.fescuehold.core.servers.BackendServer;
-import io.fescuehold.core.servers.LeastLoadedSelector;
 import io.fescuehold.core.servers.ServerOutcome;
 import io.fescuehold.core.servers.ServerState;
 import io.fescuehold.runtime.backend.BackendPool;
@@ -51,9 +48,7 @@
 
 	private final RetryShare retryShare;
 
-	private final LeastLoadedSelector leastLoadedSelector;
-
-	private final EnginePlacement enginePlacement;
+	private final RequestPlacement placement;
 
 	private final Hedging hedging;
 
@@ -78,8 +73,7 @@
 		this.retryShare = new RetryShare(options.retryWindowMs(), options.firstStart(), nowMs());
 		this.coldLimits = new ColdLimits(belief, options.policy(), metrics);
 		this.candidates = new ServerCandidates(belief, options.leavingUseMs(), metrics, this.coldLimits);
-		this.leastLoadedSelector = new LeastLoadedSelector(options.failureDomain(), random);
-		this.enginePlacement = new EnginePlacement(belief.holders());
+		this.placement = new RequestPlacement(options.failureDomain(), belief, random);
 		this.quarantineGuard = quarantineGuard;
 		this.hedging = new Hedging(new HedgePolicy(options.policy().hedgeRatio()), belief, this.candidates,
 				this.coldLimits, quarantineGuard, metrics, log);
@@ -134,7 +128,10 @@
 			this.hedging.recordRequest(request.service());
 		}
 		this.metrics.placed(target.reason());
-		this.log.placed(request, target, attempt);
+		if (target.work() != null) {
+			this.metrics.promptPlaced(request.service(), target.work().unreadTokens(), target.copyFrom() != null);
+		}
+		this.log.placed(request, target, attempt, () -> this.placement.describe(target, nowMs));
 		return target;
 	}
 
@@ -151,12 +148,9 @@
 		if (this.quarantineGuard.isSuspected(request)) {
 			return new Target(isolated(request, servers, nowMs), null, Target.SUSPECTED, false);
 		}
-		if (request.head().prompt() != null) {
-			EngineChoice choice = this.enginePlacement.choose(request.head().prompt(), servers,
-					this.candidates.copySources(all, nowMs), nowMs);
-			return new Target(choice.server(), choice.copyFrom(), choice.reason().name(), false);
-		}
-		return new Target(this.leastLoadedSelector.select(servers, nowMs), null, "LEAST_COST", false);
+		boolean engine = request.head().prompt() != null;
+		return this.placement.select(request, servers, engine ? this.candidates.copySources(all, nowMs) : List.of(),
+				nowMs);
 	}
 
 	// All hosts send a suspected request to the same server, and different ones mostly to
@@ -343,10 +337,20 @@
 
 	void attemptStarted(Target target) {
 		target.server().begin();
+		this.placement.started(target);
 	}
 
 	void attemptEnded(Target target) {
 		target.server().end();
+		this.placement.ended(target);
+	}
+
+	/**
+	 * Returns what places requests and learns from their times.
+	 * @return the placement
+	 */
+	RequestPlacement placement() {
+		return this.placement;
 	}
 
 	/**
@@ -403,6 +407,10 @@
 		if (head.restMs() != null && this.belief.intake().recordRest(server.id(), head.restMs(), nowMs)) {
 			this.log.rests(server, head.restMs());
 		}
+		if (head.load() != null) {
+			// A plain response is read after its request, which the report counts, ended.
+			target.server().recordReport(head.load(), (target.work() == null) ? 1 : 0, nowMs);
+		}
 		recordLimit(server, head, target.server().load(), sentAtMs);
 	}
 
@@ -454,8 +462,9 @@
 	 * @param copyFrom a server to copy prompt parts from, or null
 	 * @param reason why the server was chosen
 	 * @param relay whether it is another host that passes the request on
+	 * @param work what the request takes at a model engine, or null
 	 */
-	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
+	record Target(ServerState server, ServerState copyFrom, String reason, boolean relay, RequestPlacement.Work work) {
 
 		/** The reason for a server that runs no other suspected request of this host. */
 		static final String SUSPECTED = "SUSPECTED";
@@ -463,6 +472,10 @@
 		/** The reason for the server of a second copy. */
 		static final String SECOND_COPY = "SECOND_COPY";
 
+		Target(ServerState server, ServerState copyFrom, String reason, boolean relay) {
+			this(server, copyFrom, reason, relay, null);
+		}
+
 	}
 
 }
