Queue, shares and return times can serve the gateway too

Cause: the gateway queues nothing and shares out nothing; RequestQueue and FairAdmission, which do so for the product's own interface, know three priorities and token rates only.

Change: RequestQueue orders by rank (a priority is its ordinal) and, within a rank and team, by a number that the caller of the queue gives; its limits may name the rate at which entries are taken. The demands and the fair level of FairAdmission are a class of their own (TeamShares), and TeamBucket has a burst of a given length. The order in which refused callers return moved from ServerCandidates to ReturnSchedule; a caller with little time left no longer brings the later ones forward.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/FairAdmission.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/FairAdmission.java
@@ -14,12 +14,8 @@
  */
 public final class FairAdmission {
 
-	private static final long REFRESH_INTERVAL_MS = 250;
-
 	private static final long IDLE_RETENTION_MS = 600_000;
 
-	private static final int MAX_TEAMS = 10_000;
-
 	/** The smallest part of the capacity that is shared out, whatever the pressure. */
 	private static final double MIN_CAPACITY_PORTION = 0.3;
 
@@ -27,7 +23,7 @@
 
 	private final RetryAfterCalculator retryAfterCalculator;
 
-	private final Map<PoolKey, Pool> pools = new HashMap<>();
+	private final Map<PoolKey, TeamShares> pools = new HashMap<>();
 
 	private final Map<String, TeamBucket> hardLimits = new HashMap<>();
 
@@ -55,9 +51,9 @@
 	 */
 	public Admission admit(String share, String model, String team, TeamSpec spec, Priority priority, double tokens,
 			PoolPressure pressure, long nowMs) {
-		Pool pool = this.pools.computeIfAbsent(new PoolKey(share, model), (key) -> new Pool());
-		TeamDemand demand = pool.teams.computeIfAbsent(team, (key) -> new TeamDemand(nowMs));
-		demand.recordOffered(spec.weight(), tokens, nowMs);
+		TeamShares pool = this.pools.computeIfAbsent(new PoolKey(share, model),
+				(key) -> new TeamShares(TeamDemand.DEMAND_TIME_CONSTANT_MS));
+		TeamDemand demand = pool.recordOffered(team, spec.weight(), tokens, nowMs);
 		if (spec.maxTokensPerS() > 0) {
 			Admission.Refused refused = checkHardLimit(team, spec, priority, tokens, nowMs);
 			if (refused != null) {
@@ -69,7 +65,7 @@
 			demand.resetBucket(nowMs);
 			return new Admission.Admitted();
 		}
-		double fairTokensPerS = pool.fairTokensPerSPerWeight * spec.weight();
+		double fairTokensPerS = pool.fairPerS(spec.weight());
 		if (demand.isWithin(fairTokensPerS, nowMs)) {
 			demand.resetBucket(nowMs);
 			return new Admission.Admitted();
@@ -91,40 +87,17 @@
 				this.retryAfterCalculator.retryAfterMs(bucket.overdrawnTokens() + tokens, ratePerS), true);
 	}
 
-	private void refresh(Pool pool, PoolPressure pressure, long nowMs) {
-		if (nowMs - pool.refreshedAtMs < REFRESH_INTERVAL_MS) {
-			return;
-		}
-		pool.refreshedAtMs = nowMs;
-		if (pool.teams.size() > MAX_TEAMS) {
-			pool.teams.values().removeIf((demand) -> demand.isIdleSince(nowMs - IDLE_RETENTION_MS));
-			this.hardLimits.values().removeIf((bucket) -> bucket.isIdleSince(nowMs - IDLE_RETENTION_MS));
-		}
-		double[] demands = new double[pool.teams.size()];
-		double[] weights = new double[pool.teams.size()];
-		int index = 0;
-		for (TeamDemand demand : pool.teams.values()) {
-			demands[index] = demand.ratePerS(nowMs);
-			weights[index] = demand.weight();
-			index++;
-		}
+	private void refresh(TeamShares pool, PoolPressure pressure, long nowMs) {
 		double portion = Math.clamp(2 - pressure.ratio(), MIN_CAPACITY_PORTION, 1);
 		double capacityPerS = portion * pressure.capacityTokensPerS() / Math.max(1, this.routers.getAsInt());
-		pool.fairTokensPerSPerWeight = WaterFill.level(demands, weights, capacityPerS);
+		long idleSinceMs = nowMs - IDLE_RETENTION_MS;
+		if (pool.refresh(capacityPerS, idleSinceMs, nowMs)) {
+			this.hardLimits.values().removeIf((bucket) -> bucket.isIdleSince(idleSinceMs));
+		}
 	}
 
 	private record PoolKey(String share, String model) {
 
 	}
 
-	private static final class Pool {
-
-		private final Map<String, TeamDemand> teams = new HashMap<>();
-
-		private double fairTokensPerSPerWeight = Double.POSITIVE_INFINITY;
-
-		private long refreshedAtMs = Long.MIN_VALUE / 2;
-
-	}
-
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestQueue.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/RequestQueue.java
@@ -1,13 +1,12 @@
 package io.fescuehold.core.limits;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * Requests that wait for capacity of a server. The queue is bounded by size and time. It
@@ -22,7 +21,8 @@
 
 	private static final double MIN_RATE_PER_S = 0.5;
 
-	private final Map<Priority, PriorityLevel<T>> levels = new EnumMap<>(Priority.class);
+	/** By rank, the most urgent first. */
+	private final SortedMap<Integer, PriorityLevel<T>> levels = new TreeMap<>();
 
 	private final RetryAfterCalculator retryAfterCalculator;
 
@@ -37,9 +37,6 @@
 	public RequestQueue(long seed) {
 		this.retryAfterCalculator = new RetryAfterCalculator(seed);
 		this.served = new DecayingSum(5 * MS_PER_S, 0);
-		for (Priority priority : Priority.values()) {
-			this.levels.put(priority, new PriorityLevel<>());
-		}
 	}
 
 	/**
@@ -53,14 +50,15 @@
 	public QueueOffer<T> offer(T item, Place place, Limits limits, long nowMs) {
 		long expiresAtMs = Math.min(place.deadlineMs(), nowMs + limits.maxWaitMs());
 		Entry<T> entry = new Entry<>(item, place, expiresAtMs);
-		if (expectedWaitMs(place, nowMs) > expiresAtMs - nowMs) {
+		double ratePerS = (limits.ratePerS() > 0) ? limits.ratePerS() : this.served.ratePerS(nowMs);
+		if (expectedWaitMs(place, ratePerS) > expiresAtMs - nowMs) {
 			return new QueueOffer.Refused<>(retryAfterMs(nowMs));
 		}
 		if (this.size < limits.maxEntries()) {
 			add(entry);
 			return new QueueOffer.Queued<>();
 		}
-		Entry<T> displaced = (limits.maxEntries() > 0) ? removeLowerThan(place.priority()) : null;
+		Entry<T> displaced = (limits.maxEntries() > 0) ? removeLowerThan(place.rank()) : null;
 		if (displaced == null) {
 			return new QueueOffer.Refused<>(retryAfterMs(nowMs));
 		}
@@ -68,24 +66,53 @@
 		return new QueueOffer.Displaced<>(displaced.item, retryAfterMs(nowMs));
 	}
 
-	// Counts the entries that are served before a new one: all entries of higher priority
-	// and, because teams of equal priority alternate, at most as many entries of each
-	// team as the request's own team has. Without a recent service rate the wait is
-	// unknown
-	// and estimated as 0.
-	private double expectedWaitMs(Place place, long nowMs) {
-		double ratePerS = this.served.ratePerS(nowMs);
-		if (ratePerS < MIN_RATE_PER_S) {
-			return 0;
-		}
-		int ahead = 0;
-		for (Map.Entry<Priority, PriorityLevel<T>> entry : this.levels.entrySet()) {
-			if (entry.getKey().compareTo(place.priority()) < 0) {
-				ahead += entry.getValue().size();
+	/**
+	 * Returns how long a new entry is expected to wait.
+	 * @param place the attributes that determine its position
+	 * @param ratePerS the entries taken per second
+	 * @return the time in milliseconds, 0 if the rate is too small to be known
+	 */
+	double expectedWaitMs(Place place, double ratePerS) {
+		return (ratePerS < MIN_RATE_PER_S) ? 0 : MS_PER_S * entriesAhead(place) / ratePerS;
+	}
+
+	// Counts the entries that are served before a new one: all entries of higher rank
+	// and, because teams of equal rank alternate, at most as many entries of each team
+	// as the request's own team has.
+	private int entriesAhead(Place place) {
+		int ahead = this.levels.headMap(place.rank()).values().stream().mapToInt(PriorityLevel::size).sum();
+		PriorityLevel<T> level = this.levels.get(place.rank());
+		return ahead + ((level != null) ? level.entriesAhead(place.team()) : 0);
+	}
+
+	/**
+	 * Returns the rank of the next entry.
+	 * @return the rank, or {@link Integer#MAX_VALUE} if the queue is empty
+	 */
+	int nextRank() {
+		return this.levels.entrySet()
+			.stream()
+			.filter((level) -> level.getValue().size() > 0)
+			.mapToInt(Map.Entry::getKey)
+			.findFirst()
+			.orElse(Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Returns the number of entries by rank and team.
+	 * @return the numbers
+	 */
+	public Map<Integer, Map<String, Integer>> sizes() {
+		Map<Integer, Map<String, Integer>> sizes = new TreeMap<>();
+		this.levels.forEach((rank, level) -> {
+			Map<String, Integer> teams = new TreeMap<>();
+			level.teams.forEach((team, entries) -> teams.put(team, entries.entries.size()));
+			teams.values().removeIf((size) -> size == 0);
+			if (!teams.isEmpty()) {
+				sizes.put(rank, teams);
 			}
-		}
-		ahead += this.levels.get(place.priority()).entriesAhead(place.team());
-		return MS_PER_S * ahead / ratePerS;
+		});
+		return sizes;
 	}
 
 	/**
@@ -151,13 +178,14 @@
 	}
 
 	private void add(Entry<T> entry) {
-		this.levels.get(entry.place.priority()).add(entry);
+		this.levels.computeIfAbsent(entry.place.rank(), (rank) -> new PriorityLevel<>()).add(entry);
 		this.size++;
 	}
 
-	private Entry<T> removeLowerThan(Priority priority) {
-		for (int ordinal = Priority.values().length - 1; ordinal > priority.ordinal(); ordinal--) {
-			Entry<T> removed = this.levels.get(Priority.values()[ordinal]).removeNewestOfLargestTeam();
+	private Entry<T> removeLowerThan(int rank) {
+		List<PriorityLevel<T>> lower = new ArrayList<>(this.levels.tailMap(rank + 1).values());
+		for (PriorityLevel<T> level : lower.reversed()) {
+			Entry<T> removed = level.removeNewestOfLargestTeam();
 			if (removed != null) {
 				this.size--;
 				return removed;
@@ -175,11 +203,25 @@
 	 *
 	 * @param team the team
 	 * @param weight the weight of the team
-	 * @param priority the priority
+	 * @param rank the rank, 0 is served first
 	 * @param tokens the size of the request in tokens
 	 * @param deadlineMs the time in milliseconds at which the caller gives up
+	 * @param orderMs the entries of one rank and team are served in the order of this
+	 * number, and in the order of their arrival if it is equal
 	 */
-	public record Place(String team, int weight, Priority priority, double tokens, long deadlineMs) {
+	public record Place(String team, int weight, int rank, double tokens, long deadlineMs, long orderMs) {
+
+		/**
+		 * Creates a place of an entry that is served in the order of arrival.
+		 * @param team the team
+		 * @param weight the weight of the team
+		 * @param priority the priority
+		 * @param tokens the size of the request in tokens
+		 * @param deadlineMs the time in milliseconds at which the caller gives up
+		 */
+		public Place(String team, int weight, Priority priority, double tokens, long deadlineMs) {
+			this(team, weight, priority.ordinal(), tokens, deadlineMs, 0);
+		}
 
 	}
 
@@ -188,8 +230,19 @@
 	 *
 	 * @param maxEntries the maximum number of entries
 	 * @param maxWaitMs the longest wait in milliseconds
+	 * @param ratePerS the rate at which entries are expected to be taken, or 0 to expect
+	 * the rate of the past seconds
 	 */
-	public record Limits(int maxEntries, long maxWaitMs) {
+	public record Limits(int maxEntries, long maxWaitMs, double ratePerS) {
+
+		/**
+		 * Creates bounds of a queue whose rate is measured.
+		 * @param maxEntries the maximum number of entries
+		 * @param maxWaitMs the longest wait in milliseconds
+		 */
+		public Limits(int maxEntries, long maxWaitMs) {
+			this(maxEntries, maxWaitMs, 0);
+		}
 
 	}
 
@@ -209,7 +262,7 @@
 		void add(Entry<T> entry) {
 			TeamEntries<T> team = this.teams.computeIfAbsent(entry.place.team(),
 					(key) -> new TeamEntries<>(this.virtualTime));
-			team.entries.addLast(entry);
+			team.add(entry);
 		}
 
 		Entry<T> poll(long nowMs) {
@@ -271,7 +324,7 @@
 					largest = team;
 				}
 			}
-			return (largest != null) ? largest.entries.pollLast() : null;
+			return (largest != null && !largest.entries.isEmpty()) ? largest.entries.removeLast() : null;
 		}
 
 		long nextExpiryMs() {
@@ -287,7 +340,7 @@
 
 	private static final class TeamEntries<T> {
 
-		private final Deque<Entry<T>> entries = new ArrayDeque<>();
+		private final List<Entry<T>> entries = new ArrayList<>();
 
 		private double startTag;
 
@@ -295,6 +348,14 @@
 			this.startTag = startTag;
 		}
 
+		private void add(Entry<T> entry) {
+			int index = this.entries.size();
+			while (index > 0 && this.entries.get(index - 1).place.orderMs() > entry.place.orderMs()) {
+				index--;
+			}
+			this.entries.add(index, entry);
+		}
+
 		private Entry<T> firstUnexpired(long nowMs) {
 			for (Entry<T> entry : this.entries) {
 				if (entry.expiresAtMs > nowMs) {
--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/TeamBucket.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/TeamBucket.java
@@ -18,18 +18,21 @@
 	/** NaN if the bucket is full; its size follows from the rate of the next request. */
 	private double levelTokens = Double.NaN;
 
+	private final double burstS;
+
 	private long updatedAtMs;
 
 	TeamBucket(long nowMs) {
+		this(BURST_S, nowMs);
+	}
+
+	TeamBucket(double burstS, long nowMs) {
+		this.burstS = burstS;
 		this.updatedAtMs = nowMs;
 	}
 
 	boolean tryConsume(double ratePerS, Priority priority, double tokens, long nowMs) {
-		double burstTokens = ratePerS * BURST_S;
-		double refilledTokens = Double.isNaN(this.levelTokens) ? burstTokens
-				: this.levelTokens + ratePerS * Math.max(0, nowMs - this.updatedAtMs) / MS_PER_S;
-		this.levelTokens = Math.min(burstTokens, refilledTokens);
-		this.updatedAtMs = Math.max(this.updatedAtMs, nowMs);
+		double burstTokens = refill(ratePerS, nowMs);
 		if (this.levelTokens <= burstTokens * reserve(priority)) {
 			return false;
 		}
@@ -37,6 +40,27 @@
 		return true;
 	}
 
+	/**
+	 * Consumes tokens whether there are any or not. The bucket is overdrawn by at most
+	 * one burst.
+	 * @param ratePerS the rate at which the bucket fills
+	 * @param tokens the tokens
+	 * @param nowMs the time in milliseconds
+	 */
+	void consume(double ratePerS, double tokens, long nowMs) {
+		double burstTokens = refill(ratePerS, nowMs);
+		this.levelTokens = Math.max(-burstTokens, this.levelTokens - tokens);
+	}
+
+	private double refill(double ratePerS, long nowMs) {
+		double burstTokens = ratePerS * this.burstS;
+		double refilledTokens = Double.isNaN(this.levelTokens) ? burstTokens
+				: this.levelTokens + ratePerS * Math.max(0, nowMs - this.updatedAtMs) / MS_PER_S;
+		this.levelTokens = Math.min(burstTokens, refilledTokens);
+		this.updatedAtMs = Math.max(this.updatedAtMs, nowMs);
+		return burstTokens;
+	}
+
 	void reset() {
 		this.levelTokens = Double.NaN;
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/TeamDemand.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/TeamDemand.java
@@ -5,7 +5,7 @@
  */
 final class TeamDemand {
 
-	private static final double DEMAND_TIME_CONSTANT_MS = 5_000;
+	static final double DEMAND_TIME_CONSTANT_MS = 5_000;
 
 	private static final double REFUSED_TIME_CONSTANT_MS = 10_000;
 
@@ -27,7 +27,11 @@
 	private long lastRequestAtMs;
 
 	TeamDemand(long nowMs) {
-		this.offered = new DecayingSum(DEMAND_TIME_CONSTANT_MS, nowMs);
+		this(DEMAND_TIME_CONSTANT_MS, nowMs);
+	}
+
+	TeamDemand(double timeConstantMs, long nowMs) {
+		this.offered = new DecayingSum(timeConstantMs, nowMs);
 		this.refused = new DecayingSum(REFUSED_TIME_CONSTANT_MS, nowMs);
 		this.bucket = new TeamBucket(nowMs);
 	}
@@ -47,8 +51,11 @@
 	}
 
 	boolean isWithin(double fairTokensPerS, long nowMs) {
-		return this.offered.ratePerS(nowMs)
-				- NOISE_DEVIATIONS * this.offered.rateDeviationPerS(nowMs) <= fairTokensPerS;
+		return isWithin(fairTokensPerS, NOISE_DEVIATIONS, nowMs);
+	}
+
+	boolean isWithin(double fairPerS, double noiseDeviations, long nowMs) {
+		return this.offered.ratePerS(nowMs) - noiseDeviations * this.offered.rateDeviationPerS(nowMs) <= fairPerS;
 	}
 
 	void resetBucket(long nowMs) {
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/RequestQueueTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/RequestQueueTests.java
@@ -80,4 +80,19 @@
 		assertThat(this.queue.offer("o", other, limits, 5_000)).isInstanceOf(QueueOffer.Queued.class);
 	}
 
+	@Test
+	void servesRanksInOrderAndTheCallersOfATeamByTheTimeThatTheyHaveLeft() {
+		for (String item : new String[] { "7:900", "2:800", "7:300", "2:700" }) {
+			String[] parts = item.split(":");
+			RequestQueue.Place place = new RequestQueue.Place("a", 1, Integer.parseInt(parts[0]), 1, 9_000,
+					Long.parseLong(parts[1]));
+			this.queue.offer(item, place, LIMITS, 0);
+		}
+		assertThat(this.queue.nextRank()).isEqualTo(2);
+		assertThat(this.queue.poll(1)).isEqualTo("2:700");
+		assertThat(this.queue.poll(1)).isEqualTo("2:800");
+		assertThat(this.queue.poll(1)).isEqualTo("7:300");
+		assertThat(this.queue.poll(1)).isEqualTo("7:900");
+	}
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/ServerCandidates.java
@@ -1,14 +1,13 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.error.RunStatus;
+import io.fescuehold.core.limits.ReturnSchedule;
 import io.fescuehold.core.servers.ServerState;
 
 /**
@@ -34,8 +33,7 @@
 
 	private final GatewayMetrics metrics;
 
-	/** When the next refused caller of each service is asked to return. */
-	private final Map<String, Long> nextReturnAtMs = new HashMap<>();
+	private final ReturnSchedule returns = new ReturnSchedule();
 
 	ServerCandidates(GatewayBelief belief, long leavingUseMs, GatewayMetrics metrics) {
 		this.belief = belief;
@@ -181,10 +179,8 @@
 	// Callers return one after the other in the order of their refusals, at the rate that
 	// the limits allow.
 	private FescueholdException returnLater(String service, long earliestMs, long waitMs, long nowMs) {
-		long returnAtMs = Math.max(earliestMs, this.nextReturnAtMs.getOrDefault(service, nowMs)) + waitMs;
-		returnAtMs = Math.clamp(returnAtMs, earliestMs + MIN_LIMIT_RETRY_AFTER_MS,
-				earliestMs + MAX_LIMIT_RETRY_AFTER_MS);
-		this.nextReturnAtMs.put(service, returnAtMs);
+		long returnAtMs = this.returns.returnAtMs(service, earliestMs, waitMs, MIN_LIMIT_RETRY_AFTER_MS,
+				MAX_LIMIT_RETRY_AFTER_MS, nowMs);
 		return FescueholdException.of(ErrorCode.OVERLOADED, RunStatus.NO, returnAtMs - nowMs, service);
 	}
 
