Requests wait or are refused at the host while a service has too little room

Cause: the gateway sent every request on at once. A service of 18 places that gets more than it serves fills its own queues, in order of arrival and unaware of teams and ranks, so the flood of one team makes all others late.

Change: ServiceAdmission decides for plain requests, on each host, from the requests at the servers, the measured speed of the service and this host's part of the load. Nothing waits while the servers have places. Under pressure teams above their fair share come after the others and get what the others leave; those within wait only if they would be late at the servers too. What cannot be served in time is refused at once and asked to return one after the other. AdmissionLine connects it to the gateway; a server's rejection is answered with the time at which room is expected instead of 150 ms.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -355,7 +355,7 @@
 			return null;
 		}
 		return fail("it did not run the request, status " + response.status(), ErrorCode.OVERLOADED,
-				REJECTED_RETRY_AFTER_MS);
+				this.dispatcher.admission().retryAfterMs(this.request, REJECTED_RETRY_AFTER_MS));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -62,10 +62,13 @@
 
 	private final GatewayLog log;
 
+	private final AdmissionLine admission;
+
 	Dispatcher(GatewayOptions options, GatewayBelief belief, CallerProtocol protocol, BackendPools pools,
 			LongSupplier clockMs, QuarantineGuard quarantineGuard, ServerReach reach, GatewayMetrics metrics,
-			GatewayLog log, RandomGenerator random) {
+			GatewayLog log, AdmissionLine admission, RandomGenerator random) {
 		this.belief = belief;
+		this.admission = admission;
 		this.protocol = protocol;
 		this.pools = pools;
 		this.clockMs = clockMs;
@@ -160,6 +163,14 @@
 		return this.candidates.restRefusal(request.service(), binding, nowMs());
 	}
 
+	/**
+	 * Returns the line of the requests that wait for room.
+	 * @return the line
+	 */
+	AdmissionLine admission() {
+		return this.admission;
+	}
+
 	/**
 	 * Returns whether a request may still go to its target. It may have waited for a
 	 * connection since the target was chosen.
@@ -406,7 +417,8 @@
 	Map<String, Object> dump() {
 		Map<String, Object> budgets = new TreeMap<>();
 		retryBudget().services().forEach((service) -> budgets.put(service, this.budget.usage(service, nowMs())));
-		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets);
+		return Map.of("rememberedParts", this.belief.holders().size(), "retryBudgets", budgets, "admission",
+				this.admission.dump());
 	}
 
 	AnswerHead read(int status, Map<String, String> headers) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -75,6 +75,8 @@
 
 	private List<HostRecord> hosts = List.of();
 
+	private long otherRequestsAtMs = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates a view without a configuration.
 	 * @param hostId the id of this daemon
@@ -115,6 +117,7 @@
 
 	@Override
 	public void onOtherRequests(Map<String, Integer> requests) {
+		this.otherRequestsAtMs = this.clockMs.getAsLong();
 		this.servers.all().forEach((server) -> server.setOtherRequests(requests.getOrDefault(server.server().id(), 0)));
 		if (!this.requestLimits.isEmpty()) {
 			recordLoadFractions();
@@ -134,6 +137,14 @@
 		}
 	}
 
+	/**
+	 * Returns how long ago the requests of the other daemons were reported.
+	 * @return the time in milliseconds, very large if they never were
+	 */
+	long otherRequestsAgeMs() {
+		return this.clockMs.getAsLong() - this.otherRequestsAtMs;
+	}
+
 	private void recordLoadFractions() {
 		Map<String, Integer> own = new HashMap<>();
 		Map<String, Integer> all = new HashMap<>();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayLog.java
@@ -6,6 +6,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.error.FescueholdException;
+import io.fescuehold.core.limits.ServiceDecision;
+import io.fescuehold.core.limits.ServiceRoom;
 import io.fescuehold.core.prompt.PromptPart;
 import io.fescuehold.core.quarantine.Attribution;
 import io.fescuehold.core.servers.BackendServer;
@@ -79,6 +81,30 @@
 		}
 	}
 
+	void held(GatewayRequest request, boolean overShare, int waiting, ServiceRoom room) {
+		if (tryAcquire(RESERVED_LINES)) {
+			logger.atInfo()
+				.log("request %s of route %s waits for room at %s: rank %d, team %s%s, %d wait here, load %d of %d"
+						+ " slots, left %d ms", request.head().requestId(), request.route().name(), request.service(),
+						request.urgency(), teamName(request), overShare ? " over its share" : "", waiting, room.load(),
+						room.slots(), request.leftMs(this.clockMs.getAsLong()));
+		}
+	}
+
+	void notAdmitted(GatewayRequest request, ServiceDecision.Reason reason, ServiceRoom room, long waitedMs) {
+		if (tryAcquire(0)) {
+			logger.atInfo()
+				.log("request %s of route %s finds no room at %s: %s, rank %d, team %s, waited %d ms, load %d of %d"
+						+ " slots, left %d ms", request.head().requestId(), request.route().name(), request.service(),
+						reason, request.urgency(), teamName(request), waitedMs, room.load(), room.slots(),
+						request.leftMs(this.clockMs.getAsLong()));
+		}
+	}
+
+	private static String teamName(GatewayRequest request) {
+		return (request.team() != null) ? request.team().name() : "none";
+	}
+
 	void relayed(GatewayRequest request, String hostId) {
 		if (tryAcquire(RESERVED_LINES)) {
 			logger.atInfo()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -59,6 +59,18 @@
 		this.registry.counter(PREFIX + "limited." + service).inc();
 	}
 
+	void held(String service) {
+		this.registry.counter(PREFIX + "held." + service).inc();
+	}
+
+	void waited(String service, long tookMs) {
+		this.registry.timer(PREFIX + "waited." + service).update(tookMs, TimeUnit.MILLISECONDS);
+	}
+
+	void notAdmitted(String service, String reason) {
+		this.registry.counter(PREFIX + "notAdmitted." + service + "." + reason).inc();
+	}
+
 	void resting(String service) {
 		this.registry.counter(PREFIX + "resting." + service).inc();
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -141,7 +141,7 @@
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
-				this.log, random);
+				this.log, new AdmissionLine(belief, reach, scheduler, this.metrics, this.log), random);
 	}
 
 	/**
@@ -312,8 +312,8 @@
 			});
 	}
 
-	private Mono<byte[]> untilEnded(Mono<byte[]> body) {
-		Sinks.One<byte[]> end = Sinks.one();
+	private <T> Mono<T> untilEnded(Mono<T> body) {
+		Sinks.One<T> end = Sinks.one();
 		Runnable stop = () -> end.tryEmitError(draining());
 		this.open.add(stop);
 		return Mono.firstWithSignal(body, end.asMono()).doFinally((signal) -> this.open.remove(stop));
@@ -366,10 +366,13 @@
 			CallExchange exchange = new CallExchange(this.dispatcher, this.scheduler, this.log, request);
 			Runnable stop = exchange::stop;
 			this.open.add(stop);
-			return exchange.run().doFinally((signal) -> this.open.remove(stop)).flatMap((backendResponse) -> {
-				CallerResponses.nameServer(request, exchange.serverId(), response);
-				return deliver(request, backendResponse, response);
-			});
+			Mono<BackendResponse> run = Mono.defer(() -> this.dispatcher.admission().measure(request, exchange.run()));
+			return untilEnded(this.dispatcher.admission().admit(request)).then(run)
+				.doFinally((signal) -> this.open.remove(stop))
+				.flatMap((backendResponse) -> {
+					CallerResponses.nameServer(request, exchange.serverId(), response);
+					return deliver(request, backendResponse, response);
+				});
 		}
 		StreamExchange exchange = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, request);
 		Runnable stop = exchange::stop;
