--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
@@ -108,8 +108,11 @@
 	}
 
 	private ServiceAdmission<Waiting> service(GatewayRequest request) {
-		return this.services.computeIfAbsent(request.service(),
-				(name) -> new ServiceAdmission<>(name, this.returns, nowMs()));
+		return this.services.computeIfAbsent(request.service(), (name) -> {
+			ServiceAdmission<Waiting> service = new ServiceAdmission<>(name, this.returns, nowMs());
+			this.metrics.watchWaiting(name, service::waiting);
+			return service;
+		});
 	}
 
 	private void offer(Waiting waiting) {
@@ -165,6 +168,7 @@
 		}
 		ServiceRoom room = room(name);
 		for (Waiting expired : service.removeExpired(nowMs())) {
+			this.metrics.waited(name, nowMs() - expired.sinceMs);
 			refuse(expired, ServiceDecision.Reason.TOO_LATE, room,
 					service.retryAfterMs(callerLeftMs(expired.request), CHECK_INTERVAL_MS, room, nowMs()));
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 import com.codahale.metrics.MetricRegistry;
 
@@ -59,6 +60,10 @@
 		this.registry.counter(PREFIX + "limited." + service).inc();
 	}
 
+	void watchWaiting(String service, IntSupplier waiting) {
+		this.registry.gauge(PREFIX + "waiting." + service, () -> waiting::getAsInt);
+	}
+
 	void held(String service) {
 		this.registry.counter(PREFIX + "held." + service).inc();
 	}
