The servers' queues are used a little further before a flood is held back

Cause: a service whose whole queue is served within the objective lost callers in bursts to the lines of the hosts; a refusal while under half of the places are taken serves nobody; one caller with a long limit would have made all others of its route count as returned.

Change: teams are held to their fair share from 55 in 100 of the objective on (45 before) and at most 4 requests for each place (3); below half of the places everything goes on; the usual limit of a route decays.

ServiceAdmissionTests (9), RequestQueueTests (6), FairAdmissionTests (5) pass.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
@@ -22,15 +22,18 @@
 	/** The requests for each place up to which the servers always count as free. */
 	private static final double FREE_PRESSURE = 1.25;
 
+	/** The requests for each place below which every request goes on. */
+	private static final double IDLE_PRESSURE = 0.5;
+
 	/** The requests for each place beyond which servers may reject some. */
-	private static final double MAX_PRESSURE = 3;
+	private static final double MAX_PRESSURE = 4;
 
 	/**
 	 * The part of the objective up to which the servers' own queues are used before teams
 	 * are held to their fair share. One queue at the servers shares out the room better
 	 * than many short lines on the hosts.
 	 */
-	private static final double FREE_PORTION = 0.45;
+	private static final double FREE_PORTION = 0.55;
 
 	/**
 	 * The time in which the requests at the servers are brought back to as many as they
@@ -72,6 +75,9 @@
 	/** A caller with less of the usual time left has been refused before. */
 	private static final double RETURNED_PORTION = 0.9;
 
+	/** A longer limit than usual is forgotten after some hundred requests. */
+	private static final long LIMIT_DECAY = 256;
+
 	private static final int MAX_KINDS = 4_096;
 
 	/** Callers return after at most this part of the time that they have left. */
@@ -141,6 +147,10 @@
 		this.shares.refresh(ratePerS, nowMs - TEAM_RETENTION_MS, nowMs);
 		boolean overShare = !team.isWithin(this.shares.fairPerS(1), NOISE_DEVIATIONS, nowMs);
 		DBG.merge((demand.team().equals("big") ? "big" : "other") + (overShare ? "Over" : ""), 1, Integer::sum);
+		if (room.load() < IDLE_PRESSURE * room.slots()) {
+			this.pace.consume(ratePerS, 1, nowMs);
+			return new ServiceDecision.Pass<>();
+		}
 		if (!overShare) {
 			this.withinShare.add(1, nowMs);
 			if (servesInTime(room)) {
@@ -301,7 +311,8 @@
 		if (this.usualLimitsMs.size() >= MAX_KINDS) {
 			this.usualLimitsMs.clear();
 		}
-		long usualMs = this.usualLimitsMs.merge(caller.kind(), caller.leftMs(), Math::max);
+		long usualMs = this.usualLimitsMs.merge(caller.kind(), caller.leftMs(),
+				(knownMs, leftMs) -> Math.max(leftMs, knownMs - (knownMs - leftMs) / LIMIT_DECAY));
 		return caller.leftMs() < RETURNED_PORTION * usualMs;
 	}
 
