Only floods are held back, and only once the servers' queues fill

Change: everything goes on up to 2.5 requests for each place, and at any time while fewer are known at the servers than there are places; requests within their fair share wait only when the servers are full (6 for each place); a request waits for at most a quarter of the time left (half before); the rate may be corrected up to 1.5 times the measured speed (1.05).

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
@@ -20,12 +20,15 @@
 public final class ServiceAdmission<T> {
 
 	/** The requests for each place up to which the servers always count as free. */
-	private static final double FREE_PRESSURE = 1.25;
+	private static final double FREE_PRESSURE = 2.5;
 
 	/** The requests for each place below which every request goes on. */
-	private static final double IDLE_PRESSURE = 0.5;
+	private static final double IDLE_PRESSURE = 1;
 
-	/** The requests for each place beyond which servers may reject some. */
+	/** The requests for each place from which on no server takes more. */
+	private static final double FULL_PRESSURE = 6;
+
+	/** The requests for each place beyond which some servers may be full. */
 	private static final double MAX_PRESSURE = 4;
 
 	/**
@@ -49,7 +52,7 @@
 
 	private static final double MIN_PORTION = 0.5;
 
-	private static final double MAX_PORTION = 1.05;
+	private static final double MAX_PORTION = 1.5;
 
 	private static final double MIN_RATE_PER_S = 0.5;
 
@@ -70,7 +73,7 @@
 	private static final int MAX_WAITING = 64;
 
 	/** The part of the time left that a request may wait. */
-	private static final double MAX_WAIT_PORTION = 0.5;
+	private static final double MAX_WAIT_PORTION = 0.25;
 
 	/** A caller with less of the usual time left has been refused before. */
 	private static final double RETURNED_PORTION = 0.9;
@@ -330,10 +333,10 @@
 		return Math.clamp(inTime, FREE_PRESSURE * room.slots(), MAX_PRESSURE * room.slots());
 	}
 
-	// Requests of teams within their fair share wait only if they would be late at the
-	// servers too.
+	// Requests of teams within their fair share wait only if the servers would reject
+	// them, because one queue at the servers shares out the room better.
 	private boolean servesInTime(ServiceRoom room) {
-		return isFree(room) || this.speed.expectedMs(room) <= this.objectiveMs;
+		return isFree(room) || room.pressure() < FULL_PRESSURE;
 	}
 
 	private double fraction(ServiceRoom room) {
