No counters of a trial in the admission; waiting floods go on once there are places

Cause: a map that counted decisions for a trial was left in ServiceAdmission, and a request of a team above its share kept waiting for the host's rate also while fewer requests were known at the servers than there are places.

Change: the map is gone; the line lets go whoever waits while there are places.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
@@ -25,12 +25,12 @@
 	/** The requests for each place below which every request goes on. */
 	private static final double IDLE_PRESSURE = 1;
 
-	/** The requests for each place from which on no server takes more. */
-	private static final double FULL_PRESSURE = 6;
-
 	/** The requests for each place beyond which some servers may be full. */
 	private static final double MAX_PRESSURE = 4;
 
+	/** The requests for each place from which on no server takes more. */
+	private static final double FULL_PRESSURE = 6;
+
 	/**
 	 * The part of the objective up to which the servers' own queues are used before teams
 	 * are held to their fair share. One queue at the servers shares out the room better
@@ -149,8 +149,7 @@
 		double ratePerS = ratePerS(room);
 		this.shares.refresh(ratePerS, nowMs - TEAM_RETENTION_MS, nowMs);
 		boolean overShare = !team.isWithin(this.shares.fairPerS(1), NOISE_DEVIATIONS, nowMs);
-		DBG.merge((demand.team().equals("big") ? "big" : "other") + (overShare ? "Over" : ""), 1, Integer::sum);
-		if (room.load() < IDLE_PRESSURE * room.slots()) {
+		if (hasPlaces(room)) {
 			this.pace.consume(ratePerS, 1, nowMs);
 			return new ServiceDecision.Pass<>();
 		}
@@ -211,7 +210,7 @@
 			return this.line.poll(nowMs);
 		}
 		double ratePerS = ratePerS(room);
-		if (rank < OVER_SHARE_RANK && servesInTime(room)) {
+		if (hasPlaces(room) || (rank < OVER_SHARE_RANK && servesInTime(room))) {
 			this.pace.consume(ratePerS, 1, nowMs);
 			return this.line.poll(nowMs);
 		}
@@ -295,12 +294,6 @@
 		return dump;
 	}
 
-	static final Map<String, Integer> DBG = new TreeMap<>();
-
-	double debugRate(ServiceRoom room) {
-		return isKnown(room) ? ratePerS(room) : -1;
-	}
-
 	private void observe(ServiceRoom room, long nowMs) {
 		this.fractions.record(this.service, room.ownRequests(), room.otherRequests(), nowMs);
 		if (!isFree(room)) {
@@ -324,6 +317,10 @@
 		return room.slots() > 0 && this.speed.isKnown();
 	}
 
+	private boolean hasPlaces(ServiceRoom room) {
+		return room.load() < IDLE_PRESSURE * room.slots();
+	}
+
 	private boolean isFree(ServiceRoom room) {
 		return room.load() < freeLoad(room);
 	}
