Findings in a routing configuration before it is submitted

Change: RoutingRules lists all broken rules as findings, and check() refuses for the first of them as before. The ranges of the priorities move from GatewayRequest to Route and TeamAccess with the same values.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/Route.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/Route.java
@@ -25,6 +25,9 @@
 		int objectiveMs, int gapObjectiveMs, int priority, List<ServiceWeight> services, int maxAttempts,
 		boolean open) {
 
+	/** The number of priorities of routes that are told apart. */
+	public static final int PRIORITIES = 3;
+
 	/**
 	 * Checks the arguments and copies the list.
 	 */
--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RouteTable.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RouteTable.java
@@ -85,7 +85,12 @@
 		return this.services.get(name);
 	}
 
-	private static String hostKey(String hostName) {
+	/**
+	 * Returns the form in which host names are compared.
+	 * @param hostName a host name, possibly with a port
+	 * @return the host name in lower case without its port
+	 */
+	static String hostKey(String hostName) {
 		int port = hostName.indexOf(':');
 		return ((port >= 0) ? hostName.substring(0, port) : hostName).toLowerCase(Locale.ROOT);
 	}
--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
@@ -1,5 +1,6 @@
 package io.fescuehold.core.routes;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -14,6 +15,8 @@
  */
 public final class RoutingRules {
 
+	private final List<RoutingFinding> violations = new ArrayList<>();
+
 	private RoutingRules() {
 	}
 
@@ -24,8 +27,27 @@
 	 * broken
 	 */
 	public static void check(RoutingConfig config) {
+		List<RoutingFinding> violations = violations(config);
+		if (!violations.isEmpty()) {
+			RoutingFinding first = violations.getFirst();
+			throw new FescueholdException(ErrorCode.ROUTING_INVALID, first.place(), first.seen(), first.remedy());
+		}
+	}
+
+	/**
+	 * Lists all broken rules of a configuration.
+	 * @param config the configuration
+	 * @return the broken rules as errors, empty if the configuration is accepted
+	 */
+	public static List<RoutingFinding> violations(RoutingConfig config) {
+		RoutingRules rules = new RoutingRules();
+		rules.checkAll(config);
+		return rules.violations;
+	}
+
+	private void checkAll(RoutingConfig config) {
 		if (config.number() <= 0) {
-			throw invalid("number", config.number(), "use a positive number");
+			violated("number", config.number(), "use a positive number");
 		}
 		Set<String> services = new HashSet<>();
 		config.services().forEach((service) -> services.add(service.name()));
@@ -33,50 +55,50 @@
 		for (Route route : config.routes()) {
 			checkRoute(route, services);
 			if (!hostsAndPrefixes.add(route.hostName() + " " + route.pathPrefix())) {
-				throw invalid("route \"" + route.name() + "\"", route.hostName() + route.pathPrefix(),
+				violated("route \"" + route.name() + "\"", route.hostName() + route.pathPrefix(),
 						"use a host name and path prefix that no other route has");
 			}
 		}
 		checkTeams(config.teams());
 	}
 
-	private static void checkRoute(Route route, Set<String> services) {
+	private void checkRoute(Route route, Set<String> services) {
 		String place = "route \"" + route.name() + "\"";
 		if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
-			throw invalid(place + " path prefix", route.pathPrefix(), "begin and end it with a slash");
+			violated(place + " path prefix", route.pathPrefix(), "begin and end it with a slash");
 		}
 		if (route.timeoutMs() <= 0) {
-			throw invalid(place + " timeout", route.timeoutMs(), "use a positive number of milliseconds");
+			violated(place + " timeout", route.timeoutMs(), "use a positive number of milliseconds");
 		}
 		long weights = 0;
 		for (ServiceWeight target : route.services()) {
 			if (!services.contains(target.service())) {
-				throw invalid(place + " service", target.service(), "name one of the configured services");
+				violated(place + " service", target.service(), "name one of the configured services");
 			}
 			if (target.weight() < 0) {
-				throw invalid(place + " weight", target.weight(), "use 0 or more");
+				violated(place + " weight", target.weight(), "use 0 or more");
 			}
 			weights += target.weight();
 		}
 		if (weights == 0) {
-			throw invalid(place + " weights", 0, "give at least one service a positive weight");
+			violated(place + " weights", 0, "give at least one service a positive weight");
 		}
 	}
 
-	private static void checkTeams(List<TeamAccess> teams) {
+	private void checkTeams(List<TeamAccess> teams) {
 		Set<String> keys = new HashSet<>();
 		for (TeamAccess team : teams) {
 			for (String key : new HashSet<>(team.apiKeys())) {
 				if (!keys.add(key)) {
-					throw invalid("team \"" + team.name() + "\" key", "a key of another team",
+					violated("team \"" + team.name() + "\" key", "a key of another team",
 							"give each team keys of its own");
 				}
 			}
 		}
 	}
 
-	private static FescueholdException invalid(String place, Object value, String remedy) {
-		return new FescueholdException(ErrorCode.ROUTING_INVALID, place, value, remedy);
+	private void violated(String place, Object seen, String remedy) {
+		this.violations.add(new RoutingFinding(RoutingFinding.Severity.ERROR, place, String.valueOf(seen), remedy));
 	}
 
 }
--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/TeamAccess.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/TeamAccess.java
@@ -13,6 +13,9 @@
  */
 public record TeamAccess(String name, List<String> apiKeys, Integer priority) {
 
+	/** The largest priority of teams that is told apart. */
+	public static final int LEAST_URGENT = 3;
+
 	/**
 	 * Checks the arguments and copies the list.
 	 */
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayRequest.java
@@ -24,9 +24,7 @@
 record GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
 		long deadlineAtMs, RelayHop hop, ByteBudget.Lease memory, RequestFeatures features) {
 
-	private static final int LEAST_URGENT = 9;
-
-	private static final int ROUTE_PRIORITIES = 3;
+	private static final int LEAST_URGENT = TeamAccess.LEAST_URGENT * Route.PRIORITIES;
 
 	GatewayRequest(CallerHead head, byte[] body, Route route, TeamAccess team, String service, long receivedAtMs,
 			long deadlineAtMs, RelayHop hop, ByteBudget.Lease memory) {
@@ -41,9 +39,9 @@
 	 * @return the priority from 0, the most urgent, to 9
 	 */
 	int urgency() {
-		int routePriority = Math.clamp(this.route.priority(), 0, ROUTE_PRIORITIES - 1);
+		int routePriority = Math.clamp(this.route.priority(), 0, Route.PRIORITIES - 1);
 		int teamPriority = (this.team != null && this.team.priority() != null) ? this.team.priority() : 0;
-		return Math.clamp((long) teamPriority * ROUTE_PRIORITIES + routePriority, 0, LEAST_URGENT);
+		return Math.clamp((long) teamPriority * Route.PRIORITIES + routePriority, 0, LEAST_URGENT);
 	}
 
 	long leftMs(long nowMs) {
