Check of a configuration against the version in force

Cause: operators asked for one check before a configuration is sent: errors, entries that can never match, limits that contradict each other, and what differs from the version in force. The options of the client move from RemoteCommand to ClientOptions, because check needs no endpoint.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RemoteCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RemoteCommand.java
@@ -1,53 +1,22 @@
 package io.fescuehold.daemon.cli;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-
-import io.fescuehold.core.error.ErrorCode;
-import io.fescuehold.core.error.FescueholdException;
 import org.kohsuke.args4j.Option;
 
 /**
- * Options of the commands that send requests to a daemon.
+ * Options of the commands that always send requests to a daemon.
  */
-abstract class RemoteCommand implements Command {
-
-	private static final int DEFAULT_TIMEOUT_MS = 15_000;
+abstract class RemoteCommand extends ClientOptions {
 
 	@Option(name = "--endpoint", metaVar = "URL",
 			usage = "address of a daemon that serves the command, such as http://127.0.0.1:7101", required = true)
 	private String endpoint;
 
-	@Option(name = "--token-file", metaVar = "FILE", usage = "file that holds the bearer token")
-	private Path tokenFile;
-
-	@Option(name = "--ca-file", metaVar = "FILE",
-			usage = "PEM file of the authority that signed the daemon's certificate")
-	private Path caFile;
-
-	@Option(name = "--timeout-ms", metaVar = "MS", usage = "longest wait in milliseconds")
-	private int timeoutMs = DEFAULT_TIMEOUT_MS;
-
 	/**
 	 * Returns a client of the daemon.
 	 * @return the client
 	 */
 	protected AdminClient client() {
-		return new AdminClient(this.endpoint, readToken(), this.caFile, this.timeoutMs);
-	}
-
-	private String readToken() {
-		if (this.tokenFile == null) {
-			return null;
-		}
-		try {
-			return Files.readString(this.tokenFile).strip();
-		}
-		catch (IOException ex) {
-			throw new FescueholdException(ErrorCode.BAD_SETTING, this.tokenFile, "the file",
-					"cannot be read (" + ex.getMessage() + "); name a readable token file");
-		}
+		return client(this.endpoint);
 	}
 
 	/**
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingFiles.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingFiles.java
@@ -26,10 +26,19 @@
 	 * with ROUTING_INVALID if a daemon would refuse it
 	 */
 	static RoutingConfig read(Path file, RoutingCodec codec) {
+		RoutingConfig config = codec.decode(bytes(file));
+		RoutingRules.check(config);
+		return config;
+	}
+
+	/**
+	 * Reads a file.
+	 * @param file the file
+	 * @return its content; errors with code BAD_SETTING if the file cannot be read
+	 */
+	static byte[] bytes(Path file) {
 		try {
-			RoutingConfig config = codec.decode(Files.readAllBytes(file));
-			RoutingRules.check(config);
-			return config;
+			return Files.readAllBytes(file);
 		}
 		catch (IOException ex) {
 			throw new FescueholdException(ErrorCode.BAD_SETTING, file, "the file",
