More evidence before a server counts as slow; odd statements of speed are bounded

Cause: on three hosts logged learned factors of 1.33 to 1.91 for servers of usual speed; with a smoothing factor of 0.15 the mean is of some 12 times. A server that says that work takes 1 % of the usual time would have attracted all requests. Change: 20 times at least, a smoothing factor of 0.05 and three standard errors; what a server says counts from 1 to 4 times the usual time.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/ServerSpeed.java
@@ -18,7 +18,7 @@
 	static final long LEARNED_HALF_LIFE_MS = 20_000;
 
 	/** Fewer times do not tell a slow server from chance. */
-	static final int MIN_TIMES = 8;
+	static final int MIN_TIMES = 20;
 
 	/** Learned differences below this fraction are no reason to choose another server. */
 	static final double TOLERATED_DIFFERENCE = 0.1;
@@ -27,16 +27,19 @@
 	static final double MIN_EXPECTED_MS = 10;
 
 	/** A mean that chance moves this many standard errors away from 1 is rare. */
-	private static final double SIGNIFICANT_ERRORS = 2;
+	private static final double SIGNIFICANT_ERRORS = 3;
 
-	private static final double SMOOTHING_FACTOR = 0.15;
+	private static final double SMOOTHING_FACTOR = 0.05;
 
 	/**
 	 * The number of equally weighted times whose mean varies as much as the smoothed one.
 	 */
 	private static final double SMOOTHED_TIMES = 2 / SMOOTHING_FACTOR - 1;
 
-	/** Limits the weight of one time, for instance of a request that stalled. */
+	/**
+	 * Limits the weight of one time, for instance of a request that stalled, and of what
+	 * a server says.
+	 */
 	private static final double MAX_FACTOR = 4;
 
 	private double momentFactor = 1;
@@ -52,12 +55,14 @@
 	private int timeCount;
 
 	/**
-	 * Records what the server said of its load.
+	 * Records what the server said of its load. One that says that it is faster than
+	 * usual counts as usual, so that an odd figure does not attract all requests.
 	 * @param report the report
 	 * @param nowMs the time in milliseconds
 	 */
 	public void recordReport(ServerLoadReport report, long nowMs) {
-		this.momentFactor = report.workPercent() / (double) ServerLoadReport.USUAL_WORK_PERCENT;
+		double factor = report.workPercent() / (double) ServerLoadReport.USUAL_WORK_PERCENT;
+		this.momentFactor = Math.clamp(factor, 1, MAX_FACTOR);
 		this.momentMs = nowMs;
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/ServerSpeedTests.java
@@ -23,6 +23,8 @@
 		assertThat(this.speed.factor(0)).isEqualTo(2.5);
 		assertThat(this.speed.factor(ServerSpeed.MOMENT_HALF_LIFE_MS)).isEqualTo(1.75);
 		assertThat(this.speed.factor(ServerSpeed.MOMENT_EXPIRY_MS)).isEqualTo(1);
+		this.speed.recordReport(new ServerLoadReport(1, 0, 24, 1), 2_000);
+		assertThat(this.speed.factor(2_000)).as("faster than usual").isEqualTo(1);
 	}
 
 	@Test
