Limits on what a connection of a client may cost

Change: ConnectionAccount charges each field to the memory budget while it is parsed and drops the fields of a head that exceeds the budget (503, not run) or max_header_bytes (431 HEAD_TOO_LARGE); four complete requests at most wait for answers on a connection, the rest stays as bytes (ReadAhead); a read takes 16 KiB; route and key are decided before the body; connections are limited by port (a quarter of limits.max_fds for callers), and those that stall lose their place first (ConnectionGroup), also while memory is scarce; a connection on which nothing is sent ends after idle_timeout_ms; operators' ports have memory, connections and time limits of their own (OperatorHttp); -XX:+ExitOnOutOfMemoryError. IdleTimeoutHandler moves to runtime.http; ConnectionTimerTests changes its import only.

OutOfMemoryTests passes. PlannedStopProcessTests 5 of 5, HttpListenersTests, BadInputTests, RouterDrainTests, GatewayCallTests, MemoryBudgetTests, NodeDrainTests pass.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/error/ErrorCode.java
@@ -13,6 +13,9 @@
 	/** The body is larger than allowed. Arguments: size in bytes, limit in bytes. */
 	BODY_TOO_LARGE(413, "The body has %s bytes but at most %s are allowed; send a smaller body"),
 
+	/** The head is larger than allowed. Arguments: size in bytes, limit in bytes. */
+	HEAD_TOO_LARGE(431, "The head has at least %s bytes of fields but at most %s are allowed; send fewer headers"),
+
 	/** The team is not configured. Argument: team. */
 	UNKNOWN_TEAM(403, "Team \"%s\" is not configured; use a configured team in the Fescuehold-Team header"),
 
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -81,6 +81,20 @@
 	/** The part of the heap that bodies and events may take. */
 	private static final int HEAP_FRACTION = 2;
 
+	/**
+	 * The part of the descriptors for connections of callers, each of which may need
+	 * another one to a server.
+	 */
+	private static final int CALLER_PART = 4;
+
+	/** The part of the descriptors for connections of each port of the operators. */
+	private static final int OPERATOR_PART = 16;
+
+	/** The part of the heap for calls of operators, which callers cannot take. */
+	private static final int OPERATOR_HEAP_PART = 6;
+
+	private static final int STALL_CHECK_MS = 500;
+
 	private static final long DRAIN_CHECK_MS = 20;
 
 	private static final Duration TRANSPORT_START_TIMEOUT = Duration.ofSeconds(5);
@@ -126,6 +140,8 @@
 	/** The listeners of operators, of the platform and of the metrics. */
 	private final HttpListeners operatorListeners;
 
+	private final OperatorHttp operatorHttp;
+
 	private final OperationsServer operations;
 
 	/** Ends the calls of operators that are open when this daemon stops. */
@@ -185,12 +201,15 @@
 		this.evidence = (settings.dataFolder() != null) ? new EvidenceStore(settings.dataFolder().resolve("quarantine"),
 				this.belief.quarantine(), this.scheduler, System::currentTimeMillis) : null;
 		this.operatorListeners = new HttpListeners("operators", this.metrics);
+		this.operatorHttp = new OperatorHttp(this.operatorListeners,
+				Runtime.getRuntime().maxMemory() / OPERATOR_HEAP_PART, settings.maxDescriptors() / OPERATOR_PART);
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
-				this.operatorListeners, this::dump);
+				this.operatorHttp, this::dump);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
 		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> memory().heldBytes());
+		this.metrics.register("operators.heldBytes", (Gauge<Long>) () -> this.operatorHttp.memory().heldBytes());
 		this.metrics.register("gateway.inFlight", (Gauge<Integer>) this.server::inFlight);
 	}
 
@@ -199,14 +218,10 @@
 				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
 				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.firstStart(),
 				settings.serverDrainMs() / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND,
-				settings.policy());
+				settings.policy(), settings.maxDescriptors() / CALLER_PART);
 	}
 
-	/**
-	 * Returns the bytes that this daemon may hold for all requests.
-	 * @return the budget
-	 */
-	public ByteBudget memory() {
+	private ByteBudget memory() {
 		return this.server.memory();
 	}
 
@@ -215,8 +230,8 @@
 	 * with its own.
 	 * @return the listeners
 	 */
-	public HttpListeners operatorListeners() {
-		return this.operatorListeners;
+	public OperatorHttp operatorHttp() {
+		return this.operatorHttp;
 	}
 
 	/**
@@ -255,6 +270,8 @@
 	private void startChecks() {
 		this.scheduler.schedulePeriodically(this.server::closeUnusedPools, POOL_CHECK_MS, POOL_CHECK_MS,
 				TimeUnit.MILLISECONDS);
+		this.scheduler.schedulePeriodically(this.server::closeStalled, STALL_CHECK_MS, STALL_CHECK_MS,
+				TimeUnit.MILLISECONDS);
 		this.scheduler.schedulePeriodically(this.belief::expire, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS,
 				TimeUnit.MILLISECONDS);
 	}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -33,14 +33,20 @@
  * @param maxEntryValidMs the longest time in milliseconds for which a caller may use an
  * entry response
  * @param policy the operators' bounds on where and how often requests are sent
+ * @param maxDescriptors the descriptors that the process may open
  */
 public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int relayPort,
 		int operationsPort, List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs,
 		double retryRatio, double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs, long maxEntryValidMs,
-		ServingPolicy policy) {
+		ServingPolicy policy, int maxDescriptors) {
+
+	/** The descriptors of a process whose settings name no limit. */
+	public static final int DEFAULT_MAX_DESCRIPTORS = 4_096;
 
 	private static final int MAX_PORT = 65_535;
 
+	private static final int MIN_DESCRIPTORS = 128;
+
 	/**
 	 * Checks the arguments and copies the list.
 	 */
@@ -56,6 +62,9 @@
 		checkPositive("revocationMs", revocationMs);
 		checkPositive("retryWindowMs", retryWindowMs);
 		checkPositive("stopMs", stopMs);
+		if (maxDescriptors < MIN_DESCRIPTORS) {
+			throw invalid("maxDescriptors", maxDescriptors, "allow at least " + MIN_DESCRIPTORS);
+		}
 		if (retryRatio < 0 || retryExtra < 0) {
 			throw invalid("retryRatio, retryExtra", retryRatio + ", " + retryExtra, "use 0 or more");
 		}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
@@ -8,7 +8,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.fescuehold.runtime.admin.MetricsText;
-import io.fescuehold.runtime.http.HttpListeners;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.resources.LoopResources;
@@ -29,22 +28,22 @@
 
 	private final MetricRegistry metrics;
 
-	private final HttpListeners listeners;
+	private final OperatorHttp http;
 
 	private final Supplier<Map<String, Object>> dump;
 
-	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics, HttpListeners listeners,
+	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics, OperatorHttp http,
 			Supplier<Map<String, Object>> dump) {
 		this.address = address;
 		this.port = port;
 		this.loops = loops;
 		this.metrics = metrics;
-		this.listeners = listeners;
+		this.http = http;
 		this.dump = dump;
 	}
 
 	void start() {
-		this.listeners.bind(this.listeners.newServer()
+		this.http.bind(this.http.newServer()
 			.host(this.address)
 			.port(this.port)
 			.runOn(this.loops, false)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayOptions.java
@@ -27,10 +27,14 @@
  * requests
  * @param backend the options of connections to servers
  * @param policy the operators' bounds on where and how often requests are sent
+ * @param maxConnections the maximum number of connections of callers
  */
 public record GatewayOptions(String address, int port, int relayPort, String failureDomain, long keyAgeMs,
 		long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
-		long leavingUseMs, long memoryBytes, BackendOptions backend, ServingPolicy policy) {
+		long leavingUseMs, long memoryBytes, BackendOptions backend, ServingPolicy policy, int maxConnections) {
+
+	/** The connections of callers of a process that may open 4,096 descriptors. */
+	public static final int DEFAULT_MAX_CONNECTIONS = 1_024;
 
 	/**
 	 * Checks the arguments.
@@ -65,7 +69,7 @@
 			long absenceAgeMs, double retryRatio, double retryExtra, long retryWindowMs, boolean firstStart,
 			long leavingUseMs, long memoryBytes, BackendOptions backend) {
 		this(address, port, relayPort, failureDomain, keyAgeMs, absenceAgeMs, retryRatio, retryExtra, retryWindowMs,
-				firstStart, leavingUseMs, memoryBytes, backend, ServingPolicy.NONE);
+				firstStart, leavingUseMs, memoryBytes, backend, ServingPolicy.NONE, DEFAULT_MAX_CONNECTIONS);
 	}
 
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -23,7 +22,6 @@
 import io.fescuehold.core.routes.GateDecision;
 import io.fescuehold.core.routes.RequestGate;
 import io.fescuehold.core.routes.Route;
-import io.fescuehold.core.routes.RouteTable;
 import io.fescuehold.core.routes.RoutingConfig;
 import io.fescuehold.core.routes.TeamAccess;
 import io.fescuehold.core.servers.ServerState;
@@ -31,12 +29,11 @@
 import io.fescuehold.runtime.backend.BackendResponse;
 import io.fescuehold.runtime.http.BodyReader;
 import io.fescuehold.runtime.http.ByteBudget;
+import io.fescuehold.runtime.http.ConnectionAccount;
 import io.fescuehold.runtime.http.ConnectionReport;
 import io.fescuehold.runtime.http.HttpListeners;
-import io.fescuehold.runtime.http.RequestHeadTimer;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -55,9 +52,8 @@
  */
 public final class GatewayServer implements StateDump {
 
-	private static final int MAX_REQUEST_LINE_BYTES = 8_192;
-
-	private static final int MAX_HEADER_BYTES = 65_536;
+	/** The body of a refused request that is read to keep the connection. */
+	private static final int REFUSED_BODY_BYTES = 64 << 10;
 
 	private static final byte[] EMPTY_BODY = {};
 
@@ -74,8 +70,6 @@
 
 	private final Scheduler scheduler;
 
-	private final LoopResources loops;
-
 	private final LongSupplier clockMs;
 
 	private final RequestGate gate;
@@ -95,6 +89,8 @@
 
 	private final HttpListeners listeners;
 
+	private final GatewayPorts ports;
+
 	private DisposableServer server;
 
 	private DisposableServer relayServer;
@@ -131,13 +127,13 @@
 		this.protocol = protocol;
 		this.versions = versions;
 		this.scheduler = scheduler;
-		this.loops = loops;
 		this.clockMs = () -> scheduler.now(TimeUnit.MILLISECONDS);
 		this.gate = new RequestGate(options.keyAgeMs(), options.absenceAgeMs());
 		this.pools = new BackendPools(options.backend(), loops);
 		this.metrics = new GatewayMetrics(registry);
 		this.memory = new ByteBudget(options.memoryBytes());
 		this.listeners = new HttpListeners("gateway", registry);
+		this.ports = new GatewayPorts(options, belief, this.listeners, this.memory, loops);
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
@@ -148,25 +144,9 @@
 	 * Binds the port and starts to accept connections.
 	 */
 	public void start() {
-		this.server = bind(this.options.port(), (http, response) -> handle(http, response, null));
-		this.relayServer = bind(this.options.relayPort(),
-				(http, response) -> handle(http, response, RelayHop.read(http.requestHeaders())));
-	}
-
-	private DisposableServer bind(int port,
-			BiFunction<HttpServerRequest, HttpServerResponse, Publisher<Void>> handler) {
-		return this.listeners.bind(this.listeners.newServer()
-			.host(this.options.address())
-			.port(port)
-			.runOn(this.loops, false)
-			.childOption(ChannelOption.TCP_NODELAY, true)
-			.httpRequestDecoder(
-					(spec) -> spec.maxInitialLineLength(MAX_REQUEST_LINE_BYTES).maxHeaderSize(MAX_HEADER_BYTES))
-			.doOnChannelInit((observer, channel, address) -> {
-				RequestHeadTimer.install(channel.pipeline(), this.belief.limits().headerTimeoutMs());
-				IdleTimeoutHandler.install(channel.pipeline(), () -> this.belief.limits().idleTimeoutMs());
-			})
-			.handle(handler));
+		this.server = this.ports.bindCallers((http, response) -> handle(http, response, null));
+		this.relayServer = this.ports
+			.bindRelays((http, response) -> handle(http, response, RelayHop.read(http.requestHeaders())));
 	}
 
 	/**
@@ -275,6 +255,13 @@
 			.collect(Collectors.toCollection(() -> new HashSet<>(this.dispatcher.relays().addresses()))));
 	}
 
+	/**
+	 * Closes connections whose callers stall, if the memory for requests becomes scarce.
+	 */
+	public void closeStalled() {
+		this.ports.closeStalled();
+	}
+
 	/**
 	 * Stops listening and closes all connections.
 	 */
@@ -288,18 +275,20 @@
 		this.inFlight++;
 		CallerHead head;
 		try {
+			ConnectionAccount.check(http.requestHeaders(), this.memory);
 			CallerHead received = this.protocol.read(http.method().name(), http.uri(), http.requestHeaders());
 			head = (hop != null) ? RelayHop.strip(received) : received;
 		}
 		catch (FescueholdException ex) {
 			this.inFlight--;
+			this.metrics.refused(ex.code().name());
 			response.keepAlive(false);
 			return CallerResponses.refuse(response, ex, hop);
 		}
 		BodyReader bodyReader = new BodyReader(this.belief.limits().maxBodyBytes(), bodyTimeoutMs(head), this.scheduler,
 				this.memory);
 		ByteBudget.Lease lease = this.memory.lease();
-		return untilEnded(bodyReader.read(http, lease).defaultIfEmpty(EMPTY_BODY))
+		return untilEnded(readBody(head, http, response, bodyReader, lease).defaultIfEmpty(EMPTY_BODY))
 			.flatMap((body) -> serve(head, body, lease, receivedAtMs, response, hop))
 			.onErrorResume((error) -> refuse(head, error, receivedAtMs, response, hop))
 			.doOnCancel(() -> {
@@ -312,6 +301,25 @@
 			});
 	}
 
+	// The body of a request that has no route or no valid key is not kept.
+	private Mono<byte[]> readBody(CallerHead head, HttpServerRequest http, HttpServerResponse response,
+			BodyReader bodyReader, ByteBudget.Lease lease) {
+		if (!(decide(head) instanceof GateDecision.Refused(FescueholdException refusal))
+				|| refusal.code() != ErrorCode.NO_ROUTE && refusal.code() != ErrorCode.UNKNOWN_KEY) {
+			return bodyReader.read(http, lease);
+		}
+		return BodyReader.discard(http, REFUSED_BODY_BYTES).flatMap((complete) -> {
+			if (!complete) {
+				response.keepAlive(false);
+			}
+			return Mono.error(refusal);
+		});
+	}
+
+	private GateDecision decide(CallerHead head) {
+		return this.gate.decide(this.belief.table(), this.belief.ageMs(), head.hostName(), head.path(), head.apiKey());
+	}
+
 	private Mono<byte[]> untilEnded(Mono<byte[]> body) {
 		Sinks.One<byte[]> end = Sinks.one();
 		Runnable stop = () -> end.tryEmitError(draining());
@@ -332,10 +340,7 @@
 		if (this.refusing) {
 			return Mono.error(draining());
 		}
-		RouteTable table = this.belief.table();
-		GateDecision decision = this.gate.decide(table, this.belief.ageMs(), head.hostName(), head.path(),
-				head.apiKey());
-		return switch (decision) {
+		return switch (decide(head)) {
 			case GateDecision.Refused(FescueholdException refusal) -> Mono.error(refusal);
 			case GateDecision.Admitted(Route route, var team) -> {
 				this.metrics.request(route.name());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -72,6 +72,7 @@
 			case REQUEST_QUARANTINED -> ErrorCode.PROMPT_QUARANTINED;
 			case REQUEST_CRASHES_SERVERS -> ErrorCode.PROMPT_CRASHES_SERVERS;
 			case HOST_MEMORY_FULL -> ErrorCode.DRAINING;
+			case HEAD_TOO_LARGE -> ErrorCode.BODY_TOO_LARGE;
 			default -> code;
 		};
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/BodyReader.java
@@ -17,6 +17,11 @@
  */
 public final class BodyReader {
 
+	private static final int MAX_DIGITS = 18;
+
+	/** What a part of a body costs in addition to its bytes. */
+	private static final int PART_BYTES = 64;
+
 	/** Other hosts may take the request at once. */
 	private static final long MEMORY_RETRY_AFTER_MS = 200;
 
@@ -87,6 +92,25 @@
 					this.scheduler);
 	}
 
+	/**
+	 * Reads a body without keeping it.
+	 * @param request the request
+	 * @param maxBytes the number of bytes, counting a few for each part, after which no
+	 * more are read
+	 * @return whether the body is complete; never an error because of its size
+	 */
+	public static Mono<Boolean> discard(HttpServerRequest request, int maxBytes) {
+		String length = request.requestHeaders().get(HttpHeaderNames.CONTENT_LENGTH, "0").strip();
+		if (length.length() > MAX_DIGITS || !length.chars().allMatch(Character::isDigit)
+				|| !length.isEmpty() && Long.parseLong(length) > maxBytes) {
+			return Mono.just(false);
+		}
+		return request.receive()
+			.scan(0, (count, part) -> count + part.readableBytes() + PART_BYTES)
+			.any((count) -> count > maxBytes)
+			.map((over) -> !over);
+	}
+
 	private static long contentLength(HttpServerRequest request) {
 		if (!request.requestHeaders().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			return 0;
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/HttpListeners.java
@@ -1,18 +1,22 @@
 package io.fescuehold.runtime.http;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 
@@ -41,6 +45,23 @@
 	 */
 	private static final int CLOSES_PER_PASS = 16;
 
+	/**
+	 * The bytes that one connection reads before it is the turn of the others. Their cost
+	 * is that of the smallest chunks.
+	 */
+	private static final int MAX_READ_BYTES = 16 << 10;
+
+	private static final int FIRST_READ_BYTES = 2_048;
+
+	private static final int MIN_READ_BYTES = 256;
+
+	/** The stalled connections that are closed in one pass. */
+	private static final int STALLED_PER_PASS = 16;
+
+	private final Counter refused;
+
+	private final Counter displaced;
+
 	private final Map<ConnectionEnd, Counter> ends = new EnumMap<>(ConnectionEnd.class);
 
 	private final Set<TrackedConnection> connections = ConcurrentHashMap.newKeySet();
@@ -66,6 +87,8 @@
 		for (ConnectionEnd end : ConnectionEnd.values()) {
 			this.ends.put(end, registry.counter(prefix + end.name()));
 		}
+		this.refused = registry.counter(prefix + "refused");
+		this.displaced = registry.counter(prefix + "displaced");
 		// A server that is created anew replaces the gauge of the one before it.
 		registry.remove(prefix + "open");
 		registry.register(prefix + "open", (Gauge<Integer>) this.connections::size);
@@ -76,8 +99,21 @@
 	 * @return the server, to be configured and bound
 	 */
 	public HttpServer newServer() {
+		return newServer(Integer.MAX_VALUE);
+	}
+
+	/**
+	 * Creates a server whose connections are tracked and limited.
+	 * @param maxConnections the maximum number of connections
+	 * @return the server, to be configured and bound
+	 */
+	public HttpServer newServer(int maxConnections) {
+		ConnectionGroup group = new ConnectionGroup(maxConnections, this.refused, this.displaced);
 		return HttpServer.create()
-			.doOnChannelInit((observer, channel, address) -> TrackedConnection.install(channel, this));
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+						.maxMessagesPerRead(1))
+			.doOnChannelInit((observer, channel, address) -> TrackedConnection.install(channel, this, group));
 	}
 
 	/**
@@ -168,6 +204,24 @@
 		this.connections.forEach(TrackedConnection::closeNow);
 	}
 
+	/**
+	 * Closes connections with a request that the caller neither ends nor reads the
+	 * response of, those that have been so for longest first.
+	 * @param stalledMs the time in milliseconds from which on a connection is closed
+	 */
+	public void closeStalled(long stalledMs) {
+		long nowNs = System.nanoTime();
+		this.connections.stream()
+			.filter((connection) -> !connection.isKept()
+					&& connection.stalledNs(nowNs) >= TimeUnit.MILLISECONDS.toNanos(stalledMs))
+			.sorted(Comparator.comparing((TrackedConnection connection) -> -connection.stalledNs(nowNs)))
+			.limit(STALLED_PER_PASS)
+			.forEach((connection) -> {
+				this.displaced.inc();
+				connection.closeStalled();
+			});
+	}
+
 	/**
 	 * Returns the state of the connections.
 	 * @return the open connections, and how those before them ended
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/IdleTimeoutHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdleTimeoutHandler.java
@@ -1,10 +1,9 @@
-package io.fescuehold.runtime.gateway;
+package io.fescuehold.runtime.http;
 
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
-import io.fescuehold.runtime.http.FinalResponse;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -13,10 +12,10 @@
 import reactor.netty.NettyPipeline;
 
 /**
- * Closes a caller's connection when no request arrives within the idle time-out after a
- * response.
+ * Closes a caller's connection when no request arrives within the idle time-out after it
+ * was opened or after a response.
  */
-final class IdleTimeoutHandler extends ChannelDuplexHandler {
+public final class IdleTimeoutHandler extends ChannelDuplexHandler {
 
 	private final IntSupplier idleTimeoutMs;
 
@@ -29,10 +28,25 @@
 		this.idleTimeoutMs = idleTimeoutMs;
 	}
 
-	static void install(ChannelPipeline pipeline, IntSupplier idleTimeoutMs) {
+	/**
+	 * Adds the handler to a pipeline.
+	 * @param pipeline the pipeline
+	 * @param idleTimeoutMs the idle time-out in milliseconds
+	 */
+	public static void install(ChannelPipeline pipeline, IntSupplier idleTimeoutMs) {
 		pipeline.addAfter(NettyPipeline.HttpCodec, "fescuehold.idleCloser", new IdleTimeoutHandler(idleTimeoutMs));
 	}
 
+	@Override
+	public void handlerAdded(ChannelHandlerContext ctx) {
+		startTimer(ctx);
+	}
+
+	private void startTimer(ChannelHandlerContext ctx) {
+		cancelTimer();
+		this.timer = ctx.executor().schedule(() -> ctx.close(), this.idleTimeoutMs.getAsInt(), TimeUnit.MILLISECONDS);
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 		if (message instanceof HttpRequest) {
@@ -54,8 +68,7 @@
 	private void responseSent(ChannelHandlerContext ctx) {
 		this.openRequests--;
 		if (this.openRequests == 0 && ctx.channel().isActive()) {
-			this.timer = ctx.executor()
-				.schedule(() -> ctx.close(), this.idleTimeoutMs.getAsInt(), TimeUnit.MILLISECONDS);
+			startTimer(ctx);
 		}
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -69,18 +69,43 @@
 	/** Whether the connection is closed without waiting for the caller. */
 	private boolean abrupt;
 
-	private TrackedConnection(Channel channel, HttpListeners listeners) {
+	/** The bytes that wait until earlier requests have their responses. */
+	private final ReadAhead ahead = new ReadAhead();
+
+	private final ConnectionProgress progress = new ConnectionProgress(this.openedNs);
+
+	private final ByteHandler byteHandler = new ByteHandler();
+
+	/** Whether bytes are being passed to the decoder. */
+	private boolean passing;
+
+	/** Whether the application wants to read and may not yet. */
+	private boolean readWanted;
+
+	private final ConnectionGroup group;
+
+	/** What the operating system had taken of the responses when it was last asked. */
+	private volatile long takenMark;
+
+	private volatile long takenMarkNs;
+
+	private TrackedConnection(Channel channel, HttpListeners listeners, ConnectionGroup group) {
 		this.channel = channel;
 		this.listeners = listeners;
+		this.group = group;
 	}
 
-	static void install(Channel channel, HttpListeners listeners) {
-		TrackedConnection connection = new TrackedConnection(channel, listeners);
+	static void install(Channel channel, HttpListeners listeners, ConnectionGroup group) {
+		TrackedConnection connection = new TrackedConnection(channel, listeners, group);
 		channel.pipeline()
-			.addBefore(NettyPipeline.HttpCodec, "fescuehold.bytes", connection.new ByteHandler())
+			.addBefore(NettyPipeline.HttpCodec, "fescuehold.bytes", connection.byteHandler)
 			.addAfter(NettyPipeline.HttpCodec, "fescuehold.messages", connection.new MessageHandler());
 		listeners.opened(connection, channel);
-		channel.closeFuture().addListener((closed) -> listeners.closed(connection, connection.end()));
+		channel.closeFuture().addListener((closed) -> {
+			group.closed(connection);
+			listeners.closed(connection, connection.end());
+		});
+		group.opened(connection);
 	}
 
 	private ConnectionEnd end() {
@@ -111,6 +136,53 @@
 		return (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
 	}
 
+	/**
+	 * Returns for how long the caller has neither sent nor read anything although it is
+	 * its turn.
+	 * @param nowNs the time in nanoseconds
+	 * @return the time in nanoseconds, 0 while the caller waits for a response
+	 */
+	long stalledNs(long nowNs) {
+		return switch (endIfClosed()) {
+			case UNANSWERED, CUT -> unreadNs(nowNs);
+			case INCOMPLETE, COMPLETE, PEER -> nowNs - this.progress.sinceNs();
+		};
+	}
+
+	// The bytes of a response that is written in part are still pending.
+	private long unreadNs(long nowNs) {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		if (buffer == null || buffer.totalPendingWriteBytes() == 0) {
+			return 0;
+		}
+		long mark = buffer.totalPendingWriteBytes() - buffer.currentProgress();
+		if (mark != this.takenMark) {
+			this.takenMark = mark;
+			this.takenMarkNs = nowNs;
+		}
+		return nowNs - this.takenMarkNs;
+	}
+
+	/**
+	 * Returns whether the connection waits between two requests.
+	 * @return whether a request was answered and no other one has begun
+	 */
+	boolean isKept() {
+		return this.headsRead > 0 && endIfClosed() == ConnectionEnd.COMPLETE;
+	}
+
+	/**
+	 * Closes the connection in favour of others.
+	 */
+	void closeStalled() {
+		if (isKept()) {
+			closeWhenIdle(0);
+		}
+		else {
+			closeNow();
+		}
+	}
+
 	/**
 	 * Closes the connection if it has no request. If it has one, it is closed after the
 	 * response.
@@ -167,12 +239,15 @@
 		});
 	}
 
-	private void responseSent() {
+	private void responseSent() throws Exception {
 		this.responsesSent++;
+		this.progress.responseSent();
 		if (this.lastResponse) {
 			this.channel.close();
+			return;
 		}
-		else if (this.listeners.isDraining()) {
+		this.byteHandler.resume();
+		if (this.listeners.isDraining()) {
 			closeWhenIdle(0);
 		}
 	}
@@ -190,6 +265,8 @@
 	 */
 	private final class ByteHandler extends ChannelDuplexHandler {
 
+		private ChannelHandlerContext context;
+
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
@@ -198,15 +275,85 @@
 				ReferenceCountUtil.release(message);
 				return;
 			}
-			if (connection.headsRead == connection.requestsRead && !isEmptyLine(message)) {
-				connection.readingHead = true;
+			if (!(message instanceof ByteBuf bytes)) {
+				super.channelRead(ctx, message);
+				return;
 			}
-			super.channelRead(ctx, message);
+			connection.progress.received(bytes.readableBytes());
+			connection.ahead.add(bytes);
+			pass(ctx);
+			if (connection.ahead.isOverfull()) {
+				connection.abrupt = true;
+				ctx.close();
+			}
+		}
+
+		// Passes what has arrived to the decoder while few requests wait for their
+		// responses.
+		private void pass(ChannelHandlerContext ctx) throws Exception {
+			TrackedConnection connection = TrackedConnection.this;
+			if (connection.passing) {
+				return;
+			}
+			connection.passing = true;
+			try {
+				while (!connection.ahead.isEmpty() && !isBehind(connection)) {
+					boolean betweenRequests = connection.headsRead == connection.requestsRead;
+					ByteBuf bytes = connection.ahead.next(betweenRequests);
+					if (betweenRequests && !isEmptyLine(bytes)) {
+						connection.readingHead = true;
+						connection.progress.headBegun();
+					}
+					ctx.fireChannelRead(bytes);
+				}
+			}
+			finally {
+				connection.passing = false;
+			}
+		}
+
+		private static boolean isBehind(TrackedConnection connection) {
+			return connection.headsRead == connection.requestsRead
+					&& connection.requestsRead - connection.responsesSent >= ReadAhead.MAX_REQUESTS;
+		}
+
+		@Override
+		public void read(ChannelHandlerContext ctx) throws Exception {
+			if (TrackedConnection.this.ahead.isFull()) {
+				TrackedConnection.this.readWanted = true;
+			}
+			else {
+				super.read(ctx);
+			}
+		}
+
+		// Goes on where the connection was behind with its responses.
+		private void resume() throws Exception {
+			TrackedConnection connection = TrackedConnection.this;
+			if (connection.ahead.isEmpty() || connection.lingering || !connection.channel.isActive()) {
+				return;
+			}
+			pass(this.context);
+			this.context.fireChannelReadComplete();
+			if (connection.readWanted && !connection.ahead.isFull()) {
+				connection.readWanted = false;
+				this.context.read();
+			}
+		}
+
+		@Override
+		public void handlerAdded(ChannelHandlerContext ctx) {
+			this.context = ctx;
+		}
+
+		@Override
+		public void handlerRemoved(ChannelHandlerContext ctx) {
+			TrackedConnection.this.ahead.close();
 		}
 
 		// Some callers send an empty line after a body, which belongs to no request.
-		private static boolean isEmptyLine(Object message) {
-			return message instanceof ByteBuf bytes && bytes.forEachByte((octet) -> octet == '\r' || octet == '\n') < 0;
+		private static boolean isEmptyLine(ByteBuf bytes) {
+			return bytes.forEachByte((octet) -> octet == '\r' || octet == '\n') < 0;
 		}
 
 		@Override
@@ -261,7 +408,7 @@
 			TrackedConnection connection = TrackedConnection.this;
 			if (FinalResponse.begins(message) && message instanceof HttpResponse response) {
 				connection.responsesBegun++;
-				boolean othersRead = connection.headsRead > connection.responsesBegun;
+				boolean othersRead = connection.headsRead > connection.responsesBegun || !connection.ahead.isEmpty();
 				if (connection.listeners.isClosing() && !othersRead) {
 					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 				}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/ConnectionTimerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/ConnectionTimerTests.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
+import io.fescuehold.runtime.http.IdleTimeoutHandler;
 import io.fescuehold.runtime.http.RequestHeadTimer;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
