--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -23,7 +23,6 @@
 import io.fescuehold.core.routes.RoutingConfig;
 import io.fescuehold.core.routes.RoutingRules;
 import io.fescuehold.core.routes.SubmissionOutcome;
-import io.fescuehold.runtime.backend.BackendOptions;
 import io.fescuehold.runtime.discovery.EvidenceGossip;
 import io.fescuehold.runtime.discovery.EvidenceStore;
 import io.fescuehold.runtime.discovery.Fleet;
@@ -34,7 +33,6 @@
 import io.fescuehold.runtime.gateway.CallerProtocol;
 import io.fescuehold.runtime.gateway.Documents;
 import io.fescuehold.runtime.gateway.GatewayBelief;
-import io.fescuehold.runtime.gateway.GatewayOptions;
 import io.fescuehold.runtime.gateway.GatewayServer;
 import io.fescuehold.runtime.gateway.RoutingCodec;
 import io.fescuehold.runtime.http.ByteBudget;
@@ -58,17 +56,6 @@
  */
 public final class GatewayNode {
 
-	/**
-	 * The fraction of the revocation time after which API keys are refused if the
-	 * configuration has not been confirmed again.
-	 */
-	private static final double KEY_AGE_FRACTION = 0.8;
-
-	/**
-	 * The age of the configuration from which an unknown route may have been added since.
-	 */
-	private static final long ABSENCE_AGE_MS = 1_000;
-
 	/** The time for which other daemons may still list this one after its drain began. */
 	private static final long HOST_LIST_LAG_MS = 500;
 
@@ -78,8 +65,13 @@
 	/** The time for the answers to requests that have not ended by then. */
 	private static final long FINAL_ANSWERS_MS = 300;
 
-	/** The part of the heap that bodies and events may take. */
-	private static final int HEAP_FRACTION = 2;
+	/** The part of the descriptors for connections of each port of the operators. */
+	private static final int OPERATOR_PART = 16;
+
+	/** The part of the heap for calls of operators, which callers cannot take. */
+	private static final int OPERATOR_HEAP_PART = 6;
+
+	private static final int STALL_CHECK_MS = 500;
 
 	private static final long DRAIN_CHECK_MS = 20;
 
@@ -89,8 +81,6 @@
 
 	private static final long EXPIRY_CHECK_MS = 5_000;
 
-	private static final BackendOptions BACKEND = new BackendOptions(400, 1_000, 1_000, 400, 4_000, 32_768);
-
 	private static final TransportOptions.Limits TRANSPORT = new TransportOptions.Limits(500, 1_500, 500, 300, 60_000,
 			8 << 20, 4_096, 32L << 20);
 
@@ -126,6 +116,8 @@
 	/** The listeners of operators, of the platform and of the metrics. */
 	private final HttpListeners operatorListeners;
 
+	private final OperatorHttp operatorHttp;
+
 	private final OperationsServer operations;
 
 	private final EvacuationOrders evacuations;
@@ -174,7 +166,7 @@
 				StreamDirectory.Waits.DEFAULT);
 		this.reach = new ReachDirectory(settings.hostId(), this.transport, this.scheduler, loops, this.belief::hosts,
 				this.belief.servers(), this::requestsInFlight, random);
-		this.server = new GatewayServer(options(settings), this.belief, protocol, this.streams, this.reach,
+		this.server = new GatewayServer(settings.gatewayOptions(), this.belief, protocol, this.streams, this.reach,
 				this.scheduler, loops, this.metrics, random);
 		this.fleet = new Fleet(
 				new FleetOptions(settings.hostId(), settings.failureDomain(), settings.peerPort(), settings.seeds(),
@@ -187,31 +179,22 @@
 		this.evidence = (settings.dataFolder() != null) ? new EvidenceStore(settings.dataFolder().resolve("quarantine"),
 				this.belief.quarantine(), this.scheduler, System::currentTimeMillis) : null;
 		this.operatorListeners = new HttpListeners("operators", this.metrics);
+		this.operatorHttp = new OperatorHttp(this.operatorListeners,
+				Runtime.getRuntime().maxMemory() / OPERATOR_HEAP_PART, settings.maxDescriptors() / OPERATOR_PART);
 		this.evacuations = new EvacuationOrders(this.fleet, this.belief, this.scheduler, this.ending.asMono(),
 				this.metrics);
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
-				this.operatorListeners, this::dump, this.evacuations);
+				this.operatorHttp, this::dump, this.evacuations);
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
 		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> memory().heldBytes());
 		this.metrics.register("gateway.coldServers", (Gauge<Integer>) this.belief::coldServerCount);
+		this.metrics.register("operators.heldBytes", (Gauge<Long>) () -> this.operatorHttp.memory().heldBytes());
 		this.metrics.register("gateway.inFlight", (Gauge<Integer>) this.server::inFlight);
 	}
 
-	private static GatewayOptions options(GatewaySettings settings) {
-		return new GatewayOptions(settings.hostId(), settings.callerPort(), settings.relayPort(),
-				settings.failureDomain(), (long) (settings.revocationMs() * KEY_AGE_FRACTION), ABSENCE_AGE_MS,
-				settings.retryRatio(), settings.retryExtra(), settings.retryWindowMs(), settings.firstStart(),
-				settings.serverDrainMs() / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND,
-				settings.policy());
-	}
-
-	/**
-	 * Returns the bytes that this daemon may hold for all requests.
-	 * @return the budget
-	 */
-	public ByteBudget memory() {
+	private ByteBudget memory() {
 		return this.server.memory();
 	}
 
@@ -220,8 +203,8 @@
 	 * with its own.
 	 * @return the listeners
 	 */
-	public HttpListeners operatorListeners() {
-		return this.operatorListeners;
+	public OperatorHttp operatorHttp() {
+		return this.operatorHttp;
 	}
 
 	/**
@@ -260,6 +243,8 @@
 	private void startChecks() {
 		this.scheduler.schedulePeriodically(this.server::closeUnusedPools, POOL_CHECK_MS, POOL_CHECK_MS,
 				TimeUnit.MILLISECONDS);
+		this.scheduler.schedulePeriodically(this.server::closeStalled, STALL_CHECK_MS, STALL_CHECK_MS,
+				TimeUnit.MILLISECONDS);
 		this.scheduler.schedulePeriodically(this.belief::expire, EXPIRY_CHECK_MS, EXPIRY_CHECK_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -281,7 +266,7 @@
 	 * @return whether it has a recently confirmed configuration and is not draining
 	 */
 	public boolean isReady() {
-		return hostState() == HostState.READY && this.belief.ageMs() < this.settings.revocationMs() * KEY_AGE_FRACTION;
+		return hostState() == HostState.READY && this.belief.ageMs() < this.settings.keyAgeMs();
 	}
 
 	/**
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -7,6 +7,8 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.core.limits.ServingPolicy;
+import io.fescuehold.runtime.backend.BackendOptions;
+import io.fescuehold.runtime.gateway.GatewayOptions;
 
 /**
  * Settings of a gateway daemon.
@@ -33,14 +35,42 @@
  * @param maxEntryValidMs the longest time in milliseconds for which a caller may use an
  * entry response
  * @param policy the operators' bounds on where and how often requests are sent
+ * @param maxDescriptors the descriptors that the process may open
  */
 public record GatewaySettings(String hostId, String failureDomain, int callerPort, int peerPort, int relayPort,
 		int operationsPort, List<String> seeds, boolean firstStart, Path dataFolder, int losses, long revocationMs,
 		double retryRatio, double retryExtra, long retryWindowMs, long serverDrainMs, long stopMs, long maxEntryValidMs,
-		ServingPolicy policy) {
+		ServingPolicy policy, int maxDescriptors) {
+
+	/** The descriptors of a process whose settings name no limit. */
+	public static final int DEFAULT_MAX_DESCRIPTORS = 4_096;
+
+	/**
+	 * The fraction of the revocation time after which API keys are refused if the
+	 * configuration has not been confirmed again.
+	 */
+	private static final double KEY_AGE_FRACTION = 0.8;
+
+	/**
+	 * The age of the configuration from which an unknown route may have been added since.
+	 */
+	private static final long ABSENCE_AGE_MS = 1_000;
+
+	/** The part of the heap that bodies and events may take. */
+	private static final int HEAP_FRACTION = 2;
+
+	/**
+	 * The part of the descriptors for connections of callers, each of which may need
+	 * another one to a server.
+	 */
+	private static final int CALLER_PART = 4;
+
+	private static final BackendOptions BACKEND = new BackendOptions(400, 1_000, 1_000, 400, 4_000, 32_768);
 
 	private static final int MAX_PORT = 65_535;
 
+	private static final int MIN_DESCRIPTORS = 128;
+
 	/**
 	 * Checks the arguments and copies the list.
 	 */
@@ -56,11 +86,33 @@
 		checkPositive("revocationMs", revocationMs);
 		checkPositive("retryWindowMs", retryWindowMs);
 		checkPositive("stopMs", stopMs);
+		if (maxDescriptors < MIN_DESCRIPTORS) {
+			throw invalid("maxDescriptors", maxDescriptors, "allow at least " + MIN_DESCRIPTORS);
+		}
 		if (retryRatio < 0 || retryExtra < 0) {
 			throw invalid("retryRatio, retryExtra", retryRatio + ", " + retryExtra, "use 0 or more");
 		}
 	}
 
+	/**
+	 * Returns the age of the configuration from which on requests with a key are refused.
+	 * @return the age in milliseconds
+	 */
+	long keyAgeMs() {
+		return (long) (this.revocationMs * KEY_AGE_FRACTION);
+	}
+
+	/**
+	 * Returns the options of the gateway of a daemon with these settings.
+	 * @return the options
+	 */
+	GatewayOptions gatewayOptions() {
+		return new GatewayOptions(this.hostId, this.callerPort, this.relayPort, this.failureDomain, keyAgeMs(),
+				ABSENCE_AGE_MS, this.retryRatio, this.retryExtra, this.retryWindowMs, this.firstStart,
+				this.serverDrainMs / 2, Runtime.getRuntime().maxMemory() / HEAP_FRACTION, BACKEND, this.policy,
+				this.maxDescriptors / CALLER_PART);
+	}
+
 	private static void checkPort(String name, int port) {
 		if (port < 0 || port > MAX_PORT) {
 			throw invalid(name, port, "use a port from 0 to " + MAX_PORT);
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/OperationsServer.java
@@ -11,7 +11,6 @@
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
 import io.fescuehold.runtime.admin.MetricsText;
-import io.fescuehold.runtime.http.HttpListeners;
 import io.fescuehold.runtime.http.Problems;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import reactor.core.publisher.Mono;
@@ -37,25 +36,25 @@
 
 	private final MetricRegistry metrics;
 
-	private final HttpListeners listeners;
+	private final OperatorHttp http;
 
 	private final Supplier<Map<String, Object>> dump;
 
 	private final EvacuationOrders evacuations;
 
-	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics, HttpListeners listeners,
+	OperationsServer(String address, int port, LoopResources loops, MetricRegistry metrics, OperatorHttp http,
 			Supplier<Map<String, Object>> dump, EvacuationOrders evacuations) {
 		this.address = address;
 		this.port = port;
 		this.loops = loops;
 		this.metrics = metrics;
-		this.listeners = listeners;
+		this.http = http;
 		this.dump = dump;
 		this.evacuations = evacuations;
 	}
 
 	void start() {
-		this.listeners.bind(this.listeners.newServer()
+		this.http.bind(this.http.newServer()
 			.host(this.address)
 			.port(this.port)
 			.runOn(this.loops, false)
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallerHead.java
@@ -23,6 +23,8 @@
 public record CallerHead(String requestId, String hostName, String method, String uri, String apiKey, long deadlineMs,
 		long resumeAfter, String resumes, PromptShape prompt, Map<String, String> headers) {
 
+	private static final int DEFAULT_BODY_TIMEOUT_MS = 60_000;
+
 	/**
 	 * Checks the arguments and copies the map.
 	 */
@@ -48,6 +50,14 @@
 		return (this.resumes != null) ? this.resumes : this.requestId;
 	}
 
+	/**
+	 * Returns how long the body of the request may take to arrive.
+	 * @return the time in milliseconds
+	 */
+	int bodyTimeoutMs() {
+		return (this.deadlineMs > 0) ? (int) Math.min(this.deadlineMs, Integer.MAX_VALUE) : DEFAULT_BODY_TIMEOUT_MS;
+	}
+
 	/**
 	 * Returns the path without the query.
 	 * @return the path
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -73,6 +73,7 @@
 			case REQUEST_CRASHES_SERVERS -> ErrorCode.PROMPT_CRASHES_SERVERS;
 			case HOST_MEMORY_FULL -> ErrorCode.DRAINING;
 			case DOMAIN_EVACUATED -> ErrorCode.OVERLOADED;
+			case HEAD_TOO_LARGE -> ErrorCode.BODY_TOO_LARGE;
 			default -> code;
 		};
 	}
