Requests ahead, the peers' port and the budget: what the crowds still showed

Cause, each seen in a run: (1) a caller that pipelines and reads keeps a host busy without ever stalling; ordinary requests waited 14 to 22 s for a place. (2) Reactor Netty drops requests before one with "Connection: close" as soon as it sees that one: 13 of 300 requests were answered on, and 282 of 300 with the bounded read-ahead, whose connection then stayed open for good. (3) LARGE_ANSWERS_UNREAD ended the host with code 3 in one of three runs: half of the heap for requests leaves too little beside the rest. (4) 200 silent connections at the peers' port took 291 descriptors in one run. (5) The size of a head counted a byte too much for each field, so that the largest legal head with empty fields was refused.

Change: a connection with 64 KiB ahead loses its place first; the close of a request behind others is deferred to its own response; the budget is a third of the heap; the peers' port closes its oldest unnamed connection beyond a sixteenth of the descriptors; a field counts three bytes beside its characters. MisbehavingClientTests: the largest head and body are served, 431 over it, early refusals without a route, 300 requests ahead in order, and 3,000 mutated requests on raw connections after which no memory is charged and no connection is left (buffers of Netty are not counted there).

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -37,7 +37,6 @@
 import io.fescuehold.runtime.gateway.GatewayOptions;
 import io.fescuehold.runtime.gateway.GatewayServer;
 import io.fescuehold.runtime.gateway.RoutingCodec;
-import io.fescuehold.runtime.http.ByteBudget;
 import io.fescuehold.runtime.http.HttpListeners;
 import io.fescuehold.runtime.replica.AgreementTransport;
 import io.fescuehold.runtime.replica.MonotonicScheduler;
@@ -79,15 +78,12 @@
 	private static final long FINAL_ANSWERS_MS = 300;
 
 	/** The part of the heap that bodies and events may take. */
-	private static final int HEAP_FRACTION = 2;
+	private static final int HEAP_FRACTION = 3;
 
-	/**
-	 * The part of the descriptors for connections of callers, each of which may need
-	 * another one to a server.
-	 */
+	/** The part of the descriptors for callers, who may need as many to servers. */
 	private static final int CALLER_PART = 4;
 
-	/** The part of the descriptors for connections of each port of the operators. */
+	/** The part of the descriptors for each operators' port and for unnamed peers. */
 	private static final int OPERATOR_PART = 16;
 
 	/** The part of the heap for calls of operators, which callers cannot take. */
@@ -180,6 +176,7 @@
 		this.transport = new TcpPeerTransport(new TransportOptions(settings.hostId(),
 				new PeerAddress(settings.hostId(), settings.peerPort()), Map.of(), TRANSPORT), this.metrics,
 				this.scheduler, loops);
+		this.transport.limitUnidentified(settings.maxDescriptors() / OPERATOR_PART);
 		this.transport.discoverPeers((hostId) -> new PeerAddress(hostId, settings.peerPort()));
 		this.belief = new GatewayBelief(settings.hostId(), codec, this.clock::nowMs, random);
 		this.streams = new StreamDirectory(settings.hostId(), this.transport, this.scheduler, this.belief::hosts,
@@ -208,7 +205,7 @@
 		this.metrics.register("configuration.number", (Gauge<Long>) this.belief::number);
 		this.metrics.register("configuration.ageMs", (Gauge<Long>) this.belief::ageMs);
 		this.metrics.register("fleet.silenceMs", (Gauge<Long>) this.fleet::silenceMs);
-		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> memory().heldBytes());
+		this.metrics.register("gateway.heldBytes", (Gauge<Long>) () -> this.server.memory().heldBytes());
 		this.metrics.register("operators.heldBytes", (Gauge<Long>) () -> this.operatorHttp.memory().heldBytes());
 		this.metrics.register("gateway.inFlight", (Gauge<Integer>) this.server::inFlight);
 	}
@@ -221,10 +218,6 @@
 				settings.policy(), settings.maxDescriptors() / CALLER_PART);
 	}
 
-	private ByteBudget memory() {
-		return this.server.memory();
-	}
-
 	/**
 	 * Returns the listeners of operators and of the platform, which this daemon drains
 	 * with its own.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/CountedHeaders.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/CountedHeaders.java
@@ -21,8 +21,8 @@
 	/** How often the characters of a field are held: as received and as forwarded. */
 	private static final int COPIES = 2;
 
-	/** The bytes between and behind name and value. */
-	private static final int SEPARATOR_BYTES = 4;
+	/** The fewest bytes between and behind name and value. */
+	private static final int SEPARATOR_BYTES = 3;
 
 	private static final int MAX_FRAMING_FIELDS = 16;
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ReadAhead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ReadAhead.java
@@ -27,7 +27,7 @@
 
 	private final Queue<ByteBuf> parts = new ArrayDeque<>();
 
-	private int sizeBytes;
+	private volatile int sizeBytes;
 
 	/**
 	 * Appends bytes.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/TrackedConnection.java
@@ -39,6 +39,9 @@
 	/** The time for the rest of a request head during a drain. */
 	private static final int HEAD_MS = 1_000;
 
+	/** A caller that sends so much ahead loses its place before those that stall. */
+	private static final long FULL_AHEAD_NS = TimeUnit.HOURS.toNanos(1);
+
 	private final Channel channel;
 
 	private final HttpListeners listeners;
@@ -76,6 +79,12 @@
 
 	private final ByteHandler byteHandler = new ByteHandler();
 
+	/** The number of the request after whose response the caller wants no more, or 0. */
+	private int lastRequest;
+
+	/** Whether what is decoded now stands behind that request. */
+	private boolean behindLast;
+
 	/** Whether bytes are being passed to the decoder. */
 	private boolean passing;
 
@@ -143,6 +152,9 @@
 	 * @return the time in nanoseconds, 0 while the caller waits for a response
 	 */
 	long stalledNs(long nowNs) {
+		if (this.ahead.isFull()) {
+			return FULL_AHEAD_NS;
+		}
 		return switch (endIfClosed()) {
 			case UNANSWERED, CUT -> unreadNs(nowNs);
 			case INCOMPLETE, COMPLETE, PEER -> nowNs - this.progress.sinceNs();
@@ -393,9 +405,17 @@
 		@Override
 		public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
-			if (message instanceof HttpRequest) {
+			if (message instanceof HttpRequest request) {
 				connection.readingHead = false;
-				connection.headsRead++;
+				connection.behindLast |= connection.lastRequest > 0;
+				if (!connection.behindLast) {
+					connection.headsRead++;
+					deferClose(request);
+				}
+			}
+			if (connection.behindLast) {
+				ReferenceCountUtil.release(message);
+				return;
 			}
 			if (message instanceof LastHttpContent) {
 				connection.requestsRead++;
@@ -403,11 +423,24 @@
 			super.channelRead(ctx, message);
 		}
 
+		// Reactor Netty ends a connection at once when it sees a request that wants this,
+		// without the responses to the requests before it.
+		private void deferClose(HttpRequest request) {
+			TrackedConnection connection = TrackedConnection.this;
+			if (connection.headsRead > connection.responsesSent + 1 && !HttpUtil.isKeepAlive(request)) {
+				HttpUtil.setKeepAlive(request, true);
+				connection.lastRequest = connection.headsRead;
+			}
+		}
+
 		@Override
 		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) throws Exception {
 			TrackedConnection connection = TrackedConnection.this;
 			if (FinalResponse.begins(message) && message instanceof HttpResponse response) {
 				connection.responsesBegun++;
+				if (connection.responsesBegun == connection.lastRequest) {
+					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				}
 				boolean othersRead = connection.headsRead > connection.responsesBegun || !connection.ahead.isEmpty();
 				if (connection.listeners.isClosing() && !othersRead) {
 					response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/transport/TcpPeerTransport.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -62,6 +64,9 @@
 
 	private volatile Function<String, PeerAddress> addressLookup = (hostId) -> null;
 
+	/** The connections that may be open without having named their host. */
+	private volatile int maxUnidentified = Integer.MAX_VALUE;
+
 	private volatile DisposableServer server;
 
 	private volatile Disposable idleCheck;
@@ -121,6 +126,15 @@
 			.then();
 	}
 
+	/**
+	 * Limits the connections that have not named their host. The oldest one is closed in
+	 * favour of a new one.
+	 * @param max the maximum number of such connections
+	 */
+	public void limitUnidentified(int max) {
+		this.maxUnidentified = max;
+	}
+
 	/**
 	 * Returns the port on which connections are accepted.
 	 * @return the port
@@ -216,6 +230,7 @@
 			}), connection.address().toString());
 			this.sessions.add(session[0]);
 			connection.onDispose(() -> this.sessions.remove(session[0]));
+			closeOldestUnidentified();
 		});
 		return inbound.receive().asByteArray().doOnNext(session[0]::receive).onErrorResume((error) -> {
 			logger.atFine().withCause(error).log("A connection from %s failed", session[0].fromHostId);
@@ -223,6 +238,17 @@
 		}).then();
 	}
 
+	// A peer names its host at once, so that the oldest one is no peer.
+	private void closeOldestUnidentified() {
+		List<PeerSession> unidentified = this.sessions.stream()
+			.filter((session) -> session.fromHostId == null)
+			.sorted(Comparator.comparingLong((session) -> session.openedNs))
+			.toList();
+		if (unidentified.size() > this.maxUnidentified) {
+			unidentified.getFirst().channel.close();
+		}
+	}
+
 	@SuppressWarnings("unchecked")
 	private Mono<PeerMessage> dispatch(String fromHostId, PeerMessage message) {
 		PeerHandler<PeerMessage> handler = (PeerHandler<PeerMessage>) this.handlers.get(message.getClass());
@@ -270,6 +296,8 @@
 
 		private final String remoteAddress;
 
+		private final long openedNs = System.nanoTime();
+
 		private volatile String fromHostId;
 
 		PeerSession(FrameChannel channel, String remoteAddress) {
