--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewaySettings.java
@@ -57,7 +57,7 @@
 	private static final long ABSENCE_AGE_MS = 1_000;
 
 	/** The part of the heap that bodies and events may take. */
-	private static final int HEAP_FRACTION = 2;
+	private static final int HEAP_FRACTION = 3;
 
 	/**
 	 * The part of the descriptors for connections of callers, each of which may need
