Floods are held back later, and who returns goes on below that

Change: floods are held back from 3.5 requests for each place on; below 3 a caller that returns goes on, and below 3.5 a request whose wait is over.

Result: ServiceAdmissionTests (9), RequestQueueTests (6), FairAdmissionTests (5) pass.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ServiceAdmission.java
@@ -20,11 +20,14 @@
 public final class ServiceAdmission<T> {
 
 	/** The requests for each place up to which the servers always count as free. */
-	private static final double FREE_PRESSURE = 2.5;
+	private static final double FREE_PRESSURE = 3.5;
 
 	/** The requests for each place below which every request goes on. */
 	private static final double IDLE_PRESSURE = 1;
 
+	/** The requests for each place below which callers that return go on. */
+	private static final double RETURN_PRESSURE = 3;
+
 	/** The requests for each place beyond which some servers may be full. */
 	private static final double MAX_PRESSURE = 4;
 
@@ -149,7 +152,7 @@
 		double ratePerS = ratePerS(room);
 		this.shares.refresh(ratePerS, nowMs - TEAM_RETENTION_MS, nowMs);
 		boolean overShare = !team.isWithin(this.shares.fairPerS(1), NOISE_DEVIATIONS, nowMs);
-		if (hasPlaces(room)) {
+		if (hasPlaces(room) || (returned && room.pressure() < RETURN_PRESSURE)) {
 			this.pace.consume(ratePerS, 1, nowMs);
 			return new ServiceDecision.Pass<>();
 		}
@@ -218,8 +221,8 @@
 	}
 
 	/**
-	 * Removes the requests that cannot be served in time any more. They must be refused
-	 * at once.
+	 * Removes the requests that have waited as long as they may. They must go on or be
+	 * refused at once.
 	 * @param nowMs the time in milliseconds
 	 * @return the requests
 	 */
@@ -321,7 +324,12 @@
 		return room.load() < IDLE_PRESSURE * room.slots();
 	}
 
-	private boolean isFree(ServiceRoom room) {
+	/**
+	 * Returns whether the servers' queues are far from full.
+	 * @param room the room at the service
+	 * @return whether a request that has waited as long as it may should go on
+	 */
+	public boolean isFree(ServiceRoom room) {
 		return room.load() < freeLoad(room);
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
@@ -169,6 +169,10 @@
 		ServiceRoom room = room(name);
 		for (Waiting expired : service.removeExpired(nowMs())) {
 			this.metrics.waited(name, nowMs() - expired.sinceMs);
+			if (service.isFree(room)) {
+				expired.sink.success();
+				continue;
+			}
 			refuse(expired, ServiceDecision.Reason.TOO_LATE, room,
 					service.retryAfterMs(callerLeftMs(expired.request), CHECK_INTERVAL_MS, room, nowMs()));
 		}
