Holding back floods is off until it serves callers better

Change: ServingPolicy.holdsFloods, false unless given; the line does nothing where it is false. The tests of the gateway run with it.

Result: AdmissionLineTests (2), GatewayCallTests (17), MemoryBudgetTests (2), ServiceAdmissionTests (9) pass.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AdmissionLine.java
@@ -36,6 +36,8 @@
 
 	private static final int SERVER_ERROR = 500;
 
+	private final boolean enabled;
+
 	private final GatewayBelief belief;
 
 	private final ServerReach reach;
@@ -52,8 +54,9 @@
 
 	private boolean checking;
 
-	AdmissionLine(GatewayBelief belief, ServerReach reach, Scheduler scheduler, GatewayMetrics metrics,
+	AdmissionLine(boolean enabled, GatewayBelief belief, ServerReach reach, Scheduler scheduler, GatewayMetrics metrics,
 			GatewayLog log) {
+		this.enabled = enabled;
 		this.belief = belief;
 		this.reach = reach;
 		this.scheduler = scheduler;
@@ -103,8 +106,8 @@
 	}
 
 	private boolean appliesTo(GatewayRequest request) {
-		return !request.route().isStreaming() && request.head().prompt() == null && request.hop() == null
-				&& !this.reach.isCutOff(request.service());
+		return this.enabled && !request.route().isStreaming() && request.head().prompt() == null
+				&& request.hop() == null && !this.reach.isCutOff(request.service());
 	}
 
 	private ServiceAdmission<Waiting> service(GatewayRequest request) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -141,7 +141,9 @@
 		this.log = new GatewayLog(belief, this.clockMs);
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
-				this.log, new AdmissionLine(belief, reach, scheduler, this.metrics, this.log), random);
+				this.log,
+				new AdmissionLine(options.policy().holdsFloods(), belief, reach, scheduler, this.metrics, this.log),
+				random);
 	}
 
 	/**
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -11,6 +11,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.fescuehold.core.drain.DrainSchedule;
+import io.fescuehold.core.limits.ServingPolicy;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
 import io.fescuehold.core.port.ServerReach;
@@ -83,7 +84,8 @@
 		this.belief = new GatewayBelief(address, (submitted) -> config(),
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions(address, 0, relayPort, "a", 60_000, 1_000,
-				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT);
+				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT,
+				new ServingPolicy(0, 0, 0, 0, true));
 		this.server = new GatewayServer(options, this.belief, new TestProtocol(),
 				new SingleHostVersions(this.belief, recordTime, this.scheduler), reach, this.scheduler, this.loops,
 				this.metrics, new SplittableRandom(1));
