--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -138,7 +138,7 @@
 		this.dispatcher = new Dispatcher(options, belief, protocol, this.pools, this.clockMs,
 				new QuarantineGuard(belief, scheduler, loops, reach, this.log, this.metrics), reach, this.metrics,
 				this.log,
-				new AdmissionLine(options.policy().admission(), belief, reach, scheduler, this.metrics, this.log),
+				new AdmissionLine(options.policy().holdsFloods(), belief, reach, scheduler, this.metrics, this.log),
 				random);
 	}
 
