Placement: the load bound holds against the mean of all servers of a service

Change: the bound is at most 1.75 times the mean of all servers of the service. It binds only where servers take no requests.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/prompt/EnginePlacement.java
@@ -33,6 +33,12 @@
 	 */
 	static final double BOUND_SLACK_REQUESTS = 2;
 
+	/**
+	 * The bound for all servers of a service, which counts where few of them take
+	 * requests: during an evacuation the others hold more than the mean of all.
+	 */
+	static final double MAX_SERVICE_FACTOR = 1.75;
+
 	/**
 	 * The requests that are added to a server's load for each unit of failure rate above
 	 * the tolerated one.
@@ -98,9 +104,9 @@
 		if (homePart == null) {
 			return choice(request, leastLoaded(candidates, nowMs), null, EngineChoice.Reason.LEAST_LOADED, nowMs);
 		}
-		double meanLoad = candidates.stream().mapToInt((server) -> server.load(nowMs)).sum()
-				/ (double) candidates.size();
-		double loadBound = meanLoad * BOUND_FACTOR + BOUND_SLACK_REQUESTS;
+		double meanLoad = meanLoad(candidates, nowMs);
+		double loadBound = Math.min(meanLoad * BOUND_FACTOR, meanLoad(sources, nowMs) * MAX_SERVICE_FACTOR)
+				+ BOUND_SLACK_REQUESTS;
 		List<ServerState> eligible = candidates.stream()
 			.filter((server) -> effectiveLoad(server, nowMs) < loadBound)
 			.toList();
@@ -122,6 +128,10 @@
 		return choice(request, nearest, sources, reason, nowMs);
 	}
 
+	private static double meanLoad(List<ServerState> servers, long nowMs) {
+		return servers.stream().mapToInt((server) -> server.load(nowMs)).average().orElse(Double.POSITIVE_INFINITY);
+	}
+
 	private EngineChoice choice(EngineRequest request, ServerState chosen, List<ServerState> sources,
 			EngineChoice.Reason reason, long nowMs) {
 		boolean copies = sources != null && this.estimate.isCopyNoticed(request, chosen, nowMs);
