Plain services: late reports of other hosts weigh little for short requests

Cause: hosts know each other's requests some 400 ms late, which is ten times as long as a request takes. All of them took the server that had seemed idle, and requests queued there. Change: the requests of others count by usual time / (usual time + 400 ms) once the usual time of the route is known; own requests count whole. Ruled out: admission, which measured the queue of one server as a slow service.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
@@ -17,6 +17,9 @@
 	/** Added to the load of a server in another failure domain. */
 	static final double REMOTE_DOMAIN_PENALTY_REQUESTS = 0.6;
 
+	/** The age of the requests of the other daemons as far as they are known. */
+	static final double REPORT_AGE_MS = 400;
+
 	private final String failureDomain;
 
 	private final RandomGenerator random;
@@ -32,16 +35,31 @@
 	}
 
 	/**
-	 * Chooses a server.
+	 * Chooses a server for requests of unknown length.
 	 * @param candidates the servers that may be used
 	 * @param nowMs the time in milliseconds
 	 * @return the server, or null if there is no candidate
 	 */
 	public ServerState select(List<ServerState> candidates, long nowMs) {
+		return select(candidates, Double.NaN, nowMs);
+	}
+
+	/**
+	 * Chooses a server. The requests of the other daemons are known late: most of those
+	 * that take a shorter time have ended by then, and all daemons would take the server
+	 * that seemed idle.
+	 * @param candidates the servers that may be used
+	 * @param usualMs how long such a request usually takes in milliseconds, or NaN if
+	 * that is unknown
+	 * @param nowMs the time in milliseconds
+	 * @return the server, or null if there is no candidate
+	 */
+	public ServerState select(List<ServerState> candidates, double usualMs, long nowMs) {
+		double othersWeight = Double.isNaN(usualMs) ? 1 : usualMs / (usualMs + REPORT_AGE_MS);
 		ServerState best = null;
 		double bestCost = Double.POSITIVE_INFINITY;
 		for (ServerState candidate : candidates) {
-			double cost = cost(candidate, nowMs) + this.random.nextDouble() * 0.01;
+			double cost = cost(candidate, othersWeight, nowMs) + this.random.nextDouble() * 0.01;
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
@@ -50,10 +68,11 @@
 		return best;
 	}
 
-	private double cost(ServerState candidate, long nowMs) {
+	private double cost(ServerState candidate, double othersWeight, long nowMs) {
 		double penaltyRequests = candidate.server().failureDomain().equals(this.failureDomain) ? 0
 				: REMOTE_DOMAIN_PENALTY_REQUESTS;
-		double load = (candidate.load(nowMs) + 1 + penaltyRequests) / Math.max(1, candidate.server().slots());
+		double requests = candidate.ownRequests() + othersWeight * (candidate.load(nowMs) - candidate.ownRequests());
+		double load = (requests + 1 + penaltyRequests) / Math.max(1, candidate.server().slots());
 		return load * candidate.speed().factor(nowMs) * (1 + FAILURE_FACTOR * candidate.health().failureRate(nowMs));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RequestPlacement.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RequestPlacement.java
@@ -53,7 +53,9 @@
 	Dispatcher.Target select(GatewayRequest request, List<ServerState> servers, List<ServerState> sources, long nowMs) {
 		PromptShape prompt = request.head().prompt();
 		if (prompt == null) {
-			return new Dispatcher.Target(this.leastLoadedSelector.select(servers, nowMs), null, "LEAST_COST", false);
+			double usualMs = this.times.expectedMs(plainKind(request), 0);
+			return new Dispatcher.Target(this.leastLoadedSelector.select(servers, usualMs, nowMs), null, "LEAST_COST",
+					false);
 		}
 		EngineRequest engineRequest = new EngineRequest(request.service(), prompt, this.demands.of(request),
 				engine(request.service()));
@@ -62,6 +64,10 @@
 				new Work(engineRequest, choice.unreadTokens()));
 	}
 
+	private static String plainKind(GatewayRequest request) {
+		return "route " + request.route().name();
+	}
+
 	private EngineSpec engine(String serviceName) {
 		RoutedService service = (this.belief.table() != null) ? this.belief.table().service(serviceName) : null;
 		return (service != null) ? service.engine() : null;
@@ -117,7 +123,7 @@
 	 */
 	void recordAnswer(GatewayRequest request, Dispatcher.Target target, long timeMs, long nowMs) {
 		if (request.head().prompt() == null && !target.relay()) {
-			record("route " + request.route().name(), 0, target.server(), timeMs, nowMs);
+			record(plainKind(request), 0, target.server(), timeMs, nowMs);
 		}
 	}
 
