A server whose process ended is warm again on hosts without a share

Cause: a host that saw a refused connection took the server for cold until it responded. Shares of the requests to cold servers are whole numbers: of 35 hosts 18 have none of a given server, send it nothing and get no response, so that they never used the server again while it kept its id.

Change: a cold time in the list that began after the end of the process shows the next process as well as a response does. The end of that cold time then counts as for any other server.

Measured: the new test of ColdServersTests fails without the change (still cold after the listed time) and passes with it, as do the other five and the three of ColdServerLoadTests.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/limits/ColdServers.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/limits/ColdServers.java
@@ -62,11 +62,13 @@
 	/**
 	 * Records that the process of a server has ended. The next one may have the same id.
 	 * @param serverId the instance id of the server
+	 * @param nowMs the time in milliseconds
 	 */
-	public void processEnded(String serverId) {
+	public void processEnded(String serverId, long nowMs) {
 		Entry entry = this.entries.get(serverId);
 		if (entry != null) {
 			entry.ended = true;
+			entry.endedAtMs = nowMs;
 		}
 	}
 
@@ -117,11 +119,11 @@
 			return true;
 		}
 		Entry entry = this.entries.get(server.id());
-		return entry != null
-				&& (entry.ended || nowMs < entry.listedUntilMs || nowMs - entry.appearedAtMs < coldStart.durationMs()
-						|| nowMs - entry.restartedAtMs < unlistedMs(coldStart)
-						|| nowMs - entry.unreachableAtMs < unlistedMs(coldStart)
-						|| nowMs - entry.reachedAtMs < ServerState.LIST_DELAY_MS);
+		return entry != null && (entry.isDown(coldStart) || nowMs < entry.listedUntilMs
+				|| nowMs - entry.appearedAtMs < coldStart.durationMs()
+				|| nowMs - entry.restartedAtMs < unlistedMs(coldStart)
+				|| nowMs - entry.unreachableAtMs < unlistedMs(coldStart)
+				|| nowMs - entry.reachedAtMs < ServerState.LIST_DELAY_MS);
 	}
 
 	// Until then the list shows a start that preceded the event.
@@ -135,6 +137,8 @@
 
 		private long listedUntilMs = NEVER;
 
+		private long endedAtMs = NEVER;
+
 		private long appearedAtMs = NEVER;
 
 		private long restartedAtMs = NEVER;
@@ -151,6 +155,13 @@
 			this.address = address;
 		}
 
+		// A daemon without a share of the server never sees a response of the next
+		// process, but the list shows the cold time that begins with it.
+		private boolean isDown(ColdStart coldStart) {
+			long listedSinceMs = this.listedUntilMs - BackendServer.COLD_END_TOLERANCE_MS - coldStart.durationMs();
+			return this.ended && listedSinceMs <= this.endedAtMs;
+		}
+
 	}
 
 }
--- a/fescuehold-core/src/test/java/io/fescuehold/core/limits/ColdServersTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/limits/ColdServersTests.java
@@ -52,13 +52,27 @@
 		this.servers.onList(List.of(server("a", "10.0.0.1:1", 0)), 0);
 		this.servers.responded("a", 10);
 		assertThat(isCold("a", 10)).isFalse();
-		this.servers.processEnded("a");
+		this.servers.processEnded("a", 20);
 		assertThat(isCold("a", 60_000)).isTrue();
 		this.servers.responded("a", 60_000);
 		assertThat(isCold("a", 62_999 + ServerState.LIST_DELAY_MS)).isTrue();
 		assertThat(isCold("a", 63_000 + ServerState.LIST_DELAY_MS)).isFalse();
 	}
 
+	// A host without a share of a cold server sends it nothing, so that no response shows
+	// that the server is back.
+	@Test
+	void serverThatTheListShowsAfterItsEndIsWarmLaterWithoutAResponse() {
+		this.servers.onList(List.of(server("a", "10.0.0.1:1", 2_500)), 0);
+		this.servers.processEnded("a", 1_000);
+		assertThat(isCold("a", 60_000)).as("cold time of the process that ended").isTrue();
+		this.servers.onList(List.of(server("a", "10.0.0.1:1", 2_800)), 61_000);
+		assertThat(isCold("a", 64_299)).isTrue();
+		assertThat(isCold("a", 64_300)).isFalse();
+		this.servers.processEnded("a", 70_000);
+		assertThat(isCold("a", 90_000)).as("the next end").isTrue();
+	}
+
 	// All hosts tried the servers of a domain that had been dark in the same second.
 	@Test
 	void serverThatWasOutOfReachCountsAsColdUntilTheListShowsWhetherItIs() {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Dispatcher.java
@@ -255,7 +255,7 @@
 		if (server.isVersionCertain(nowMs())) {
 			this.reach.isReachedByOthers(server.server()).filter((reached) -> !reached).subscribe((gone) -> {
 				server.connectionRefused();
-				this.belief.coldServers().processEnded(server.server().id());
+				this.belief.coldServers().processEnded(server.server().id(), nowMs());
 				this.belief.intake().forget(server.server().id());
 			});
 		}
