An error answer of a server does not win the race of two copies

Cause: an answer with status 500 or more that could not be retried, because the second copy was the last attempt of the route or the retry budget was used up, was an element like any other. It won the race and cancelled the other copy, which could still be served. So a second copy made requests fail that would have been answered without it, against the design ("a copy whose server fails leaves the first copy alone").

Change: CopyRace ends such a copy as failed and delivers its answer only if the other copy does not win.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -27,6 +27,9 @@
 	 */
 	private static final int SLOW_FACTOR = 2;
 
+	/** The first HTTP status with which a server says that it failed. */
+	static final int SERVER_ERROR = 500;
+
 	private static final long MIN_SLOW_MS = 100;
 
 	/** Interval at which a slow request that could not be moved is checked again. */
@@ -79,10 +82,12 @@
 		if (!hedging.appliesTo(this.request)) {
 			return first;
 		}
-		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
-			this.copyWon = secondWon;
-			hedging.recordOutcome(this.request, secondWon);
-		}).next();
+		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy,
+				(response) -> response.status() >= SERVER_ERROR, (secondWon) -> {
+					this.copyWon = secondWon;
+					hedging.recordOutcome(this.request, secondWon);
+				})
+			.next();
 	}
 
 	private Flux<BackendResponse> secondCopy() {
@@ -160,7 +165,7 @@
 			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
 					"the response with status " + response.status() + " carries no signature", null)));
 		}
-		if (response.status() >= 500) {
+		if (response.status() >= SERVER_ERROR) {
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
 		this.attempts.recordAnswerTime();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -133,10 +133,16 @@
 		if (!hedging.appliesTo(this.request)) {
 			return first;
 		}
-		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
-			this.copyWon = secondWon;
-			hedging.recordOutcome(this.request, secondWon);
-		});
+		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy,
+				StreamExchange::isServerError, (secondWon) -> {
+					this.copyWon = secondWon;
+					hedging.recordOutcome(this.request, secondWon);
+				});
+	}
+
+	private static boolean isServerError(StreamItem item) {
+		return item instanceof StreamItem.Complete(BackendResponse backendResponse, boolean accepted)
+				&& backendResponse.status() >= CallExchange.SERVER_ERROR;
 	}
 
 	private Flux<StreamItem> secondCopy() {
@@ -407,7 +413,7 @@
 		if (head.notRun()) {
 			return failOrRetry(this.attempts.afterRejection(backendResponse, head.otherInstance()));
 		}
-		if (backendResponse.status() >= 500 && this.attempts.retriesAfterError(backendResponse)) {
+		if (backendResponse.status() >= CallExchange.SERVER_ERROR && this.attempts.retriesAfterError(backendResponse)) {
 			return attempt();
 		}
 		if (this.headSent) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
@@ -1,6 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -26,12 +27,31 @@
 
 	private final AtomicInteger closed = new AtomicInteger();
 
-	/** The first request that arrives after {@link #stalls} was set is not answered. */
+	/** Whether the request that comes while another is not answered fails. */
+	private final AtomicBoolean fails = new AtomicBoolean();
+
+	private final CountDownLatch failed = new CountDownLatch(1);
+
+	/**
+	 * The first request that arrives after {@link #stalls} was set is not answered, or
+	 * only after the next one has failed.
+	 */
 	private ScriptedServer server() {
 		return new ScriptedServer((request, connection) -> {
 			if (this.stalls.getAndSet(false)) {
 				this.stalled.incrementAndGet();
-				awaitClose(connection);
+				if (!this.fails.get()) {
+					awaitClose(connection);
+				}
+				this.failed.await();
+				// Until then the gateway has read the error answer.
+				Thread.sleep(50);
+			}
+			else if (this.stalled.get() > 0 && this.fails.getAndSet(false)) {
+				connection.send("HTTP/1.1 500 Failed\r\nX-Signature: s\r\nX-Request: "
+						+ request.headers().get("X-Request") + "\r\nContent-Length: 0\r\n\r\n");
+				this.failed.countDown();
+				return;
 			}
 			boolean stream = request.target().startsWith("/resumable");
 			String body = stream ? "id: 1\ndata: a\n\n" : "ok";
@@ -89,6 +109,30 @@
 		}
 	}
 
+	@Test
+	void errorAnswerToTheSecondCopyOfALookupLeavesTheFirst() {
+		assertThatErrorAnswerLeavesTheFirstCopy("/lookup/x", "ok");
+	}
+
+	@Test
+	void errorAnswerToTheSecondCopyOfAStreamLeavesTheFirst() {
+		assertThatErrorAnswerLeavesTheFirstCopy("/resumable/x", "id: 1\ndata: a\n\n");
+	}
+
+	private void assertThatErrorAnswerLeavesTheFirstCopy(String path, String body) {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(0.1, one, two)) {
+			this.fails.set(true);
+			warmUp(gateway, path);
+			TestGateway.Answer answer = gateway.send(path, "slow", "");
+			assertThat(answer.status()).isEqualTo(200);
+			assertThat(answer.body()).isEqualTo(body);
+			assertThat(this.failed.getCount()).as("second copies that did not fail").isZero();
+			gateway.awaitNothingInFlight();
+		}
+	}
+
 	@Test
 	void orderNeverHasASecondCopy() {
 		try (ScriptedServer one = server();
