The deadline of a request counts both servers that stay silent

Cause: when the time of a request with two copies ran out, only the server of the first copy counted as silent: not the one of the second copy, and in a stream that the second copy had won the one whose copy had been cancelled.

Change: an exchange asks each copy that has neither ended nor lost. A second copy that lost is forgotten.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -45,7 +45,7 @@
 
 	private final Attempts attempts;
 
-	/** The second copy of the request, or null. */
+	/** The second copy of the request, or null if there is none or it has lost. */
 	private CallExchange copy;
 
 	private boolean copyWon;
@@ -72,7 +72,7 @@
 	 */
 	Mono<BackendResponse> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
-		return copies().timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this.attempts::deadlineExceeded),
+		return copies().timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this::deadlineExceeded),
 				this.scheduler);
 	}
 
@@ -84,7 +84,7 @@
 		}
 		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy,
 				(response) -> response.status() >= SERVER_ERROR, (secondWon) -> {
-					this.copyWon = secondWon;
+					copyEnded(secondWon);
 					hedging.recordOutcome(this.request, secondWon);
 				})
 			.next();
@@ -99,6 +99,19 @@
 		return Flux.defer(this.copy::attempt);
 	}
 
+	private void copyEnded(boolean secondWon) {
+		this.copyWon = secondWon;
+		if (!secondWon) {
+			this.copy = null;
+		}
+	}
+
+	// Each server that is still waited for has been silent, but not one whose copy lost.
+	private FescueholdException deadlineExceeded() {
+		FescueholdException ofCopy = (this.copy != null) ? this.copy.deadlineExceeded() : null;
+		return this.copyWon ? ofCopy : this.attempts.deadlineExceeded();
+	}
+
 	/**
 	 * Ends the request with its final answer, because this host stops.
 	 */
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -92,7 +92,7 @@
 	/** The bytes of the event that is not complete. */
 	private long heldBytes;
 
-	/** The second copy of the request, or null. */
+	/** The second copy of the request, or null if there is none or it has lost. */
 	private StreamExchange copy;
 
 	private boolean copyWon;
@@ -122,7 +122,7 @@
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
 		Flux<StreamItem> items = (this.request.head().takesUp() && !this.attempts.binding().isBound()) ? takeUp()
 				: copies();
-		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this.attempts::deadlineExceeded,
+		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this::deadlineExceeded,
 				this.scheduler);
 	}
 
@@ -135,7 +135,7 @@
 		}
 		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy,
 				StreamExchange::isServerError, (secondWon) -> {
-					this.copyWon = secondWon;
+					copyEnded(secondWon);
 					hedging.recordOutcome(this.request, secondWon);
 				});
 	}
@@ -162,6 +162,19 @@
 		return this.copyWon ? this.copy.version() : this.attempts.binding().version();
 	}
 
+	private void copyEnded(boolean secondWon) {
+		this.copyWon = secondWon;
+		if (!secondWon) {
+			this.copy = null;
+		}
+	}
+
+	// Each server that is still waited for has been silent, but not one whose copy lost.
+	private FescueholdException deadlineExceeded() {
+		FescueholdException ofCopy = (this.copy != null) ? this.copy.deadlineExceeded() : null;
+		return this.copyWon ? ofCopy : this.attempts.deadlineExceeded();
+	}
+
 	/**
 	 * Ends the request with its final answer, because this host stops.
 	 */
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
@@ -23,6 +23,8 @@
 
 	private final AtomicBoolean stalls = new AtomicBoolean();
 
+	private final AtomicBoolean allStall = new AtomicBoolean();
+
 	private final AtomicInteger stalled = new AtomicInteger();
 
 	private final AtomicInteger closed = new AtomicInteger();
@@ -38,7 +40,7 @@
 	 */
 	private ScriptedServer server() {
 		return new ScriptedServer((request, connection) -> {
-			if (this.stalls.getAndSet(false)) {
+			if (this.stalls.getAndSet(this.allStall.get())) {
 				this.stalled.incrementAndGet();
 				if (!this.fails.get()) {
 					awaitClose(connection);
@@ -133,6 +135,20 @@
 		}
 	}
 
+	@Test
+	void bothServersThatDoNotAnswerCountAsSilent() {
+		try (ScriptedServer one = server();
+				ScriptedServer two = server();
+				TestGateway gateway = TestGateway.hedging(0.1, one, two)) {
+			warmUp(gateway, "/lookup/x");
+			this.allStall.set(true);
+			assertThat(gateway.send("/lookup/x", "slow", "").status()).isEqualTo(504);
+			assertThat(this.stalled).hasValue(2);
+			assertThat(gateway.counter("gateway.serverFailures.service.SILENT")).isEqualTo(2);
+			gateway.awaitNothingInFlight();
+		}
+	}
+
 	@Test
 	void orderNeverHasASecondCopy() {
 		try (ScriptedServer one = server();
