A second copy of a stream does not move to a server of another version

Cause: the server of a second copy has the version of the first copy's server, but if it rejected the copy or could not be reached, the copy went on to any server. Both copies could then record different versions for one stream, and a caller that resumed it could be sent to the wrong one.

Change: the second copy of a stream is bound to the version of its server from the start. If no other server of that version is left, the copy ends and the first one goes on.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -151,7 +151,15 @@
 			return Flux.empty();
 		}
 		this.copy = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, this.request, second);
-		return Flux.defer(this.copy::attempt);
+		return Flux.defer(this.copy::attemptAsSecondCopy);
+	}
+
+	// The hosts record one version for a stream, whichever copy wins. A server of another
+	// version can therefore not take over if that of the second copy rejects it.
+	private Flux<StreamItem> attemptAsSecondCopy() {
+		Flux<StreamItem> items = attempt();
+		this.attempts.bindToCurrentServer();
+		return items;
 	}
 
 	/**
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
@@ -149,6 +149,50 @@
 		}
 	}
 
+	// The version that the first copy records may be that of the server that answers it.
+	@Test
+	void rejectedSecondCopyOfAStreamGoesToNoServerOfAnotherVersion() {
+		CountDownLatch rejected = new CountDownLatch(1);
+		ScriptedServer.Script first = (request, connection) -> {
+			if (this.stalls.getAndSet(false)) {
+				this.stalled.incrementAndGet();
+				rejected.await();
+				// Until then the second copy would have reached another server.
+				Thread.sleep(100);
+			}
+			answer(request, connection, "id: 1\ndata: first\n\n");
+		};
+		ScriptedServer.Script second = (request, connection) -> {
+			if (this.stalled.get() > 0 && rejected.getCount() > 0) {
+				connection.send("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Signature: s\r\nX-Request: "
+						+ request.headers().get("X-Request") + "\r\nContent-Length: 0\r\n\r\n");
+				rejected.countDown();
+				return;
+			}
+			answer(request, connection, "id: 1\ndata: second\n\n");
+		};
+		try (ScriptedServer one = new ScriptedServer(first);
+				ScriptedServer two = new ScriptedServer(second);
+				ScriptedServer three = new ScriptedServer(
+						(request, connection) -> answer(request, connection, "id: 1\ndata: third\n\n"));
+				TestGateway gateway = TestGateway.hedging(0.1, one, two, three)) {
+			warmUp(gateway, "/resumable/x");
+			gateway.setVersions("v1", "v1", "v2");
+			String body = "";
+			for (int request = 0; this.stalls.get(); request++) {
+				body = gateway.send("/resumable/x", "s" + request, "").body();
+			}
+			assertThat(body).isEqualTo("id: 1\ndata: first\n\n");
+			assertThat(rejected.getCount()).as("second copies that were not rejected").isZero();
+		}
+	}
+
+	private static void answer(ScriptedServer.Received request, ScriptedServer.Connection connection, String body)
+			throws IOException {
+		connection.send("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request: " + request.headers().get("X-Request")
+				+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+	}
+
 	@Test
 	void orderNeverHasASecondCopy() {
 		try (ScriptedServer one = server();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -214,6 +214,18 @@
 		}).subscribeOn(this.scheduler).block();
 	}
 
+	// Lets the servers run software versions, the first one the first version.
+	void setVersions(String... versions) {
+		Mono.fromRunnable(() -> {
+			List<BackendServer> changed = new ArrayList<>();
+			for (BackendServer server : this.list) {
+				changed.add(new BackendServer(server.id(), server.service(), server.address(), server.failureDomain(),
+						SLOTS, false, versions[changed.size()]));
+			}
+			this.belief.onServers(new ServerList(2, changed));
+		}).subscribeOn(this.scheduler).block();
+	}
+
 	void evacuate(long revision, String... domains) {
 		Mono.fromRunnable(() -> this.belief.onEvacuations(new Evacuations(revision, Set.of(domains))))
 			.subscribeOn(this.scheduler)
