Clearer names and comments around second copies

AttemptTally.copy reads like a copy of the tally and is now secondCopyBegins; the reserved server of a second copy and the position at which a server continues a stream are described.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AttemptTally.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AttemptTally.java
@@ -12,8 +12,10 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	/** The attempts that may have run the request, or still may. */
 	private int attempts;
 
+	/** Whether there is a second copy. */
 	private boolean copied;
 
 	private boolean mayHaveRun;
@@ -35,10 +37,10 @@
 	}
 
 	/**
-	 * Records that there is a second copy.
-	 * @param firstSent whether the first one has been sent
+	 * Records that a second copy begins.
+	 * @param firstSent whether the first one has been sent and not been rejected
 	 */
-	void copy(boolean firstSent) {
+	void secondCopyBegins(boolean firstSent) {
 		this.copied = true;
 		this.mayHaveRun |= firstSent;
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -41,7 +41,7 @@
 
 	private final AttemptTally tally;
 
-	/** The server of the first attempt if this is a second copy, or null. */
+	/** The server reserved for a second copy, until its first attempt; else null. */
 	private Dispatcher.Target reserved;
 
 	private int unreachableCount;
@@ -102,7 +102,7 @@
 		}
 		Attempts copy = new Attempts(this.dispatcher, this.log, this.request, this.tally);
 		copy.reserved = second;
-		this.tally.copy(this.awaitingResponse);
+		this.tally.secondCopyBegins(this.awaitingResponse);
 		return copy;
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -307,9 +307,9 @@
 			return protocolFailure("the response that continues the stream has media type " + type);
 		}
 		EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-		// The caller may resume after any event, but a server must continue where this
-		// host
-		// asked it to.
+		// The caller may resume after any event, but a server must continue with the
+		// event
+		// after the position that this host named.
 		this.contiguous = this.headSent && this.position > 0;
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
