SlowCallerStreamTests demands the whole stream

The test took a stream that was cut after any number of events, even after none, for a pass, so that it could not see that the second server never continued the stream.

--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/SlowCallerStreamTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/SlowCallerStreamTests.java
@@ -68,9 +68,8 @@
 			while (ids.find()) {
 				received.add(Long.valueOf(ids.group(1)));
 			}
-			boolean complete = stream.endsWith("\r\n0\r\n\r\n");
-			assertThat(received).as("complete: %s", complete)
-				.isEqualTo(LongStream.rangeClosed(1, complete ? EVENTS : received.size()).boxed().toList());
+			assertThat(stream).as("a stream that is complete").endsWith("\r\n0\r\n\r\n");
+			assertThat(received).isEqualTo(LongStream.rangeClosed(1, EVENTS).boxed().toList());
 		}
 	}
 
