The times of services that were removed are forgotten

Cause: HedgePolicy.retain was never called, so that the histograms of each service that was ever configured stayed for as long as the process.

Change: they are dropped together with the unused connection pools.

Measured: the new test of HedgedRequestTests fails without the call and passes with it; nine HedgedRequestTests, GatewayBeliefTests and twelve CopyRaceTests pass.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.evacuation.EvacuationView;
@@ -275,6 +276,15 @@
 		return this.coldMonitor.count();
 	}
 
+	/**
+	 * Returns the services of the configuration in force.
+	 * @return their names, empty while no configuration is known
+	 */
+	public Set<String> serviceNames() {
+		return (this.table == null) ? Set.of()
+				: this.table.config().services().stream().map(RoutedService::name).collect(Collectors.toSet());
+	}
+
 	/**
 	 * Returns how the servers of a service behave after a start.
 	 * @param service the service
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -265,9 +265,11 @@
 	}
 
 	/**
-	 * Closes the connection pools of servers that are no longer in the server list.
+	 * Closes the connection pools of servers that are no longer in the server list, and
+	 * forgets the times of services that are no longer configured.
 	 */
 	public void closeUnusedPools() {
+		this.dispatcher.hedging().retainConfigured();
 		this.pools.retain(this.belief.servers()
 			.all()
 			.stream()
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Hedging.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Hedging.java
@@ -165,6 +165,13 @@
 		this.metrics.hedgeEnded(request.service(), secondWon);
 	}
 
+	/**
+	 * Forgets the times of services that are no longer configured.
+	 */
+	void retainConfigured() {
+		this.policy.retain(this.belief.serviceNames());
+	}
+
 	/**
 	 * Returns the state for diagnostics.
 	 * @return the delays of second copies by kind of work, in milliseconds
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/HedgedRequestTests.java
@@ -216,6 +216,16 @@
 		}
 	}
 
+	@Test
+	void timesOfAServiceThatWasRemovedAreForgotten() {
+		try (ScriptedServer server = server(); TestGateway gateway = TestGateway.hedging(0.1, server)) {
+			warmUp(gateway, "/lookup/x");
+			assertThat(gateway.dump()).contains("hedgeDelaysMs={service/0=");
+			gateway.removeServices();
+			assertThat(gateway.dump()).contains("hedgeDelaysMs={}");
+		}
+	}
+
 	private void awaitClosed() {
 		long untilNs = System.nanoTime() + 5_000_000_000L;
 		while (this.closed.get() < this.stalled.get()) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestGateway.java
@@ -58,6 +58,9 @@
 
 	static final long MEMORY_BYTES = 24 << 20;
 
+	private static final RoutingConfig WITHOUT_SERVICES = new RoutingConfig(2, List.of(), List.of(),
+			CallerLimits.DEFAULT, List.of());
+
 	private final LoopResources loops = LoopResources.create("test-gateway", 1, true);
 
 	private final MetricRegistry metrics = new MetricRegistry();
@@ -97,7 +100,8 @@
 			ServingPolicy policy, ColdStart coldStart, int... ports) {
 		this.address = address;
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(this.loops.onServer(false).next()));
-		this.belief = new GatewayBelief(address, (submitted) -> config(coldStart),
+		this.belief = new GatewayBelief(address,
+				(submitted) -> (submitted.length > 0) ? config(coldStart) : WITHOUT_SERVICES,
 				() -> this.scheduler.now(TimeUnit.MILLISECONDS), new SplittableRandom(2));
 		GatewayOptions options = new GatewayOptions(address, 0, relayPort, "a", 60_000, 1_000,
 				(retryExtra > 0) ? 0.2 : 0, retryExtra, 10_000, true, 1_000, MEMORY_BYTES, BackendOptions.DEFAULT,
@@ -226,6 +230,15 @@
 		}).subscribeOn(this.scheduler).block();
 	}
 
+	// Puts a configuration without services in force and forgets what is not used any
+	// more.
+	void removeServices() {
+		Mono.fromRunnable(() -> {
+			this.belief.onDocument(Documents.of(2, new byte[0]));
+			this.server.closeUnusedPools();
+		}).subscribeOn(this.scheduler).block();
+	}
+
 	void evacuate(long revision, String... domains) {
 		Mono.fromRunnable(() -> this.belief.onEvacuations(new Evacuations(revision, Set.of(domains))))
 			.subscribeOn(this.scheduler)
