--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -27,6 +27,9 @@
 	 */
 	private static final int SLOW_FACTOR = 2;
 
+	/** The first HTTP status with which a server says that it failed. */
+	static final int SERVER_ERROR = 500;
+
 	private static final long MIN_SLOW_MS = 100;
 
 	/** Interval at which a slow request that could not be moved is checked again. */
@@ -42,7 +45,7 @@
 
 	private final Attempts attempts;
 
-	/** The second copy of the request, or null. */
+	/** The second copy of the request, or null if there is none or it has lost. */
 	private CallExchange copy;
 
 	private boolean copyWon;
@@ -69,7 +72,7 @@
 	 */
 	Mono<BackendResponse> run() {
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
-		return copies().timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this.attempts::deadlineExceeded),
+		return copies().timeout(Duration.ofMillis(Math.max(1, leftMs)), Mono.error(this::deadlineExceeded),
 				this.scheduler);
 	}
 
@@ -79,10 +82,12 @@
 		if (!hedging.appliesTo(this.request)) {
 			return first;
 		}
-		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
-			this.copyWon = secondWon;
-			hedging.recordOutcome(this.request, secondWon);
-		}).next();
+		return CopyRace.run(first.flux(), hedging.due(this.request, this.scheduler), this::secondCopy,
+				(response) -> response.status() >= SERVER_ERROR, (secondWon) -> {
+					copyEnded(secondWon);
+					hedging.recordOutcome(this.request, secondWon);
+				})
+			.next();
 	}
 
 	private Flux<BackendResponse> secondCopy() {
@@ -94,6 +99,19 @@
 		return Flux.defer(this.copy::attempt);
 	}
 
+	private void copyEnded(boolean secondWon) {
+		this.copyWon = secondWon;
+		if (!secondWon) {
+			this.copy = null;
+		}
+	}
+
+	// Each server that is still waited for has been silent, but not one whose copy lost.
+	private FescueholdException deadlineExceeded() {
+		FescueholdException ofCopy = (this.copy != null) ? this.copy.deadlineExceeded() : null;
+		return this.copyWon ? ofCopy : this.attempts.deadlineExceeded();
+	}
+
 	/**
 	 * Ends the request with its final answer, because this host stops.
 	 */
@@ -161,7 +179,7 @@
 			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
 					"the response with status " + response.status() + " carries no signature", null)));
 		}
-		if (response.status() >= 500) {
+		if (response.status() >= SERVER_ERROR) {
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
 		this.attempts.recordAnswerTime();
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -94,7 +94,7 @@
 	/** The bytes of the event that is not complete. */
 	private long heldBytes;
 
-	/** The second copy of the request, or null. */
+	/** The second copy of the request, or null if there is none or it has lost. */
 	private StreamExchange copy;
 
 	private boolean copyWon;
@@ -124,7 +124,7 @@
 		long leftMs = this.request.leftMs(this.dispatcher.nowMs());
 		Flux<StreamItem> items = (this.request.head().takesUp() && !this.attempts.binding().isBound()) ? takeUp()
 				: copies();
-		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this.attempts::deadlineExceeded,
+		return StreamDeadline.limit(items, Duration.ofMillis(Math.max(1, leftMs)), this::deadlineExceeded,
 				this.scheduler);
 	}
 
@@ -135,10 +135,16 @@
 		if (!hedging.appliesTo(this.request)) {
 			return first;
 		}
-		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy, (secondWon) -> {
-			this.copyWon = secondWon;
-			hedging.recordOutcome(this.request, secondWon);
-		});
+		return CopyRace.run(first, hedging.due(this.request, this.scheduler), this::secondCopy,
+				StreamExchange::isServerError, (secondWon) -> {
+					copyEnded(secondWon);
+					hedging.recordOutcome(this.request, secondWon);
+				});
+	}
+
+	private static boolean isServerError(StreamItem item) {
+		return item instanceof StreamItem.Complete(BackendResponse backendResponse, boolean accepted)
+				&& backendResponse.status() >= CallExchange.SERVER_ERROR;
 	}
 
 	private Flux<StreamItem> secondCopy() {
@@ -147,7 +153,15 @@
 			return Flux.empty();
 		}
 		this.copy = new StreamExchange(this.dispatcher, this.scheduler, this.log, this.versions, this.request, second);
-		return Flux.defer(this.copy::attempt);
+		return Flux.defer(this.copy::attemptAsSecondCopy);
+	}
+
+	// The hosts record one version for a stream, whichever copy wins. A server of another
+	// version can therefore not take over if that of the second copy rejects it.
+	private Flux<StreamItem> attemptAsSecondCopy() {
+		Flux<StreamItem> items = attempt();
+		this.attempts.bindToCurrentServer();
+		return items;
 	}
 
 	/**
@@ -158,6 +172,19 @@
 		return this.copyWon ? this.copy.version() : this.attempts.binding().version();
 	}
 
+	private void copyEnded(boolean secondWon) {
+		this.copyWon = secondWon;
+		if (!secondWon) {
+			this.copy = null;
+		}
+	}
+
+	// Each server that is still waited for has been silent, but not one whose copy lost.
+	private FescueholdException deadlineExceeded() {
+		FescueholdException ofCopy = (this.copy != null) ? this.copy.deadlineExceeded() : null;
+		return this.copyWon ? ofCopy : this.attempts.deadlineExceeded();
+	}
+
 	/**
 	 * Ends the request with its final answer, because this host stops.
 	 */
@@ -283,9 +310,9 @@
 			return protocolFailure("the response that continues the stream has media type " + type);
 		}
 		EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
-		// The caller may resume after any event, but a server must continue where this
-		// host
-		// asked it to.
+		// The caller may resume after any event, but a server must continue with the
+		// event
+		// after the position that this host named.
 		this.contiguous = this.headSent && this.position > 0;
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
@@ -417,7 +444,7 @@
 		if (head.notRun()) {
 			return failOrRetry(this.attempts.afterRejection(backendResponse, head.otherInstance()));
 		}
-		if (backendResponse.status() >= 500 && this.attempts.retriesAfterError(backendResponse)) {
+		if (backendResponse.status() >= CallExchange.SERVER_ERROR && this.attempts.retriesAfterError(backendResponse)) {
 			return attempt();
 		}
 		if (this.headSent) {
