The gateway's connections to servers run on the thread of its state

Cause: the gateway's listener uses the loops without the native transport, its connections to servers used them with it. Where the native transport is there and not switched off, answers arrive on another thread than requests, and the state that is confined to one thread is changed by two. The deployment switches it off with an option of the JVM; the tests do not. So all tests of the gateway ran in another way than the deployment, and in the one run of FaultyAnswerTests before this change a request failed with a ConcurrentModificationException, which the test could not see as a violation.

Change: connections on given loops, and the probes, do not use the native transport. The pools of the router, which has the default loops, are as before.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPool.java
@@ -23,6 +23,8 @@
 
 	private final LoopResources loops;
 
+	private final boolean preferNative;
+
 	private final HttpClient unpooledClient;
 
 	private volatile Generation generation;
@@ -34,7 +36,7 @@
 	 * @param options the limits
 	 */
 	public BackendPool(String host, int port, BackendOptions options) {
-		this(host, port, options, HttpResources.get());
+		this(host, port, options, HttpResources.get(), LoopResources.DEFAULT_NATIVE);
 	}
 
 	/**
@@ -42,9 +44,14 @@
 	 * @param host the IP address of the server
 	 * @param port the port of the server
 	 * @param options the limits
-	 * @param loops the event loops of the connections
+	 * @param loops the event loops of the connections, without the native transport
 	 */
 	public BackendPool(String host, int port, BackendOptions options, LoopResources loops) {
+		this(host, port, options, loops, false);
+	}
+
+	BackendPool(String host, int port, BackendOptions options, LoopResources loops, boolean preferNative) {
+		this.preferNative = preferNative;
 		this.loops = loops;
 		this.host = host;
 		this.port = port;
@@ -116,7 +123,7 @@
 
 	private HttpClient client(ConnectionProvider provider) {
 		return NameResolution.unlessNumeric(HttpClient.create(provider), this.host)
-			.runOn(this.loops)
+			.runOn(this.loops, this.preferNative)
 			.host(this.host)
 			.port(this.port)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.options.connectTimeoutMs())
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPools.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendPools.java
@@ -18,22 +18,30 @@
 
 	private final LoopResources loops;
 
+	private final boolean preferNative;
+
 	/**
 	 * Creates an empty set of pools.
 	 * @param options the limits of each pool
 	 */
 	public BackendPools(BackendOptions options) {
-		this(options, HttpResources.get());
+		this(options, HttpResources.get(), LoopResources.DEFAULT_NATIVE);
 	}
 
 	/**
 	 * Creates an empty set of pools.
 	 * @param options the limits of each pool
-	 * @param loops the event loops of the connections
+	 * @param loops the event loops of the connections, without the native transport: the
+	 * native one has threads of its own, but the gateway's state belongs to one thread
 	 */
 	public BackendPools(BackendOptions options, LoopResources loops) {
+		this(options, loops, false);
+	}
+
+	private BackendPools(BackendOptions options, LoopResources loops, boolean preferNative) {
 		this.options = options;
 		this.loops = loops;
+		this.preferNative = preferNative;
 	}
 
 	/**
@@ -44,7 +52,7 @@
 	 */
 	public BackendPool pool(String host, int port) {
 		return this.pools.computeIfAbsent(host + ":" + port,
-				(key) -> new BackendPool(host, port, this.options, this.loops));
+				(key) -> new BackendPool(host, port, this.options, this.loops, this.preferNative));
 	}
 
 	/**
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/ConnectProbe.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/ConnectProbe.java
@@ -28,7 +28,7 @@
 	 */
 	public static Mono<Result> probe(BackendServer server, LoopResources loops, int timeoutMs) {
 		return NameResolution.unlessNumeric(TcpClient.newConnection(), server.ip())
-			.runOn(loops)
+			.runOn(loops, false)
 			.host(server.ip())
 			.port(server.port())
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
