--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/backend/BackendExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.AttributeKey;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Flux;
@@ -204,7 +205,9 @@
 	// reset can be reported to the writer alone: the reader then sees an orderly end of a
 	// body that was cut. Without a length or chunks nothing else tells the two apart.
 	private static ByteBufFlux failIfEndedEarly(HttpClientResponse head, ByteBufFlux content, AtomicBoolean sent) {
-		if (isFramed(head.responseHeaders())) {
+		boolean hasNoBody = head.status().equals(HttpResponseStatus.NO_CONTENT)
+				|| head.status().equals(HttpResponseStatus.NOT_MODIFIED);
+		if (hasNoBody || isFramed(head.responseHeaders())) {
 			return content;
 		}
 		Mono<ByteBuf> check = Mono
