CutOffHostTests: the links to all servers are lost at one moment

Traced in the log: the servers were cut off one after the other, and the second attempt of a stream was reset by the same cut 1 to 6 ms after the first, which used up the two attempts of its route. Change: all servers refuse connections before the first one is reset; the check is unchanged.

--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/CutOffHostTests.java
@@ -265,7 +265,10 @@
 		assertThat(served).isGreaterThanOrEqualTo(19);
 	}
 
+	// The links to all servers are lost at one moment: a retry must not reach a server
+	// whose link is cut a millisecond later.
 	private void cut(long forMs) {
+		this.fleet.backends().forEach((backend) -> backend.refuseConnections(this.cutOff));
 		this.fleet.backends().forEach((backend) -> backend.cut(this.cutOff, forMs));
 	}
 
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/VersionedFleet.java
@@ -117,10 +117,7 @@
 		killAll(List.of(host));
 	}
 
-	/**
-	 * Kills hosts at the same moment.
-	 * @param killed the hosts
-	 */
+	/** Kills hosts at the same moment. */
 	void killAll(List<Host> killed) {
 		Mono.when(killed.stream().map(Host::kill).toList()).block(Duration.ofSeconds(10));
 		killed.forEach((host) -> this.hosts.remove(host.id));
@@ -338,6 +335,10 @@
 			return this.listeners.computeIfAbsent(hostId, (id) -> new ScriptedServer(this::serve));
 		}
 
+		void refuseConnections(Host host) {
+			listener(host.id).stopListening();
+		}
+
 		void cut(Host host, long forMs) {
 			listener(host.id).crash(forMs);
 		}
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/ScriptedServer.java
@@ -154,15 +154,30 @@
 		closeConnections();
 	}
 
-	// A socket that is closed while a virtual thread accepts from it can still accept a
-	// connection, so that thread ends before the connections are closed.
-	private void closeConnections() {
+	/**
+	 * Refuses new connections. Those that are open stay.
+	 */
+	public void stopListening() {
 		try {
 			this.listener.close();
+			// A socket that is closed while a virtual thread accepts from it can still
+			// accept a connection until that thread has ended.
 			if (!this.acceptor.join(CLOSE_TIMEOUT)) {
 				throw new IllegalStateException(
 						"port " + port() + " still accepts connections " + CLOSE_TIMEOUT + " after it was closed");
 			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void closeConnections() {
+		stopListening();
+		try {
 			for (Socket socket : this.sockets) {
 				socket.close();
 			}
@@ -171,9 +186,6 @@
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
 	}
 
 	public interface Script {
