--- a/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/servers/LeastLoadedSelector.java
@@ -17,6 +17,15 @@
 	/** Added to the load of a server in another failure domain. */
 	static final double REMOTE_DOMAIN_PENALTY_REQUESTS = 0.6;
 
+	/** Breaks ties between costs. */
+	private static final double TIE_SPREAD = 0.01;
+
+	/**
+	 * The difference in requests that decides nothing if it is only known late. Smaller
+	 * than the penalty of another domain, so that idle servers serve their own one.
+	 */
+	static final double MAX_SPREAD_REQUESTS = 0.5;
+
 	/** The age of the requests of the other daemons as far as they are known. */
 	static final double REPORT_AGE_MS = 400;
 
@@ -56,10 +65,12 @@
 	 */
 	public ServerState select(List<ServerState> candidates, double usualMs, long nowMs) {
 		double othersWeight = Double.isNaN(usualMs) ? 1 : usualMs / (usualMs + REPORT_AGE_MS);
+		double spreadRequests = MAX_SPREAD_REQUESTS * (1 - othersWeight);
 		ServerState best = null;
 		double bestCost = Double.POSITIVE_INFINITY;
 		for (ServerState candidate : candidates) {
-			double cost = cost(candidate, othersWeight, nowMs) + this.random.nextDouble() * 0.01;
+			double spread = Math.max(TIE_SPREAD, spreadRequests / Math.max(1, candidate.server().slots()));
+			double cost = cost(candidate, othersWeight, nowMs) + this.random.nextDouble() * spread;
 			if (cost < bestCost) {
 				best = candidate;
 				bestCost = cost;
--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/LateLoadReportsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/LateLoadReportsTests.java
@@ -40,10 +40,10 @@
 
 	private final List<List<ServerState>> views = new ArrayList<>();
 
-	private double withinObjective(double usualMs) {
+	private double withinObjective(double usualMs, int domains) {
 		List<LeastLoadedSelector> selectors = new ArrayList<>();
 		for (int host = 0; host < HOSTS; host++) {
-			selectors.add(new LeastLoadedSelector("d" + host % SERVERS, this.random.split()));
+			selectors.add(new LeastLoadedSelector("d" + host % domains, this.random.split()));
 			this.views.add(servers());
 			List<PriorityQueue<Double>> queues = new ArrayList<>();
 			for (int server = 0; server < SERVERS; server++) {
@@ -109,12 +109,18 @@
 
 	@Test
 	void hostsDoNotAllTakeTheServerThatSeemedIdle() {
-		assertThat(withinObjective(WORK_MS)).isGreaterThan(0.99);
+		assertThat(withinObjective(WORK_MS, SERVERS)).isGreaterThan(0.99);
+	}
+
+	// Two thirds of the hosts have no server of their own domain to prefer.
+	@Test
+	void hostsOfOtherDomainsSpreadTheirRequests() {
+		assertThat(withinObjective(WORK_MS, 3 * SERVERS)).isGreaterThan(0.99);
 	}
 
 	@Test
 	void trustInLateReportsQueuesRequestsAtOneServer() {
-		assertThat(withinObjective(Double.NaN)).as("the load that the weight answers").isLessThan(0.95);
+		assertThat(withinObjective(Double.NaN, SERVERS)).as("the load that the weight answers").isLessThan(0.95);
 	}
 
 }
