--- a/fescuehold-core/src/test/java/io/fescuehold/core/servers/LateLoadReportsTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/servers/LateLoadReportsTests.java
@@ -40,6 +40,9 @@
 
 	private final List<List<ServerState>> views = new ArrayList<>();
 
+	/** The requests that went to a server far above the mean of all servers. */
+	private int aboveMean;
+
 	private double withinObjective(double usualMs, int domains) {
 		List<LeastLoadedSelector> selectors = new ArrayList<>();
 		for (int host = 0; host < HOSTS; host++) {
@@ -65,6 +68,7 @@
 			int host = this.random.nextInt(HOSTS);
 			ServerState chosen = selectors.get(host).select(this.views.get(host), usualMs, (long) nowMs);
 			int server = this.views.get(host).indexOf(chosen);
+			this.aboveMean += (total(server) > 2 * meanTotal() + 3) ? 1 : 0;
 			Arrays.sort(slotFreeAtMs[server]);
 			double startMs = Math.max(nowMs, slotFreeAtMs[server][0]);
 			double endMs = startMs + WORK_MS * (0.5 + this.random.nextDouble());
@@ -91,11 +95,19 @@
 	private void report() {
 		for (int server = 0; server < SERVERS; server++) {
 			int index = server;
-			int total = this.views.stream().mapToInt((view) -> view.get(index).ownRequests()).sum();
+			int total = total(server);
 			this.views.forEach((view) -> view.get(index).setOtherRequests(total - view.get(index).ownRequests()));
 		}
 	}
 
+	private int total(int server) {
+		return this.views.stream().mapToInt((view) -> view.get(server).ownRequests()).sum();
+	}
+
+	private double meanTotal() {
+		return (total(0) + total(1) + total(2)) / (double) SERVERS;
+	}
+
 	private static List<ServerState> servers() {
 		ServerTable table = new ServerTable();
 		List<BackendServer> list = new ArrayList<>();
@@ -116,6 +128,7 @@
 	@Test
 	void hostsOfOtherDomainsSpreadTheirRequests() {
 		assertThat(withinObjective(WORK_MS, 3 * SERVERS)).isGreaterThan(0.99);
+		assertThat(this.aboveMean).isLessThan(REQUESTS / 1_000);
 	}
 
 	@Test
