--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -306,7 +306,9 @@
 		endProcesses();
 		for (Daemon daemon : this.daemons) {
 			try {
-				daemon.process.waitFor(5, TimeUnit.SECONDS);
+				if (daemon.process != null) {
+					daemon.process.waitFor(5, TimeUnit.SECONDS);
+				}
 			}
 			catch (InterruptedException ex) {
 				Thread.currentThread().interrupt();
