--- a/review/6/Main.java
+++ b/review/6/Main.java
@@ -15,6 +15,7 @@
 
 import review2.rig.Client;
 import review2.rig.Http;
+import review2.rig.Names;
 import review2.rig.Rig;
 import review2.rig.Server;
 
@@ -71,7 +72,7 @@
 	}
 
 	private boolean answer(Server server, Http.Head head, byte[] body, OutputStream out) throws IOException {
-		String id = head.field("fescuehold-attempt-id");
+		String id = head.field(Names.ID);
 		this.ran.add(id);
 		if (server.id.equals("i-m1") && this.spoils && this.answersOfFaulty.incrementAndGet() % SPOILT_ONE_OF == 0) {
 			boolean success = this.spoilt.getAndIncrement() % 2 == 0;
@@ -158,8 +159,7 @@
 
 	private static byte[] request(String id) {
 		String shared = Integer.toHexString(0x5c1e0000 + ThreadLocalRandom.current().nextInt(24));
-		return Rig.request("POST", "/brief/2f", id, 4_000, "Fescuehold-Model: m\r\nFescuehold-Token-Usage: 460,24\r\n"
-				+ "Fescuehold-Prefix-Hash: " + shared + ":400," + id.substring(0, 8) + ":60\r\n", "{}".getBytes());
+		return Rig.request("POST", "/brief/2f", id, 4_000, Rig.prompt(shared, id), "{}".getBytes());
 	}
 
 }
--- a/review/7/Main.java
+++ b/review/7/Main.java
@@ -8,6 +8,7 @@
 
 import review2.rig.Client;
 import review2.rig.Http;
+import review2.rig.Names;
 import review2.rig.Rig;
 import review2.rig.Server;
 
@@ -51,7 +52,7 @@
 	}
 
 	private boolean answer(Server server, Http.Head head, byte[] body, OutputStream out) throws IOException {
-		String id = head.field("fescuehold-attempt-id");
+		String id = head.field(Names.ID);
 		this.ran.add(id);
 		out.write(Http.bytes(server.signed("200 OK", id) + "Content-Length: 2\r\n\r\nok"));
 		return true;
@@ -85,12 +86,12 @@
 				config(11).replace("\"split\":[", "\"service\":\"nowhere\",\"split\":["));
 		Thread.sleep(GAP_MS);
 		send("keys that are no list", 13,
-				config(13).replaceAll("\"api_keys\":\\[[^\\]]*\\]", "\"api_keys\":\"" + Rig.KEY + "\""));
+				config(13).replaceAll("\"" + Names.KEYS_FIELD + "\":\\[[^\\]]*\\]", "\"" + Names.KEYS_FIELD + "\":\"" + Rig.KEY + "\""));
 		Thread.sleep(APPLIED_MS);
 		Client.Answer proper = Client.call(this.rig.daemons().get(1).front(), request(Rig.newId(), Rig.KEY), 3_000);
 		this.rig.note("a request with the tenant's key: " + proper);
 		Client.Answer read = Client.call(this.rig.daemons().get(2).control(),
-				Http.bytes("GET /api/config/get HTTP/1.1\r\nHost: control\r\n\r\n"), 2_000);
+				Http.bytes("GET " + Names.READ_PATH + " HTTP/1.1\r\nHost: control\r\n\r\n"), 2_000);
 		this.rig.note("the configuration read back: " + read + ": "
 				+ read.text().substring(0, Math.min(12, read.text().length())));
 		this.rig.note("breaks: " + this.broken);
--- a/review/rig2/Client.java
+++ b/review/rig2/Client.java
@@ -26,7 +26,7 @@
 
 		/** Returns whether it is a success for the client: a complete 2xx with the stamp. */
 		public boolean served() {
-			return complete() && status() / 100 == 2 && this.head.field("fescuehold-server-stamp") != null;
+			return complete() && status() / 100 == 2 && this.head.field(Names.STAMP) != null;
 		}
 
 		@Override
--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -216,14 +216,14 @@
 	public static String config(int version, String routes, String services) {
 		return "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[" + services
 				+ "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
-				+ "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"" + KEY
+				+ "\"idle_timeout_ms\":15000},\"tenants\":[{\"name\":\"hule930\",\"" + Names.KEYS_FIELD + "\":[\"" + KEY
 				+ "\"],\"priority\":1}]}";
 	}
 
 	public static String route(String name, String prefix, String kind, int timeoutMs, int sloMs, String service,
 			int maxAttempts, boolean resumable) {
-		return "{\"name\":\"" + name + "\",\"hostname\":\"" + HOST + "\",\"path_prefix\":\"" + prefix
-				+ "\",\"route_kind\":\"" + kind + "\",\"timeout_ms\":" + timeoutMs + ",\"slo_ms\":" + sloMs
+		return "{\"name\":\"" + name + "\",\"hostname\":\"" + HOST + "\",\"" + Names.PREFIX_FIELD + "\":\"" + prefix
+				+ "\",\"" + Names.KIND_FIELD + "\":\"" + kind + "\",\"timeout_ms\":" + timeoutMs + ",\"slo_ms\":" + sloMs
 				+ ",\"priority\":1,\"service\":\"" + service + "\",\"max_attempts\":" + maxAttempts
 				+ ",\"public\":false,\"sticky\":" + kind.equals("streaming") + ",\"resumable\":" + resumable
 				+ ",\"gap_slo_ms\":400}";
@@ -241,7 +241,7 @@
 	/** Sends a configuration to a daemon once. */
 	public Client.Answer put(Daemon daemon, String config) {
 		byte[] body = config.getBytes(StandardCharsets.UTF_8);
-		byte[] head = Http.bytes("POST /api/config/put HTTP/1.1\r\nHost: " + daemon.control()
+		byte[] head = Http.bytes("POST " + Names.SUBMIT_PATH + " HTTP/1.1\r\nHost: " + daemon.control()
 				+ "\r\nContent-Type: application/json\r\nContent-Length: " + body.length + "\r\n\r\n");
 		byte[] request = new byte[head.length + body.length];
 		System.arraycopy(head, 0, request, 0, head.length);
@@ -278,6 +278,12 @@
 		return true;
 	}
 
+	/** Returns the fields of a request to a model, with one shared part and one of its own. */
+	public static String prompt(String sharedPart, String id) {
+		return "Fescuehold-Model: m\r\n" + Names.TOKENS + ": 460,24\r\n" + Names.PROMPT_PARTS + ": " + sharedPart
+				+ ":400," + id.substring(0, 8) + ":60\r\n";
+	}
+
 	/** Builds a request with a key. */
 	public static byte[] request(String method, String target, String id, int deadlineMs, String fields, byte[] body) {
 		byte[] head = Http.bytes(method + " " + target + " HTTP/1.1\r\nHost: " + HOST + "\r\nFescuehold-Attempt-Id: " + id
--- a/review/rig2/Server.java
+++ b/review/rig2/Server.java
@@ -44,7 +44,7 @@
 
 	/** Returns the status line and the fields that every answer of a server carries. */
 	public String signed(String status, String requestId) {
-		return "HTTP/1.1 " + status + "\r\nFescuehold-Attempt-Id: " + requestId + "\r\nFescuehold-Server-Stamp: "
+		return "HTTP/1.1 " + status + "\r\n" + Names.ID + ": " + requestId + "\r\n" + Names.STAMP + ": "
 				+ this.id + "." + requestId + "\r\n";
 	}
 
@@ -82,10 +82,10 @@
 	}
 
 	private boolean answerOwn(Http.Head head, OutputStream out) throws IOException {
-		String expected = head.field("fescuehold-expect-instance");
+		String expected = head.field(Names.EXPECTED_INSTANCE);
 		if (expected != null && !expected.equals(this.id)) {
 			out.write(Http.bytes("HTTP/1.1 421 Misdirected Request\r\nFescuehold-Instance-Id: " + this.id
-					+ "\r\nFescuehold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+					+ "\r\n" + Names.NOT_RUN + ": 1\r\nContent-Length: 0\r\n\r\n"));
 			return true;
 		}
 		if (head.target().equals("/healthz")) {
