Deliver an answer on a streaming route only if it is signed

Seen by callers: on streaming routes any answer without a signature and with another status than 200 was handed on. A caller got a 202 that no server had given, and a 503 for a request that had run, which it then repeated. On all routes a bare 421 counted as proof that the request had not run, so that an order ran at a second server.

Cause: the order of the checks of an answer's head stood twice. CallExchange asked for the signature of every answer; StreamExchange collected answers with another status than 200 first and passed them on without asking. Both took what an unsigned answer says of limits, rest and leaving for true before they asked. The header mapping took status 421 alone for a statement.

Ruled out: another request's answer (the id is the request's own), a cut body (the answers are complete), the hosts that pass requests on (the case is direct; relayed requests fail the same way, and only on streaming routes).

Change: AnswerHead.judge decides for both exchanges, before any body is read on streams, with a sealed result. Unsigned answers count as failures of the server after which the request may have run, and their statements are ignored.

Two tests changed because they took a bare 421 for proof: their servers now name their instance, as servers do. That a bare 421 proves nothing is asserted in their place (PlatformHeadersTests, AnswerHeadTests, UnsignedAnswerTests).

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -257,17 +257,35 @@
 	}
 
 	/**
-	 * Records what the response of a host that passes the request on says of it.
+	 * Judges the head of the current server's response, and records what it states if it
+	 * is that server's.
+	 * @param status the HTTP status
 	 * @param headers the headers by lower-case name
-	 * @return the refusal of that host, or null if the response is a server's
+	 * @return what the response proves
 	 */
-	FescueholdException relayResponse(Map<String, String> headers) {
-		if (!isRelayed()) {
-			return null;
+	AnswerVerdict judge(int status, Map<String, String> headers) {
+		if (isRelayed()) {
+			this.binding.setRelayedVersion(headers.get(RelayHop.RESPONSE_VERSION));
+			this.relayedServerId = headers.get(RelayHop.RESPONSE_SERVER);
+			FescueholdException refusal = RelayHop.refusal(headers, serverId());
+			if (refusal != null) {
+				return new AnswerVerdict.Refused(refusal);
+			}
+		}
+		AnswerHead head = this.dispatcher.read(status, headers);
+		AnswerVerdict verdict = head.judge(this.request.head().requestId(),
+				isRelayed() ? this.relayedServerId : serverId(), this.keptConnection);
+		boolean ofAddressedServer = switch (verdict) {
+			case AnswerVerdict.Signed signed -> true;
+			case AnswerVerdict.NotRun(boolean otherInstance) -> !otherInstance;
+			case AnswerVerdict.Unproven unproven -> false;
+			case AnswerVerdict.Refused refused -> false;
+		};
+		if (ofAddressedServer) {
+			this.dispatcher.recordResponse(this.target);
+			this.dispatcher.recordStatements(this.target, this.relayedServerId, head, this.sentAtMs);
 		}
-		this.binding.setRelayedVersion(headers.get(RelayHop.RESPONSE_VERSION));
-		this.relayedServerId = headers.get(RelayHop.RESPONSE_SERVER);
-		return RelayHop.refusal(headers, serverId());
+		return verdict;
 	}
 
 	/**
@@ -300,27 +318,6 @@
 		this.sentAtMs = this.dispatcher.nowMs();
 	}
 
-	/**
-	 * Returns whether a response may belong to another request.
-	 * @param head the head
-	 * @param status the HTTP status
-	 * @return whether it does not show that it belongs to the current attempt
-	 */
-	boolean isForeign(AnswerHead head, int status) {
-		return head.mayBelongToOtherRequest(this.request.head().requestId(), status, this.keptConnection);
-	}
-
-	/**
-	 * Records the head of the current server's response.
-	 * @param head the head, which belongs to the request
-	 */
-	void headReceived(AnswerHead head) {
-		if (!head.otherInstance()) {
-			this.dispatcher.recordResponse(this.target);
-			this.dispatcher.recordStatements(this.target, this.relayedServerId, head, this.sentAtMs);
-		}
-	}
-
 	/**
 	 * Returns whether the request may be retried on another server.
 	 * @return whether the request is repeatable and has attempts left
@@ -345,11 +342,11 @@
 
 	/**
 	 * Handles a response which states that the server did not run the request.
-	 * @param response the server's response
+	 * @param status the HTTP status
 	 * @param replaced whether another instance responded at the server's address
 	 * @return null if another server is to be tried, else the error for the caller
 	 */
-	FescueholdException afterRejection(BackendResponse response, boolean replaced) {
+	FescueholdException afterRejection(int status, boolean replaced) {
 		this.awaitingResponse = false;
 		this.rejectionCount++;
 		this.dispatcher.recordOutcome(this.request, this.target,
@@ -362,11 +359,10 @@
 		}
 		if (this.rejectionCount <= MAX_REJECTIONS
 				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts())) {
-			this.log.serverFailed(this.request, serverId(), "not run, status " + response.status(),
-					"trying another server");
+			this.log.serverFailed(this.request, serverId(), "not run, status " + status, "trying another server");
 			return null;
 		}
-		return fail("it did not run the request, status " + response.status(), ErrorCode.OVERLOADED,
+		return fail("it did not run the request, status " + status, ErrorCode.OVERLOADED,
 				this.dispatcher.admission().retryAfterMs(this.request, REJECTED_RETRY_AFTER_MS));
 	}
 
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -162,23 +162,19 @@
 			return failOrRetry(this.attempts.afterFailure(outcome.failure));
 		}
 		BackendResponse response = outcome.response;
-		FescueholdException relayRefusal = this.attempts.relayResponse(response.headers());
-		if (relayRefusal != null) {
-			return failOrRetry(this.attempts.afterRelayRefusal(relayRefusal));
-		}
-		AnswerHead head = this.dispatcher.read(response.status(), response.headers());
-		if (this.attempts.isForeign(head, response.status())) {
-			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
-					"the response belongs to request " + head.requestId(), null)));
-		}
-		this.attempts.headReceived(head);
-		if (head.notRun()) {
-			return failOrRetry(this.attempts.afterRejection(response, head.otherInstance()));
-		}
-		if (!head.signed()) {
-			return failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL,
-					"the response with status " + response.status() + " carries no signature", null)));
-		}
+		return switch (this.attempts.judge(response.status(), response.headers())) {
+			case AnswerVerdict.Refused(FescueholdException refusal) ->
+				failOrRetry(this.attempts.afterRelayRefusal(refusal));
+			case AnswerVerdict.NotRun(boolean otherInstance) ->
+				failOrRetry(this.attempts.afterRejection(response.status(), otherInstance));
+			case AnswerVerdict.Unproven(String reason) ->
+				failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL, reason, null)));
+			case AnswerVerdict.Signed signed -> evaluateSigned(outcome);
+		};
+	}
+
+	private Mono<BackendResponse> evaluateSigned(Outcome outcome) {
+		BackendResponse response = outcome.response;
 		if (response.status() >= SERVER_ERROR) {
 			return this.attempts.retriesAfterError(response) ? attempt() : Mono.just(response);
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayServer.java
@@ -421,8 +421,8 @@
 					});
 				yield response.send(events, (buffer) -> true).then();
 			}
-			case StreamItem.Event event ->
-				items.then(Mono.error(new IllegalStateException("The stream began with an event before its head")));
+			case StreamItem.Event _, StreamItem.Judged _ ->
+				items.then(Mono.error(new IllegalStateException("The stream began without a head: " + first)));
 			// Without an error Reactor Netty would send an empty successful response.
 			case null -> items.then(Mono.error(new IllegalStateException("The stream ended without a head")));
 		};
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -143,7 +143,7 @@
 	}
 
 	private static boolean isServerError(StreamItem item) {
-		return item instanceof StreamItem.Complete(BackendResponse backendResponse, boolean accepted)
+		return item instanceof StreamItem.Complete(BackendResponse backendResponse)
 				&& backendResponse.status() >= CallExchange.SERVER_ERROR;
 	}
 
@@ -289,22 +289,22 @@
 	private Publisher<StreamItem> receive(Dispatcher.Target target, HttpClientResponse response, ByteBufFlux content) {
 		Map<String, String> headers = BackendExchange.headers(response);
 		int status = response.status().code();
-		FescueholdException relayRefusal = this.attempts.relayResponse(headers);
-		if (relayRefusal != null) {
-			return Flux.error(new RelayRefusal(relayRefusal));
-		}
-		AnswerHead head = this.dispatcher.read(status, headers);
-		if (this.attempts.isForeign(head, status)) {
-			return protocolFailure("the response belongs to request " + head.requestId());
-		}
-		this.attempts.headReceived(head);
-		if (head.notRun() || status != OK) {
-			return BackendExchange.collect(response, content, CallExchange.MAX_RESPONSE_BYTES, this.request.memory())
-				.map((backendResponse) -> new StreamItem.Complete(backendResponse, false));
-		}
-		if (!head.signed()) {
-			return protocolFailure("the response carries no signature");
-		}
+		AnswerVerdict verdict = this.attempts.judge(status, headers);
+		return switch (verdict) {
+			case AnswerVerdict.Refused(FescueholdException refusal) -> Flux.error(new RelayRefusal(refusal));
+			case AnswerVerdict.Unproven(String reason) -> protocolFailure(reason);
+			case AnswerVerdict.NotRun notRun -> collect(response, content, verdict);
+			case AnswerVerdict.Signed signed when status != OK -> collect(response, content, verdict);
+			case AnswerVerdict.Signed signed -> receiveStream(target, headers, content);
+		};
+	}
+
+	private Publisher<StreamItem> collect(HttpClientResponse response, ByteBufFlux content, AnswerVerdict verdict) {
+		return BackendExchange.collect(response, content, CallExchange.MAX_RESPONSE_BYTES, this.request.memory())
+			.map((backendResponse) -> new StreamItem.Judged(backendResponse, verdict));
+	}
+
+	private Flux<StreamItem> receiveStream(Dispatcher.Target target, Map<String, String> headers, ByteBufFlux content) {
 		String type = mediaType(headers);
 		if (!continues(type)) {
 			return protocolFailure("the response that continues the stream has media type " + type);
@@ -317,11 +317,11 @@
 		Flux<StreamItem> events = content.asByteArray()
 			.concatMapIterable((bytes) -> split(splitter, bytes))
 			.doFinally((signal) -> hold(0))
-			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(status, headers), event))
+			.concatMap((event) -> forwardEvent(target, new StreamItem.Head(OK, headers), event))
 			.doOnNext(this::forwarded);
 		boolean framed = BackendExchange.isFramed(headers);
 		return events
-			.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(status, headers), splitter, framed)));
+			.concatWith(Flux.defer(() -> endStream(target, new StreamItem.Head(OK, headers), splitter, framed)));
 	}
 
 	// A continuation of another type is an error that the server sent as a success.
@@ -437,12 +437,11 @@
 	}
 
 	private Publisher<StreamItem> evaluate(StreamItem item) {
-		if (!(item instanceof StreamItem.Complete(BackendResponse backendResponse, boolean accepted)) || accepted) {
+		if (!(item instanceof StreamItem.Judged(BackendResponse backendResponse, AnswerVerdict verdict))) {
 			return Mono.just(item);
 		}
-		AnswerHead head = this.dispatcher.read(backendResponse.status(), backendResponse.headers());
-		if (head.notRun()) {
-			return failOrRetry(this.attempts.afterRejection(backendResponse, head.otherInstance()));
+		if (verdict instanceof AnswerVerdict.NotRun(boolean otherInstance)) {
+			return failOrRetry(this.attempts.afterRejection(backendResponse.status(), otherInstance));
 		}
 		if (backendResponse.status() >= CallExchange.SERVER_ERROR && this.attempts.retriesAfterError(backendResponse)) {
 			return attempt();
@@ -451,7 +450,7 @@
 			return protocolFailure(
 					"the server that was to resume the stream responded with status " + backendResponse.status());
 		}
-		return Mono.just(new StreamItem.Complete(backendResponse, true));
+		return Mono.just(new StreamItem.Complete(backendResponse));
 	}
 
 	private Flux<StreamItem> afterFailure(Throwable failure) {
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamItem.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamItem.java
@@ -28,12 +28,21 @@
 	}
 
 	/**
-	 * A complete response that is not a stream.
+	 * A complete response that is not a stream and has not been evaluated, which callers
+	 * do not get.
 	 *
 	 * @param response the response
-	 * @param accepted whether the response was accepted for delivery to the caller
+	 * @param verdict what its head proves
 	 */
-	record Complete(BackendResponse response, boolean accepted) implements StreamItem {
+	record Judged(BackendResponse response, AnswerVerdict verdict) implements StreamItem {
+	}
+
+	/**
+	 * A complete response that is not a stream and is delivered to the caller.
+	 *
+	 * @param response the response
+	 */
+	record Complete(BackendResponse response) implements StreamItem {
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/GatewayCallTests.java
@@ -128,7 +128,7 @@
 	@Test
 	void orderThatAServerDeclinedGoesToAnother() {
 		ScriptedServer.Script replaced = (request, connection) -> connection
-			.send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+			.send("HTTP/1.1 421 Misdirected Request\r\nX-Instance: i-9\r\nContent-Length: 0\r\n\r\n");
 		try (ScriptedServer one = new ScriptedServer(replaced);
 				ScriptedServer two = new ScriptedServer((request, connection) -> ok(connection, request, "done"));
 				TestGateway gateway = new TestGateway(one, two)) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/TestProtocol.java
@@ -66,8 +66,8 @@
 
 	@Override
 	public AnswerHead read(int status, Map<String, String> headers) {
-		return new AnswerHead(headers.get("x-request".toLowerCase(Locale.ROOT)), headers.containsKey("x-signature"),
-				headers.containsKey("x-not-run") || status == 421, status == 421,
+		return new AnswerHead(status, headers.get("x-request".toLowerCase(Locale.ROOT)), headers.get("x-instance"),
+				headers.containsKey("x-signature"), headers.containsKey("x-not-run"),
 				headers.containsKey("x-limit") ? Double.valueOf(headers.get("x-limit")) : null,
 				headers.containsKey("x-brittle") ? Double.valueOf(headers.get("x-brittle")) : null,
 				headers.containsKey("x-rest-ms") ? Long.valueOf(headers.get("x-rest-ms")) : null,
