Report a stream that another host refused to pass on as not run

Seen by callers: a host without a link to the servers passes a stream on; if the other host refuses it and no server has run it, the caller got 502 with run "unknown" instead of 503 with run "no" and a time to come back.

Cause: StreamExchange signalled the refusal as an error from within the exchange with that host. BackendExchange classifies each error that it does not know as a lost connection, so that the branch for refusals was never reached.

Ruled out: the reading of the refusal (calls, which read it after the exchange, report it as not run).

Change: a refusal is an item of the stream like a rejection and is evaluated after the exchange. RelayRefusal, the error, is gone.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -300,7 +300,7 @@
 			return refusal;
 		}
 		this.tally.add(-1);
-		if (RelayRefusal.isOfHost(refusal) && ++this.unreachableCount < MAX_UNREACHABLE) {
+		if (RelayHop.isRefusalOfHost(refusal) && ++this.unreachableCount < MAX_UNREACHABLE) {
 			this.dispatcher.relays().recordFailure(this.target);
 			return null;
 		}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -100,4 +100,17 @@
 		}
 	}
 
+	/**
+	 * Returns whether a refusal has to do with the host and not with the request, so that
+	 * another host may pass the request on.
+	 * @param refusal the refusal of a host
+	 * @return whether another host may be tried
+	 */
+	static boolean isRefusalOfHost(FescueholdException refusal) {
+		return switch (refusal.code()) {
+			case DRAINING, NO_SERVER, NO_ROUTE, UNKNOWN_KEY, ROUTING_STALE -> true;
+			default -> false;
+		};
+	}
+
 }
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -291,8 +291,8 @@
 		int status = response.status().code();
 		AnswerVerdict verdict = this.attempts.judge(status, headers);
 		return switch (verdict) {
-			case AnswerVerdict.Refused(FescueholdException refusal) -> Flux.error(new RelayRefusal(refusal));
 			case AnswerVerdict.Unproven(String reason) -> protocolFailure(reason);
+			case AnswerVerdict.Refused refused -> collect(response, content, verdict);
 			case AnswerVerdict.NotRun notRun -> collect(response, content, verdict);
 			case AnswerVerdict.Signed signed when status != OK -> collect(response, content, verdict);
 			case AnswerVerdict.Signed signed -> receiveStream(target, headers, content);
@@ -440,9 +440,17 @@
 		if (!(item instanceof StreamItem.Judged(BackendResponse backendResponse, AnswerVerdict verdict))) {
 			return Mono.just(item);
 		}
-		if (verdict instanceof AnswerVerdict.NotRun(boolean otherInstance)) {
-			return failOrRetry(this.attempts.afterRejection(backendResponse.status(), otherInstance));
-		}
+		return switch (verdict) {
+			case AnswerVerdict.Refused(FescueholdException refusal) ->
+				failOrRetry(this.attempts.afterRelayRefusal(refusal));
+			case AnswerVerdict.NotRun(boolean otherInstance) ->
+				failOrRetry(this.attempts.afterRejection(backendResponse.status(), otherInstance));
+			case AnswerVerdict.Unproven(String reason) -> protocolFailure(reason);
+			case AnswerVerdict.Signed signed -> evaluateSigned(backendResponse);
+		};
+	}
+
+	private Publisher<StreamItem> evaluateSigned(BackendResponse backendResponse) {
 		if (backendResponse.status() >= CallExchange.SERVER_ERROR && this.attempts.retriesAfterError(backendResponse)) {
 			return attempt();
 		}
@@ -454,8 +462,7 @@
 	}
 
 	private Flux<StreamItem> afterFailure(Throwable failure) {
-		return failOrRetry((failure instanceof RelayRefusal refused)
-				? this.attempts.afterRelayRefusal(refused.refusal()) : this.attempts.afterFailure(failure));
+		return failOrRetry(this.attempts.afterFailure(failure));
 	}
 
 	private Flux<StreamItem> failOrRetry(RuntimeException refusal) {
