Refuse a configuration of which any named part cannot be read

Seen by operators and callers: a configuration whose tenants were a string was acknowledged and in force; no key was asked for any more, so that requests with any key ran. Keys that were a string were acknowledged, and the tenant's requests refused with 401. A route that named an unknown service beside its split was acknowledged.

Cause: PlatformRouting read a JSON tree with path(...), asInt(default), asBoolean(default) and forEach, each of which turns a value of another type into a default. Only routes and services were checked to be lists. The name beside a split was not read at all.

Ruled out: a reading that other hosts change on the way (the accepting host's own decoder takes the document), and RoutingRules, which see the decoded configuration only.

Change: RoutingFormat declares the type of each part that the platform's pages name; submissions and the check command require it, with the place, what was seen (never a key) and the remedy. Missing and unknown parts are let through. A JSON name that appears twice, services of one name that differ and an unknown service beside a split are refused. A configuration that the fleet has agreed on stays in force as the version that accepted it read it, with a log line, so that a host of this version neither ends nor stands still beside hosts of the last one.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
@@ -1,8 +1,10 @@
 package io.fescuehold.core.routes;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import io.fescuehold.core.error.ErrorCode;
@@ -51,6 +53,7 @@
 		}
 		Set<String> services = new HashSet<>();
 		config.services().forEach((service) -> services.add(service.name()));
+		checkServices(config.services());
 		Set<String> hostsAndPrefixes = new HashSet<>();
 		for (Route route : config.routes()) {
 			checkRoute(route, services);
@@ -62,6 +65,16 @@
 		checkTeams(config.teams());
 	}
 
+	private void checkServices(List<RoutedService> services) {
+		Map<String, RoutedService> byName = new HashMap<>();
+		for (RoutedService service : services) {
+			RoutedService other = byName.putIfAbsent(service.name(), service);
+			if (other != null && !other.equals(service)) {
+				violated("service \"" + service.name() + "\"", "two services that differ", "use a name of its own");
+			}
+		}
+	}
+
 	private void checkRoute(Route route, Set<String> services) {
 		String place = "route \"" + route.name() + "\"";
 		if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/PreviewCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/PreviewCommand.java
@@ -29,7 +29,7 @@
 		if (!reply.isSuccess()) {
 			return print(console, reply);
 		}
-		RoutingConfig inForce = this.tools.codec().decode(reply.body().getBytes(StandardCharsets.UTF_8));
+		RoutingConfig inForce = this.tools.codec().decodeAccepted(reply.body().getBytes(StandardCharsets.UTF_8));
 		Map<String, Object> result = DiffCommand.result(inForce, submitted);
 		// The number in force may only be resubmitted with the same content; a lower
 		// number has no effect.
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingReport.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingReport.java
@@ -111,7 +111,7 @@
 	 * force cannot be decoded
 	 */
 	Comparison compare(byte[] submitted, byte[] bytesInForce, RoutingCodec codec) {
-		RoutingConfig inForce = codec.decode(bytesInForce);
+		RoutingConfig inForce = codec.decodeAccepted(bytesInForce);
 		RoutingState state = new RoutingState((document) -> {
 		});
 		state.restore(Documents.of(inForce.number(), bytesInForce).encode());
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -125,7 +125,7 @@
 
 	@Override
 	public void onDocument(RoutingDocument document) {
-		this.table = new RouteTable(this.codec.decode(Documents.submitted(document)));
+		this.table = new RouteTable(this.codec.decodeAccepted(Documents.submitted(document)));
 		logger.atInfo()
 			.log("Configuration %d with %d routes is in force", document.number(), this.table.config().routes().size());
 	}
