Acknowledge a configuration in force again, also if this version refuses it

Seen by operators: a host of this version answers 400 to the configuration that a host of the last version has acknowledged, if it is sent again. What was acknowledged and is sent again must not be refused.

Change: ConfigurationOrders takes the submissions (out of GatewayNode); an invalid one with exactly the bytes in force counts as repeated.

--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/GatewayNode.java
@@ -14,14 +14,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.fescuehold.core.drain.DrainSchedule;
 import io.fescuehold.core.entry.NearestEntries;
-import io.fescuehold.core.error.ErrorCode;
-import io.fescuehold.core.error.FescueholdException;
-import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.freshness.SuspensionClock;
 import io.fescuehold.core.membership.HostRecord;
 import io.fescuehold.core.membership.HostState;
-import io.fescuehold.core.routes.RoutingConfig;
-import io.fescuehold.core.routes.RoutingRules;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.discovery.EvidenceGossip;
 import io.fescuehold.runtime.discovery.EvidenceStore;
@@ -31,7 +26,6 @@
 import io.fescuehold.runtime.discovery.ServerListSource;
 import io.fescuehold.runtime.discovery.StreamDirectory;
 import io.fescuehold.runtime.gateway.CallerProtocol;
-import io.fescuehold.runtime.gateway.Documents;
 import io.fescuehold.runtime.gateway.GatewayBelief;
 import io.fescuehold.runtime.gateway.GatewayServer;
 import io.fescuehold.runtime.gateway.RoutingCodec;
@@ -87,8 +81,6 @@
 
 	private final GatewaySettings settings;
 
-	private final RoutingCodec codec;
-
 	private final MetricRegistry metrics = new MetricRegistry();
 
 	private final SuspensionClock clock;
@@ -119,6 +111,8 @@
 
 	private final OperationsServer operations;
 
+	private final ConfigurationOrders configurations;
+
 	private final EvacuationOrders evacuations;
 
 	/** Ends the calls of operators that are open when this daemon stops. */
@@ -147,7 +141,6 @@
 			ServerListSource listSource, long startedNs) {
 		this.settings = settings;
 		this.seeds = settings.seeds();
-		this.codec = codec;
 		this.clock = new SuspensionClock(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
 				System::currentTimeMillis);
 		this.scheduler = new MonotonicScheduler(Schedulers.fromExecutorService(loops.onServer(false).next()),
@@ -181,6 +174,8 @@
 		this.operatorListeners = new HttpListeners("operators", this.metrics);
 		this.operatorHttp = new OperatorHttp(this.operatorListeners,
 				Runtime.getRuntime().maxMemory() / OPERATOR_HEAP_PART, settings.maxDescriptors() / OPERATOR_PART);
+		this.configurations = new ConfigurationOrders(this.fleet, this.belief, codec, this.scheduler,
+				this.ending.asMono());
 		this.evacuations = new EvacuationOrders(this.fleet, this.belief, this.scheduler, this.ending.asMono(),
 				this.metrics);
 		this.operations = new OperationsServer(settings.hostId(), settings.operationsPort(), loops, this.metrics,
@@ -301,18 +296,7 @@
 	 * invalid, or with another code if it is unknown whether it takes effect
 	 */
 	public Mono<SubmissionOutcome> submit(byte[] submitted) {
-		return Mono.defer(() -> {
-			RoutingConfig config = this.codec.decode(submitted);
-			RoutingRules.check(config);
-			Mono<SubmissionOutcome> outcomeKnown = this.fleet.submit(Documents.of(config.number(), submitted));
-			return untilEnded(outcomeKnown, "the outcome of configuration " + config.number())
-				.doOnNext((outcome) -> logger.atInfo()
-					.log("Submission of configuration %d: %s; this host obeys configuration %d", config.number(),
-							outcome, this.belief.number()))
-				.doOnError((error) -> logger.atWarning()
-					.log("Submission of configuration %d has no known outcome: %s; this host obeys configuration %d",
-							config.number(), error.getMessage(), this.belief.number()));
-		});
+		return this.configurations.submit(submitted);
 	}
 
 	/**
@@ -321,9 +305,7 @@
 	 * newest one cannot be determined
 	 */
 	public Mono<byte[]> readNewest() {
-		return untilEnded(this.fleet.readNewest(), "the newest configuration")
-			.filter((document) -> document.number() > 0)
-			.map(Documents::submitted);
+		return this.configurations.readNewest();
 	}
 
 	/**
@@ -334,12 +316,6 @@
 		return this.evacuations;
 	}
 
-	private <T> Mono<T> untilEnded(Mono<T> call, String result) {
-		Mono<T> stopped = Mono.error(() -> FescueholdException.withMessage(ErrorCode.HOST_STOPPED, RunStatus.UNKNOWN, 0,
-				"This host stops before " + result + " is known; repeat the call at another host"));
-		return Mono.firstWithSignal(call, this.ending.asMono().then(stopped));
-	}
-
 	/**
 	 * Replaces the seeds, the daemons that are contacted first.
 	 * @param seeds the IP addresses of the daemons
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/GatewayBelief.java
@@ -1,5 +1,6 @@
 package io.fescuehold.runtime.gateway;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -95,6 +96,8 @@
 
 	private RouteTable table;
 
+	private RoutingDocument document = RoutingDocument.NONE;
+
 	private List<HostRecord> hosts = List.of();
 
 	private long otherRequestsAtMs = Long.MIN_VALUE / 2;
@@ -126,6 +129,7 @@
 	@Override
 	public void onDocument(RoutingDocument document) {
 		this.table = new RouteTable(this.codec.decodeAccepted(Documents.submitted(document)));
+		this.document = document;
 		logger.atInfo()
 			.log("Configuration %d with %d routes is in force", document.number(), this.table.config().routes().size());
 	}
@@ -386,6 +390,15 @@
 		return this.table;
 	}
 
+	/**
+	 * Returns whether a configuration is the one in force.
+	 * @param submitted the bytes that an operator submitted
+	 * @return whether they are the same as those of the configuration in force
+	 */
+	public boolean isInForce(byte[] submitted) {
+		return this.table != null && Arrays.equals(Documents.submitted(this.document), submitted);
+	}
+
 	/**
 	 * Returns the number of the configuration in force.
 	 * @return the number, or 0
