Do not open routes because a configuration leaves out all teams

Cause: RouteTable takes a lack of teams for a deployment that never asked for keys, whatever was in force before.

Change: RoutingRules.violationOfReplacement refuses a configuration without teams that leaves a route closed, if the newest one has teams; the operator sends the teams or declares each route open. It asks the leader for the newest configuration only in this case, and only for a higher number, so that what was accepted or is overtaken is acknowledged as before.

Measured: ConfigurationEndpointsTests#tenantsThatAreGoneDoNotOpenRoutes failed before with 200 instead of 400 and passes.

--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingFinding.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingFinding.java
@@ -2,6 +2,9 @@
 
 import java.util.Objects;
 
+import io.fescuehold.core.error.ErrorCode;
+import io.fescuehold.core.error.FescueholdException;
+
 /**
  * Something in a configuration of routes that the operators should correct.
  *
@@ -31,6 +34,14 @@
 		return this.place + " is " + this.seen + "; " + this.remedy;
 	}
 
+	/**
+	 * Creates the refusal of a configuration because of this finding.
+	 * @return the refusal with code ROUTING_INVALID
+	 */
+	public FescueholdException toRefusal() {
+		return new FescueholdException(ErrorCode.ROUTING_INVALID, this.place, this.seen, this.remedy);
+	}
+
 	/**
 	 * Whether daemons accept the configuration.
 	 */
--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
@@ -31,8 +31,7 @@
 	public static void check(RoutingConfig config) {
 		List<RoutingFinding> violations = violations(config);
 		if (!violations.isEmpty()) {
-			RoutingFinding first = violations.getFirst();
-			throw new FescueholdException(ErrorCode.ROUTING_INVALID, first.place(), first.seen(), first.remedy());
+			throw violations.getFirst().toRefusal();
 		}
 	}
 
@@ -47,6 +46,25 @@
 		return rules.violations;
 	}
 
+	/**
+	 * Checks whether a configuration may replace the one in force. Routes that callers
+	 * need a key for are not opened by leaving out all teams, which may be a mistake, but
+	 * by declaring each of them open.
+	 * @param inForce the configuration in force
+	 * @param next the configuration that is to replace it
+	 * @return the rule that is broken, or null
+	 */
+	public static RoutingFinding violationOfReplacement(RoutingConfig inForce, RoutingConfig next) {
+		boolean opensRoutes = !inForce.teams().isEmpty() && next.teams().isEmpty()
+				&& next.routes().stream().anyMatch((route) -> !route.open());
+		if (next.number() <= inForce.number() || !opensRoutes) {
+			return null;
+		}
+		return new RoutingFinding(RoutingFinding.Severity.ERROR, "teams",
+				"empty although configuration " + inForce.number() + " asks for the keys of " + inForce.teams().size(),
+				"send the teams, or declare each route open");
+	}
+
 	private void checkAll(RoutingConfig config) {
 		if (config.number() <= 0) {
 			violated("number", config.number(), "use a positive number");
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/GatewayCheckCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/GatewayCheckCommand.java
@@ -63,7 +63,7 @@
 		else {
 			print(console, report, inForce);
 		}
-		if (report.hasErrors()) {
+		if (report.hasErrors() || inForce.violation() != null) {
 			return ExitCode.REFUSED;
 		}
 		if (inForce.failure() != null) {
@@ -99,7 +99,8 @@
 
 	private static Map<String, Object> result(RoutingReport report, InForce inForce) {
 		Map<String, Object> result = report.summary();
-		result.put("findings", report.findingsAsJson());
+		result.put("ok", !report.hasErrors() && inForce.violation() == null);
+		result.put("findings", report.findingsAsJson(inForce.violation()));
 		RoutingReport.Comparison comparison = inForce.comparison();
 		if (comparison != null) {
 			result.put("numberInForce", comparison.numberInForce());
@@ -124,6 +125,9 @@
 			console.message(
 					((finding.severity() == RoutingFinding.Severity.ERROR) ? "error: " : "warning: ") + finding.text());
 		}
+		if (inForce.violation() != null) {
+			console.message("error: " + inForce.violation().text());
+		}
 		if (inForce.failure() != null) {
 			console.message(inForce.failure());
 		}
@@ -153,6 +157,10 @@
 
 		static final InForce NOT_ASKED = new InForce(null, null, ExitCode.OK);
 
+		RoutingFinding violation() {
+			return (this.comparison != null) ? this.comparison.violation() : null;
+		}
+
 	}
 
 }
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/PreviewCommand.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/PreviewCommand.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 
 import io.fescuehold.core.routes.RoutingConfig;
+import io.fescuehold.core.routes.RoutingRules;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -33,7 +34,8 @@
 		Map<String, Object> result = DiffCommand.result(inForce, submitted);
 		// The number in force may only be resubmitted with the same content; a lower
 		// number has no effect.
-		result.put("takesEffect", submitted.number() > inForce.number());
+		result.put("takesEffect", submitted.number() > inForce.number()
+				&& RoutingRules.violationOfReplacement(inForce, submitted) == null);
 		console.result(result);
 		return ExitCode.OK;
 	}
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingReport.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/cli/RoutingReport.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import io.fescuehold.core.error.ErrorCode;
 import io.fescuehold.core.error.FescueholdException;
@@ -11,6 +12,7 @@
 import io.fescuehold.core.routes.RoutingConfig;
 import io.fescuehold.core.routes.RoutingDiff;
 import io.fescuehold.core.routes.RoutingFinding;
+import io.fescuehold.core.routes.RoutingRules;
 import io.fescuehold.core.routes.RoutingState;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.gateway.Documents;
@@ -83,13 +85,14 @@
 
 	/**
 	 * Lists the findings as they are written as JSON.
+	 * @param violation why it may not replace the configuration in force, or null
 	 * @return one object for each finding, errors first
 	 */
-	List<Map<String, Object>> findingsAsJson() {
+	List<Map<String, Object>> findingsAsJson(RoutingFinding violation) {
 		if (this.undecodable != null) {
 			return List.of(Map.of("severity", RoutingFinding.Severity.ERROR, "text", this.undecodable));
 		}
-		return this.findings.stream().map(RoutingReport::json).toList();
+		return Stream.concat(Stream.ofNullable(violation), this.findings.stream()).map(RoutingReport::json).toList();
 	}
 
 	private static Map<String, Object> json(RoutingFinding finding) {
@@ -115,8 +118,10 @@
 		RoutingState state = new RoutingState((document) -> {
 		});
 		state.restore(Documents.of(inForce.number(), bytesInForce).encode());
-		SubmissionOutcome outcome = hasErrors() ? null : state.outcomeOf(Documents.of(this.config.number(), submitted));
-		return new Comparison(inForce.number(), outcome, RoutingDiff.between(inForce, this.config));
+		RoutingFinding violation = RoutingRules.violationOfReplacement(inForce, this.config);
+		SubmissionOutcome outcome = (hasErrors() || violation != null) ? null
+				: state.outcomeOf(Documents.of(this.config.number(), submitted));
+		return new Comparison(inForce.number(), outcome, violation, RoutingDiff.between(inForce, this.config));
 	}
 
 	/**
@@ -124,9 +129,11 @@
 	 *
 	 * @param numberInForce the number of the configuration in force
 	 * @param outcome the outcome that a submission would have, or null if it is refused
+	 * @param violation why it may not replace the configuration in force, or null
 	 * @param changes the differences by meaning
 	 */
-	record Comparison(long numberInForce, SubmissionOutcome outcome, List<RoutingChange> changes) {
+	record Comparison(long numberInForce, SubmissionOutcome outcome, RoutingFinding violation,
+			List<RoutingChange> changes) {
 
 		/**
 		 * Returns whether a submission would change the configuration in force.
--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/ConfigurationOrders.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/ConfigurationOrders.java
@@ -8,6 +8,7 @@
 import io.fescuehold.core.error.RunStatus;
 import io.fescuehold.core.routes.RoutingConfig;
 import io.fescuehold.core.routes.RoutingDocument;
+import io.fescuehold.core.routes.RoutingFinding;
 import io.fescuehold.core.routes.RoutingRules;
 import io.fescuehold.core.routes.SubmissionOutcome;
 import io.fescuehold.runtime.discovery.Fleet;
@@ -63,7 +64,8 @@
 		return Mono.defer(() -> {
 			RoutingConfig config = this.codec.decode(submitted);
 			RoutingRules.check(config);
-			Mono<SubmissionOutcome> outcome = this.fleet.submit(Documents.of(config.number(), submitted));
+			Mono<SubmissionOutcome> outcome = checkReplacement(config)
+				.then(Mono.defer(() -> this.fleet.submit(Documents.of(config.number(), submitted))));
 			return log(untilEnded(outcome, "the outcome of configuration " + config.number()), config.number());
 		}).onErrorResume((error) -> isInvalid(error) ? repeated(submitted, error) : Mono.error(error));
 	}
@@ -78,6 +80,25 @@
 						number, error.getMessage(), this.belief.number()));
 	}
 
+	// Only a configuration without teams opens routes, so that the others need no
+	// question
+	// to the leader.
+	private Mono<Void> checkReplacement(RoutingConfig config) {
+		if (!config.teams().isEmpty()) {
+			return Mono.empty();
+		}
+		return this.fleet.readNewest()
+			.filter((newest) -> newest.number() > RoutingDocument.NONE.number())
+			.doOnNext((newest) -> {
+				RoutingFinding violation = RoutingRules
+					.violationOfReplacement(this.codec.decodeAccepted(Documents.submitted(newest)), config);
+				if (violation != null) {
+					throw violation.toRefusal();
+				}
+			})
+			.then();
+	}
+
 	private static boolean isInvalid(Throwable error) {
 		return error instanceof FescueholdException refusal && refusal.code() == ErrorCode.ROUTING_INVALID;
 	}
