--- a/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
+++ b/fescuehold-core/src/main/java/io/fescuehold/core/routes/RoutingRules.java
@@ -60,8 +60,9 @@
 		if (next.number() <= inForce.number() || !opensRoutes) {
 			return null;
 		}
-		return new RoutingFinding(RoutingFinding.Severity.ERROR, "teams",
-				"empty although configuration " + inForce.number() + " asks for the keys of " + inForce.teams().size(),
+		return new RoutingFinding(
+				RoutingFinding.Severity.ERROR, "teams", "empty although configuration " + inForce.number()
+						+ " asks for the keys of " + inForce.teams().size() + " teams",
 				"send the teams, or declare each route open");
 	}
 
--- a/fescuehold-core/src/test/java/io/fescuehold/core/routes/RoutingRulesTests.java
+++ b/fescuehold-core/src/test/java/io/fescuehold/core/routes/RoutingRulesTests.java
@@ -67,6 +67,24 @@
 		assertRefused(RoutingSamples.config(0, List.of()), "number is 0; use a positive number");
 	}
 
+	// Guards against routes that no longer ask for a key because the teams were left out.
+	@Test
+	void teamsMayOnlyBeLeftOutIfEachRouteIsOpen() {
+		List<Route> routes = List.of(RoutingSamples.route("r", "/a/"));
+		RoutingConfig withTeams = RoutingSamples.config(2, routes);
+		RoutingConfig without = withoutTeams(3, routes);
+		assertThat(RoutingRules.violationOfReplacement(withTeams, without).text()).isEqualTo(
+				"teams is empty although configuration 2 asks for the keys of 2 teams; send the teams, or declare"
+						+ " each route open");
+		assertThat(RoutingRules.violationOfReplacement(without, withTeams)).isNull();
+		assertThat(RoutingRules.violationOfReplacement(withTeams, withoutTeams(1, routes))).as("overtaken").isNull();
+		assertThat(RoutingRules.violationOfReplacement(withTeams, withoutTeams(3, List.of()))).isNull();
+	}
+
+	private static RoutingConfig withoutTeams(long number, List<Route> routes) {
+		return new RoutingConfig(number, routes, List.of(), CallerLimits.DEFAULT, List.of());
+	}
+
 	private static void assertRefused(RoutingConfig config, String message) {
 		FescueholdException refusal = catchThrowableOfType(FescueholdException.class, () -> RoutingRules.check(config));
 		assertThat(refusal.code()).isEqualTo(ErrorCode.ROUTING_INVALID);
