--- a/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/ConfigurationOrders.java
+++ b/fescuehold-daemon/src/main/java/io/fescuehold/daemon/gateway/ConfigurationOrders.java
@@ -81,8 +81,7 @@
 	}
 
 	// Only a configuration without teams opens routes, so that the others need no
-	// question
-	// to the leader.
+	// question to the leader.
 	private Mono<Void> checkReplacement(RoutingConfig config) {
 		if (!config.teams().isEmpty()) {
 			return Mono.empty();
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnsignedAnswerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnsignedAnswerTests.java
@@ -74,8 +74,7 @@
 	}
 
 	// Guards against an unsigned answer of any status reaching the caller of a stream,
-	// and
-	// against one that counts as proof that the request has not run (MIXED, REFUSED,
+	// and against one that counts as proof that the request has not run (MIXED, REFUSED,
 	// TWICE).
 	@ParameterizedTest
 	@MethodSource("requestsThatRunOnce")
@@ -197,8 +196,7 @@
 	}
 
 	// Guards against a server that gets no more requests because of what an unsigned
-	// answer
-	// says of its limits, its rest or its end.
+	// answer says of its limits, its rest or its end.
 	@ParameterizedTest
 	@ValueSource(strings = { "order", "once" })
 	void statementsOfAnUnsignedAnswerAreIgnored(String way) {
@@ -219,8 +217,7 @@
 	}
 
 	// A server that does not have the expected instance id names its own, which the
-	// answer
-	// of the expected one cannot.
+	// answer of the expected one cannot.
 	@ParameterizedTest
 	@ValueSource(strings = { "order", "once" })
 	void otherInstanceThatNamesItselfHasNotRunTheRequest(String way) {
