--- a/review/rig3/ServerList.java
+++ b/review/rig3/ServerList.java
@@ -39,6 +39,12 @@
 				zone, slots, server.id()));
 	}
 
+	/** Adds an entry without slots and software version, whose cold time is no number. */
+	public void addOfOtherWriter(Server server, String service, String zone) {
+		this.entries.add(String.format("{\"id\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+				+ "\"state\":\"ready\",\"cold_remaining_ms\":\"none\"}", server.id(), service, server.address(), zone));
+	}
+
 	@Override
 	public void close() {
 		this.server.stop(0);
