Tell callers that a request may have run after a rejection without proof

The caller gets this 503, which promises that nothing ran, sends the order again, and it runs twice.

Cause: AnswerHead.judge knew one kind of signed answer, and both exchanges returned it unchanged, whatever its status. After a 503 Attempts noted that the request may have run, but only the host's own errors ask for that. Signed 408, 421 and 429 did not count as errors at all: they counted as served for the server's health, the placement and the quarantine, and won the race of two copies.

Ruled out: a statement that is read wrongly (the answer carries none, and the log did not say "not run"); a host that passes the request on (the case is direct; passed on the fault is the same).

Change: a signed 408, 421, 429 or 503 without the statement is a verdict of its own, UnprovenRejection, on which the compiler makes each exchange decide. The request may have run: another server is tried where the route allows it, the answer counts as a failure of its server, and the caller gets 502, run "unknown", without stamp, body and Retry-After of the server. Rejections with the statement and signed failures that promise nothing are handled as before. A request that a host passed on and that may have run is no longer advised to wait for a Retry-After that its answer does not have.

Two checks changed because they demanded the fault: AnswerHeadTests took each signed status for Signed, and UnsignedAnswerTests demanded that a signed 503 is delivered.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerHead.java
@@ -1,5 +1,7 @@
 package io.fescuehold.runtime.gateway;
 
+import java.util.Set;
+
 import io.fescuehold.core.servers.ServerLoadReport;
 
 /**
@@ -28,6 +30,9 @@
 
 	private static final int MISDIRECTED = 421;
 
+	/** The HTTP statuses that promise callers that the request has not run. */
+	private static final Set<Integer> REJECTIONS = Set.of(408, MISDIRECTED, 429, 503);
+
 	/**
 	 * Judges the response to a request.
 	 * @param ownId the id of the request that was sent, empty if it has none
@@ -43,8 +48,11 @@
 		if (this.notRun || (misdirected && namesOtherInstance(serverId))) {
 			return new AnswerVerdict.NotRun(misdirected);
 		}
-		return this.signed ? new AnswerVerdict.Signed()
-				: new AnswerVerdict.Unproven("the response with status " + this.status + " carries no signature");
+		if (!this.signed) {
+			return new AnswerVerdict.Unproven("the response with status " + this.status + " carries no signature");
+		}
+		return REJECTIONS.contains(this.status) ? new AnswerVerdict.UnprovenRejection(this.status)
+				: new AnswerVerdict.Signed();
 	}
 
 	// Servers echo the request id, so a response without one may be a duplicate of an
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerVerdict.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/AnswerVerdict.java
@@ -4,7 +4,8 @@
 
 /**
  * What the head of a response proves about a request. Only a signed response is the
- * answer of its server and may be delivered, whatever its status.
+ * answer of its server and may be delivered, unless its status promises the caller more
+ * than the server states.
  */
 sealed interface AnswerVerdict {
 
@@ -22,6 +23,15 @@
 	record NotRun(boolean otherInstance) implements AnswerVerdict {
 	}
 
+	/**
+	 * The response is the answer of the addressed server. Its status promises that the
+	 * request has not run, but the server does not state it; the request may have run.
+	 *
+	 * @param status the HTTP status
+	 */
+	record UnprovenRejection(int status) implements AnswerVerdict {
+	}
+
 	/**
 	 * The response proves nothing; the request may have run.
 	 *
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/Attempts.java
@@ -57,8 +57,6 @@
 	/** Whether late answers to other requests may arrive on the connection. */
 	private boolean keptConnection;
 
-	private boolean retryReserved;
-
 	private final SurvivalWatch survival;
 
 	private final Withdrawal withdrawal;
@@ -70,6 +68,8 @@
 
 	private final StreamBinding binding = new StreamBinding();
 
+	private final AttemptRetries retries;
+
 	Attempts(Dispatcher dispatcher, GatewayLog log, GatewayRequest request) {
 		this(dispatcher, log, request, new AttemptTally((request.hop() != null) ? request.hop().attempts() : 0));
 		if (request.hop() != null) {
@@ -85,6 +85,7 @@
 		this.log = log;
 		this.request = request;
 		this.tally = tally;
+		this.retries = new AttemptRetries(dispatcher, request, tally, this.binding);
 	}
 
 	/**
@@ -277,6 +278,7 @@
 				isRelayed() ? this.relayedServerId : serverId(), this.keptConnection);
 		boolean ofAddressedServer = switch (verdict) {
 			case AnswerVerdict.Signed signed -> true;
+			case AnswerVerdict.UnprovenRejection rejection -> true;
 			case AnswerVerdict.NotRun(boolean otherInstance) -> !otherInstance;
 			case AnswerVerdict.Unproven unproven -> false;
 			case AnswerVerdict.Refused refused -> false;
@@ -318,26 +320,16 @@
 		this.sentAtMs = this.dispatcher.nowMs();
 	}
 
-	/**
-	 * Returns whether the request may be retried on another server.
-	 * @return whether the request is repeatable and has attempts left
-	 */
 	boolean hasRetryLeft() {
-		return this.request.route().isRepeatable() && this.tally.attempts() < this.request.route().maxAttempts();
+		return this.retries.isLeft();
 	}
 
 	/**
-	 * Reserves a retry from the budget so that a slow server can be replaced. Without an
-	 * alternative server and a retry the current attempt should continue, because only
-	 * the slow server can still answer the caller.
-	 * @return whether the attempt may be cancelled; the failure that this causes consumes
-	 * the reserved retry
+	 * Reserves a retry so that a slow server can be replaced.
+	 * @return whether the current attempt may be cancelled
 	 */
 	boolean reserveRetry() {
-		this.retryReserved = hasRetryLeft() && this.dispatcher.relays().mayGiveUp(this.request, this.target)
-				&& this.dispatcher.hasAlternative(this.request, this.tally.tried(), this.binding.current())
-				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts());
-		return this.retryReserved;
+		return this.retries.reserve(this.target);
 	}
 
 	/**
@@ -372,14 +364,31 @@
 	 * @return whether another server is to be tried
 	 */
 	boolean retriesAfterError(BackendResponse response) {
+		boolean retried = retriesAfterFailedRun();
+		this.log.serverFailed(this.request, serverId(), "status " + response.status(),
+				retried ? "trying another server" : "returning the response to the caller");
+		return retried;
+	}
+
+	/**
+	 * Handles a response whose status promises that the request has not run, from a
+	 * server that may have run it. The caller would rely on the status.
+	 * @param status the HTTP status
+	 * @return null if another server is to be tried, else the error for the caller
+	 */
+	FescueholdException afterUnprovenRejection(int status) {
+		boolean retried = retriesAfterFailedRun();
+		String reason = "status " + status + " without the statement that the request has not run";
+		this.log.serverFailed(this.request, serverId(), reason, "the request may have run, "
+				+ (retried ? "trying another server" : "the caller gets " + ErrorCode.SERVER_FAILED.httpStatus()));
+		return retried ? null : runUnknown(reason);
+	}
+
+	private boolean retriesAfterFailedRun() {
 		this.awaitingResponse = false;
 		this.tally.ran();
 		this.dispatcher.recordOutcome(this.request, this.target, ServerOutcome.FAILED);
-		// A host that passes the request on has retried already.
-		boolean retries = !this.target.relay() && tryAcquireRetry();
-		this.log.serverFailed(this.request, serverId(), "status " + response.status(),
-				retries ? "trying another server" : "returning the response to the caller");
-		return retries;
+		return this.retries.tryAcquireAfterResponse(this.target);
 	}
 
 	/**
@@ -429,21 +438,13 @@
 		if (!stalled) {
 			this.survival.connectionLost(this.target, this.dispatcher.nowMs());
 		}
-		boolean retries = this.retryReserved || tryAcquireRetry();
-		this.retryReserved = false;
-		if (retries) {
+		if (this.retries.tryAcquireAfterFailure()) {
 			this.log.serverFailed(this.request, serverId(), reason, "trying another server");
 			return null;
 		}
 		return fail(reason, ErrorCode.SERVER_FAILED, 0);
 	}
 
-	private boolean tryAcquireRetry() {
-		return this.request.route().isRepeatable()
-				&& this.dispatcher.hasCandidate(this.request, this.tally.tried(), this.binding.current())
-				&& this.dispatcher.tryAcquireRetry(this.request, this.tally.attempts());
-	}
-
 	/**
 	 * Waits until the next attempt can choose its server. After a server could not be
 	 * reached it may have to go to another host.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/CallExchange.java
@@ -167,6 +167,8 @@
 				failOrRetry(this.attempts.afterRelayRefusal(refusal));
 			case AnswerVerdict.NotRun(boolean otherInstance) ->
 				failOrRetry(this.attempts.afterRejection(response.status(), otherInstance));
+			case AnswerVerdict.UnprovenRejection(int status) ->
+				failOrRetry(this.attempts.afterUnprovenRejection(status));
 			case AnswerVerdict.Unproven(String reason) ->
 				failOrRetry(this.attempts.afterFailure(new BackendFailure(BackendFailure.Kind.PROTOCOL, reason, null)));
 			case AnswerVerdict.Signed signed -> evaluateSigned(outcome);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/RelayHop.java
@@ -89,8 +89,10 @@
 		if (parts.length != 3) {
 			return null;
 		}
-		String message = "Host " + hostId + ", which was to pass the request on, refused it with " + parts[0]
-				+ "; retry after the time in the Retry-After header";
+		String message = "Host " + hostId + ", which was to pass the request on, "
+				+ (RunStatus.NO.name().equals(parts[1])
+						? "refused it with " + parts[0] + "; retry after the time in the Retry-After header"
+						: "ended it with " + parts[0] + "; retry if the request is idempotent");
 		try {
 			return FescueholdException.withMessage(ErrorCode.valueOf(parts[0]), RunStatus.valueOf(parts[1]),
 					Long.parseLong(parts[2]), message);
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/gateway/StreamExchange.java
@@ -294,6 +294,7 @@
 			case AnswerVerdict.Unproven(String reason) -> protocolFailure(reason);
 			case AnswerVerdict.Refused refused -> collect(response, content, verdict);
 			case AnswerVerdict.NotRun notRun -> collect(response, content, verdict);
+			case AnswerVerdict.UnprovenRejection rejection -> collect(response, content, verdict);
 			case AnswerVerdict.Signed signed when status != OK -> collect(response, content, verdict);
 			case AnswerVerdict.Signed signed -> receiveStream(target, headers, content);
 		};
@@ -445,6 +446,8 @@
 				failOrRetry(this.attempts.afterRelayRefusal(refusal));
 			case AnswerVerdict.NotRun(boolean otherInstance) ->
 				failOrRetry(this.attempts.afterRejection(backendResponse.status(), otherInstance));
+			case AnswerVerdict.UnprovenRejection(int status) ->
+				failOrRetry(this.attempts.afterUnprovenRejection(status));
 			case AnswerVerdict.Unproven(String reason) -> protocolFailure(reason);
 			case AnswerVerdict.Signed signed -> evaluateSigned(backendResponse);
 		};
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/AnswerHeadTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/AnswerHeadTests.java
@@ -22,12 +22,23 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(ints = { 100, 200, 202, 299, 302, 404, 408, 421, 429, 500, 503, 504, 599, 999 })
+	@ValueSource(ints = { 100, 200, 202, 299, 302, 400, 404, 409, 500, 502, 504, 599, 999 })
 	void onlyASignatureMakesAResponseThatOfTheServer(int status) {
 		assertThat(judge(status, OWN_ID, null, false, false, false)).isInstanceOf(AnswerVerdict.Unproven.class);
 		assertThat(judge(status, OWN_ID, null, true, false, false)).isInstanceOf(AnswerVerdict.Signed.class);
 	}
 
+	@ParameterizedTest
+	@ValueSource(ints = { 408, 421, 429, 503 })
+	void signedRejectionWithoutTheStatementDoesNotProveThatTheRequestHasNotRun(int status) {
+		assertThat(judge(status, OWN_ID, null, false, false, false)).isInstanceOf(AnswerVerdict.Unproven.class);
+		for (String instanceId : new String[] { null, SERVER_ID }) {
+			assertThat(judge(status, OWN_ID, instanceId, true, false, false))
+				.isEqualTo(new AnswerVerdict.UnprovenRejection(status));
+		}
+		assertThat(judge(status, OWN_ID, SERVER_ID, true, true, false)).isInstanceOf(AnswerVerdict.NotRun.class);
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 200, 400, 408, 429, 500, 503 })
 	void statementThatTheRequestHasNotRunNeedsNoSignature(int status) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnsignedAnswerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnsignedAnswerTests.java
@@ -240,8 +240,8 @@
 	}
 
 	@ParameterizedTest
-	@ValueSource(ints = { 202, 302, 404, 500, 503 })
-	void signedAnswerOfAnyStatusIsDeliveredUnchanged(int status) {
+	@ValueSource(ints = { 202, 302, 404, 500, 502, 504 })
+	void signedAnswerThatPromisesNothingIsDeliveredUnchanged(int status) {
 		try (ScriptedServer server = spoiling(status, "X-Signature: s\r\n");
 				TestGateway gateway = new TestGateway(server)) {
 			for (String way : new String[] { "order", "once" }) {
