Report a call that may have run as such after its service was removed

Seen in a test: on the product's own interface a call that may be repeated loses its connection after its server may have run it; its service is removed from the configuration before the next attempt, and the caller gets 404 UNKNOWN_SERVICE, run "no".

Cause: after an attempt that may have run, IdempotentCall turned only NO_SERVER into a failure of the server and passed other refusals on, which speak of their own attempt.

Change: any refusal that says "not run" becomes 502 SERVER_FAILED, run "unknown", once an attempt may have run.

Measured: RouterServerTests#callThatMayHaveRunIsReportedAsSuchAfterItsServiceWasRemoved failed on the code before and passes now.

--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/IdempotentCall.java
@@ -122,7 +122,8 @@
 		this.context.log().backendFailed(this.call.caller(), selected.serverId(), failure, "trying another server");
 		return Mono.defer(this::attempt)
 			.onErrorMap(FescueholdException.class,
-					(error) -> (error.code() == ErrorCode.NO_SERVER) ? refusal(selected, failure) : error);
+					(error) -> (error.code() == ErrorCode.NO_SERVER || this.mayHaveRun && error.run() == RunStatus.NO)
+							? refusal(selected, failure) : error);
 	}
 
 	private FescueholdException refusal(ServiceServerSelector.SelectedServer selected, BackendFailure failure) {
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/RouterServerTests.java
@@ -4,7 +4,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
 
+import io.fescuehold.core.view.FleetView;
 import io.netty.handler.ssl.util.InsecureTrustManagerFactory;
 import org.junit.jupiter.api.Test;
 import reactor.netty.http.Http11SslContextSpec;
@@ -69,6 +71,23 @@
 		}
 	}
 
+	// Guards against a call that may have run being reported as not run, because its
+	// service is removed before the next attempt.
+	@Test
+	void callThatMayHaveRunIsReportedAsSuchAfterItsServiceWasRemoved() throws Exception {
+		AtomicReference<TestRouter> configured = new AtomicReference<>();
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> {
+			configured.get().view = FleetView.EMPTY;
+			connection.reset();
+		}); TestRouter router = new TestRouter(server, server)) {
+			configured.set(router);
+			HttpResponse<String> response = router.send(router.request("/services/depot/parts/7"));
+			assertThat(response.statusCode()).isEqualTo(502);
+			assertThat(response.body()).contains("SERVER_FAILED").contains("\"run\":\"unknown\"");
+			assertThat(server.received()).hasSize(1);
+		}
+	}
+
 	@Test
 	void largeServiceResponseOfUnknownSizeIsStreamed() throws Exception {
 		String part = "x".repeat(60_000);
