Tell a service's problem documents from refusals of the router

Seen in tests: a service of the product's own interface answers with application/problem+json, and the caller library takes the document for the router's refusal. With "run": "no" in it a call that has run is reported as not run; with another value the caller gets an exception in place of the answer.

Cause: the media type was the only mark of a refusal, and services may use it, too.

Change: the router adds Fescuehold-Response-Source: service to each answer of a service, also to those replayed from the record of a key, and passes on no such header from either side. The library takes a problem document for the router's only without it.

--- a/fescuehold-client/src/main/java/io/fescuehold/client/ServiceExchange.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/ServiceExchange.java
@@ -108,7 +108,7 @@
 		if (head == null) {
 			throw new IllegalStateException("The connection was closed before a response arrived");
 		}
-		if (head.isProblem()) {
+		if (head.isProblemOfRouter()) {
 			throw new RejectedException(Problem.read(head, body.toByteArray()));
 		}
 		return new ServiceAnswer(head.status(), head.contentType(), body.toByteArray(), this.attempts);
--- a/fescuehold-client/src/main/java/io/fescuehold/client/WireSignal.java
+++ b/fescuehold-client/src/main/java/io/fescuehold/client/WireSignal.java
@@ -19,8 +19,10 @@
 			return contentType().startsWith("text/event-stream");
 		}
 
-		boolean isProblem() {
-			return contentType().startsWith("application/problem+json");
+		// A service may answer with a problem document of its own.
+		boolean isProblemOfRouter() {
+			return contentType().startsWith("application/problem+json")
+					&& !"service".equals(this.headers.get("Fescuehold-Response-Source"));
 		}
 
 		String contentType() {
--- a/fescuehold-client/src/test/java/io/fescuehold/client/FescueholdClientServiceTests.java
+++ b/fescuehold-client/src/test/java/io/fescuehold/client/FescueholdClientServiceTests.java
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -81,6 +83,24 @@
 		assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isGreaterThan(Duration.ofMillis(950));
 	}
 
+	/**
+	 * Guards against a problem document of the service that counts as the router's
+	 * statement that the call has not run.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 400, 408, 421, 429, 502, 503 })
+	void problemDocumentOfTheServiceIsItsAnswer(int status) {
+		for (String run : new String[] { "no", "yes", "unknown" }) {
+			this.first.then(ScriptedRouter.problemOfService(status, run));
+			ServiceAnswer answer = this.client
+				.call(ServiceRequest.post("depot", "/orders", "{}".getBytes(), "key-" + run))
+				.block(LIMIT);
+			assertThat(answer.status()).isEqualTo(status);
+			assertThat(answer.text()).contains("DEPOT_FULL");
+			assertThat(answer.attempts()).isEqualTo(1);
+		}
+	}
+
 	/** Guards against an unknown call that is reported as not run or run again. */
 	@Test
 	void unknownCallIsAskedForAgainAndThenReported() {
--- a/fescuehold-client/src/test/java/io/fescuehold/client/ScriptedRouter.java
+++ b/fescuehold-client/src/test/java/io/fescuehold/client/ScriptedRouter.java
@@ -155,6 +155,12 @@
 		};
 	}
 
+	/** Sends a problem document that the service behind the router has written. */
+	static Script problemOfService(int status, String run) {
+		return (response) -> problem(status, "DEPOT_FULL", run, "0.1")
+			.answer(response.header("Fescuehold-Response-Source", "service"));
+	}
+
 	static Script answer(String body) {
 		return (response) -> response.header("Content-Type", "application/json").sendString(Mono.just(body));
 	}
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceCall.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceCall.java
@@ -29,7 +29,7 @@
 	private static final Set<String> NOT_FORWARDED = Set.of("connection", "keep-alive", "proxy-authenticate",
 			"proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "host",
 			"content-length", "expect", "fescuehold-fencing-number", "fescuehold-attempt", "fescuehold-deadline-ms",
-			"x-deadline-ms", "x-request-id");
+			"x-deadline-ms", "x-request-id", "fescuehold-response-source");
 
 	/**
 	 * Returns the headers that are forwarded to the server.
--- a/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
+++ b/fescuehold-runtime/src/main/java/io/fescuehold/runtime/http/ServiceHandler.java
@@ -22,6 +22,12 @@
 	/** Indicates that the response has already been written. */
 	static final BackendResponse WRITTEN = new BackendResponse(0, Map.of(), new byte[0]);
 
+	/**
+	 * The header that tells a service's response from a refusal of the router, which may
+	 * have the same status and media type.
+	 */
+	private static final String SOURCE = "Fescuehold-Response-Source";
+
 	private final RouterContext context;
 
 	private final BodyReader bodyReader;
@@ -87,7 +93,7 @@
 	}
 
 	/**
-	 * Sets status and headers.
+	 * Sets status and headers of a service's response.
 	 * @param response the response to the caller
 	 * @param status the status
 	 * @param headers the headers of the server by lower-case name
@@ -99,6 +105,7 @@
 				response.header(name, value);
 			}
 		});
+		response.header(SOURCE, "service");
 	}
 
 }
--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/AtMostOnceTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/http/AtMostOnceTests.java
@@ -45,6 +45,28 @@
 		}
 	}
 
+	// Guards against a service's answer that the caller library takes for a refusal of
+	// the router, which says that the call has not run.
+	@Test
+	void answersOfTheServiceAreMarkedAndRefusalsOfTheRouterAreNot() throws Exception {
+		String problem = "{\"code\":\"DEPOT_FULL\",\"run\":\"no\"}";
+		try (ScriptedServer server = new ScriptedServer((request, connection) -> connection
+			.send("HTTP/1.1 503 Full\r\nContent-Type: application/problem+json\r\nRetry-After: 1\r\nContent-Length: "
+					+ problem.length() + "\r\nFescuehold-Response-Source: router\r\n\r\n" + problem));
+				TestRouter router = new TestRouter(server)) {
+			for (int attempt = 0; attempt < 2; attempt++) {
+				HttpResponse<String> response = router.send(order(router, "k"));
+				assertThat(response.statusCode()).isEqualTo(503);
+				assertThat(response.body()).isEqualTo(problem);
+				assertThat(response.headers().allValues("Fescuehold-Response-Source")).containsExactly("service");
+			}
+			assertThat(server.received()).hasSize(1);
+			HttpResponse<String> refused = router
+				.send(router.request("/services/depot/orders").POST(HttpRequest.BodyPublishers.noBody()));
+			assertThat(refused.headers().allValues("Fescuehold-Response-Source")).isEmpty();
+		}
+	}
+
 	@Test
 	void missingKeyIsRefused() throws Exception {
 		try (ScriptedServer server = new ScriptedServer(CREATED); TestRouter router = new TestRouter(server)) {
