--- a/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnprovenRejectionTests.java
+++ b/fescuehold-runtime/src/test/java/io/fescuehold/runtime/gateway/UnprovenRejectionTests.java
@@ -79,13 +79,9 @@
 		return new ScriptedServer((request, connection) -> connection.send(signed(request, status, "")));
 	}
 
-	private static String refusal(ScriptedServer.Received request, int status, String headers) {
-		return "HTTP/1.1 " + status + " Full\r\nX-Not-Run: 1\r\nX-Request: " + request.headers().get("X-Request")
-				+ "\r\n" + headers + "Content-Length: 0\r\n\r\n";
-	}
-
 	private static ScriptedServer.Script refusing(String headers) {
-		return (request, connection) -> connection.send(refusal(request, 503, headers));
+		return (request, connection) -> connection.send("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Request: "
+				+ request.headers().get("X-Request") + "\r\n" + headers + "Content-Length: 0\r\n\r\n");
 	}
 
 	private static void serve(ScriptedServer.Received request, ScriptedServer.Connection connection)
